--- /dev/null
+++ b/src/adapter/mod.rs
@@ -0,0 +1,9 @@
+//! Adapters to the outside: callers, upstreams, peers, the platform and the clock.
+
+pub mod caller;
+mod clock;
+pub mod peer;
+pub mod platform;
+pub mod upstream;
+
+pub use self::clock::Clock;
--- /dev/null
+++ b/src/client/mod.rs
@@ -0,0 +1,1 @@
+//! The library for callers.
--- /dev/null
+++ b/src/core/call/mod.rs
@@ -0,0 +1,124 @@
+//! The messages between an entry node and the owner of a leaf.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::{LeafId, RequestId, ServiceName, ShardId, SnapshotId};
+
+/// One call to one leaf, for one shard of one pinned snapshot.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeafCall {
+    pub leaf: LeafId,
+    pub snapshot: SnapshotId,
+    pub shard: ShardId,
+    /// At most once: never sent twice, only on a connection proven alive.
+    pub once: bool,
+    /// Must run with no other call in flight on the leaf, because its query is suspected of crashing leaves.
+    pub alone: bool,
+    /// Extra call of a hedge or a retry, counted as extra load.
+    pub extra: bool,
+}
+
+/// The leaf calls of one query that go to the same owner.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeafBatch {
+    pub request: RequestId,
+    pub service: ServiceName,
+    /// The W3C `traceparent` of the entry's span.
+    pub trace: Option<Arc<str>>,
+    /// Remaining time in microseconds when the batch was sent.
+    pub budget: u64,
+    pub text: Arc<str>,
+    /// Number of hits wanted from each shard.
+    pub top: u16,
+    pub calls: Vec<LeafCall>,
+}
+
+/// One matching record.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Hit {
+    pub id: Arc<str>,
+    pub score: f64,
+    pub text: Arc<str>,
+}
+
+/// The owner's answer to one call of a batch.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeafReply {
+    /// Position of the call in the batch.
+    pub index: u32,
+    pub outcome: Outcome,
+    /// What the owner knows about the leaf, for the entry's replica choice.
+    pub status: LeafStatus,
+}
+
+/// How one leaf call ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Outcome {
+    Hits {
+        snapshot: SnapshotId,
+        shard: ShardId,
+        /// False when the leaf searched only a part of the shard or the answer was truncated.
+        complete: bool,
+        hits: Vec<Hit>,
+    },
+    /// The leaf does not serve the pinned snapshot. Nothing ran.
+    WrongSnapshot { serving: Option<SnapshotId> },
+    /// Nothing ran and nothing will.
+    NotRun(NotRun),
+    /// The call may have run.
+    Failed(Failure),
+}
+
+/// Why a call certainly did not run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NotRun {
+    /// This node does not hold the lease of the leaf's partition; the holder if known.
+    NotOwner { holder: Option<crate::core::NodeId> },
+    /// The owner's queue for the leaf is full.
+    QueueFull,
+    /// The call could not start before its deadline or the lease's end.
+    TooLate,
+    /// The leaf is cold and has no spare capacity.
+    Cold,
+    /// The leaf refused explicitly.
+    Shed,
+    /// No connection could be opened.
+    Unreachable,
+    /// The leaf is leaving or its failure domain was taken out.
+    Leaving,
+    /// The query is quarantined because it crashed leaves.
+    Quarantined,
+    /// The leaf is not in the map in force at the owner.
+    UnknownLeaf,
+}
+
+/// Why a call that may have run has no usable answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Failure {
+    /// The deadline passed.
+    Deadline,
+    /// The connection was reset while the call was in flight.
+    Reset,
+    /// The connection went silent.
+    Silent,
+    /// The leaf answered with an error or with bytes that are not an answer.
+    BadAnswer,
+    /// The connection to the owner broke.
+    OwnerLost,
+    /// The caller or a faster copy cancelled the call.
+    Cancelled,
+}
+
+/// What an owner knows about one leaf.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LeafStatus {
+    pub cold: bool,
+    /// Calls the leaf can take now without queueing.
+    pub spare: u16,
+    /// Calls queued at the owner.
+    pub queued: u16,
+    /// Median service time, microseconds; zero when unknown.
+    pub median: u32,
+}
--- /dev/null
+++ b/src/core/invariant.rs
@@ -0,0 +1,66 @@
+//! Invariants asserted inside the program, in release builds too.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// A rule that must hold at all times. `docs/design.md` section 1 numbers them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Invariant {
+    /// Every answer comes from one snapshot.
+    OneSnapshot,
+    /// The reported coverage is true.
+    TrueCoverage,
+    /// A cold leaf never receives more calls than its capacity.
+    ColdCapacity,
+    /// A failure domain that was taken out gets no new work.
+    DomainOut,
+    /// Each caller gets the answer to its own request.
+    OwnAnswer,
+    /// A refusal that says "not run" is final.
+    NotRunFinal,
+    /// An at-most-once request is dispatched at most once.
+    AtMostOnce,
+    /// A leaving upstream gets no new work.
+    LeafLeaving,
+    /// A planned stop cuts no request short.
+    GracefulStop,
+    /// A configuration in force never reverts.
+    ConfigForward,
+}
+
+impl Invariant {
+    /// Returns the label used in metrics and logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Invariant::OneSnapshot => "one_snapshot",
+            Invariant::TrueCoverage => "true_coverage",
+            Invariant::ColdCapacity => "cold_capacity",
+            Invariant::DomainOut => "domain_out",
+            Invariant::OwnAnswer => "own_answer",
+            Invariant::NotRunFinal => "not_run_final",
+            Invariant::AtMostOnce => "at_most_once",
+            Invariant::LeafLeaving => "leaf_leaving",
+            Invariant::GracefulStop => "graceful_stop",
+            Invariant::ConfigForward => "config_forward",
+        }
+    }
+}
+
+static VIOLATIONS: AtomicU64 = AtomicU64::new(0);
+
+/// Returns the number of violations since the process started.
+pub fn violations() -> u64 {
+    VIOLATIONS.load(Ordering::Relaxed)
+}
+
+/// Returns `holds`; counts and logs a violation when it is false. The caller must refuse the act then.
+#[must_use]
+pub fn check(invariant: Invariant, holds: bool, detail: impl FnOnce() -> String) -> bool {
+    if !holds {
+        VIOLATIONS.fetch_add(1, Ordering::Relaxed);
+        let label = invariant.label();
+        metrics::counter!("cranberrychute_invariant_violations_total", "invariant" => label)
+            .increment(1);
+        log::error!(invariant = label; "invariant violated, act refused: {}", detail());
+    }
+    holds
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,28 @@
+//! Decision logic: no I/O, no clock, no global randomness.
+//!
+//! Every type here takes the current [`Time`], randomness and messages as inputs and returns what to do.
+//! The node, the randomized tests and the benches drive the same code.
+
+pub mod address;
+pub mod alarm;
+pub mod call;
+pub mod config;
+pub mod crash;
+mod ids;
+pub mod invariant;
+pub mod leaf;
+pub mod lease;
+pub mod member;
+pub mod once;
+pub mod query;
+mod rendezvous;
+mod time;
+
+pub use self::{
+    ids::{
+        Domain, Incarnation, LeafId, NodeId, PartitionId, RequestId, ServiceName, ShardId,
+        SnapshotId,
+    },
+    rendezvous::{rank, score},
+    time::{PauseDetector, Time},
+};
--- /dev/null
+++ b/src/core/query/mod.rs
@@ -0,0 +1,1 @@
+//! Placeholder until the module lands.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,11 @@
+//! A query tier between callers and back ends that hold many shards.
+//!
+//! [`core`] holds the decisions and does no I/O, [`adapter`] meets the outside, [`node`] wires both into
+//! the process that runs on an entry VM. `docs/design.md` explains the structure.
+
+pub mod adapter;
+pub mod cli;
+pub mod client;
+pub mod core;
+pub mod node;
+pub mod questionnaire;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+fn main() -> std::process::ExitCode {
+    cranberrychute::cli::run()
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,1 @@
+//! The process that runs on an entry VM.
--- /dev/null
+++ b/src/questionnaire/mod.rs
@@ -0,0 +1,1 @@
+//! From plain questions to a service configuration.
