Public types of configuration, relay, addresses and settings

Cause: the modules that connect to the configuration need its signatures before the bodies are complete.

No behaviour is claimed or measured yet.

--- a/src/adapter/platform/mod.rs
+++ b/src/adapter/platform/mod.rs
@@ -1,1 +1,5 @@
-//! Placeholder until the module lands.
+//! The platform: configuration service and VM list, read and watched over HTTP/1.1.
+
+mod client;
+
+pub use self::client::{PlatformClient, PlatformError, PlatformSettings, Reading};
