--- a/src/core/once/mod.rs
+++ b/src/core/once/mod.rs
@@ -1,1 +1,11 @@
-//! Placeholder until the module lands.
+//! At-most-once keys: issue, verification and state until expiry.
+
+mod error;
+mod key;
+mod table;
+
+pub use self::{
+    error::OnceError,
+    key::{FleetKey, Key},
+    table::{Begin, KeySettings, KeyTable, OnceOutcome},
+};
--- a/src/core/query/mod.rs
+++ b/src/core/query/mod.rs
@@ -1,1 +1,15 @@
-//! Placeholder until the module lands.
+//! The plan of one query: snapshot pin, replica choice, hedging, merge and coverage.
+
+mod answer;
+mod budget;
+mod health;
+mod plan;
+mod request;
+
+pub use self::{
+    answer::{Answer, Coverage, Missing, MissingReason, RunOutcome},
+    budget::HedgeBudget,
+    health::{HealthSettings, LeafHealth},
+    plan::{CallId, Context, QueryAction, QueryPlan},
+    request::{CrashView, Query, QueryError, Verdict},
+};
--- /dev/null
+++ b/src/core/query/request.rs
@@ -0,0 +1,59 @@
+use std::{sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::core::{RequestId, ServiceName, Time};
+
+/// One parsed request of a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Query {
+    pub request: RequestId,
+    pub service: ServiceName,
+    pub text: Arc<str>,
+    /// Number of hits wanted.
+    pub top: u16,
+    /// Time the caller gives from the start of the plan; the policy's `deadline_ms` if absent.
+    pub deadline: Option<Duration>,
+}
+
+/// Why a query is refused before any leaf call is sent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Error)]
+pub enum QueryError {
+    #[error("service {0:?} has no snapshot that serves; publish a map with a serving snapshot")]
+    NoSnapshot(ServiceName),
+    #[error("top is {top}, the service allows 1 to {most}; ask for fewer hits")]
+    Top { top: u16, most: u16 },
+    #[error("the deadline is zero; give the query time to run")]
+    NoTime,
+    #[error(
+        "this query crashed leaves and is quarantined; an earlier copy may have run, don't repeat it"
+    )]
+    Quarantined,
+}
+
+impl QueryError {
+    /// Returns whether the refusal may say "not run".
+    pub fn not_run(&self) -> bool {
+        !matches!(self, QueryError::Quarantined)
+    }
+}
+
+/// What the crash ledger says about a query.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Never seen to run: one canary request goes first.
+    Fresh,
+    /// Has run without harm.
+    Known,
+    /// Was in flight when a leaf crashed: gets one more try, alone on its leaf.
+    Suspect,
+    /// Crashed leaves repeatedly: is not run.
+    Quarantined,
+}
+
+/// The plan's view of the crash ledger.
+pub trait CrashView {
+    /// Returns the verdict on the query `text` of `service`.
+    fn verdict(&self, now: Time, service: &ServiceName, text: &str) -> Verdict;
+}
