--- /dev/null
+++ b/src/adapter/caller/server.rs
@@ -0,0 +1,218 @@
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use anyhow::Context;
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, StatusCode, header::CONTENT_TYPE};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper_util::{
+    rt::{TokioExecutor, TokioTimer},
+    server::conn::auto::Builder,
+};
+use tokio::net::TcpListener;
+use viz::{Body, IntoResponse, Request, RequestExt, Response, Router};
+
+use super::{ApiError, CallerPort, ErrorCode, QueryRequest, Reply};
+use crate::core::{RequestId, ServiceName};
+
+/// Largest request body, bytes.
+const MAX_BODY_BYTES: usize = 64 << 10;
+/// Largest block of request headers, bytes.
+const MAX_HEADER_BYTES: usize = 32 << 10;
+/// Time a caller has to send its request headers.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time a caller has to send its request body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest caller id, request id, service name or key, bytes.
+const MAX_NAME_BYTES: usize = 512;
+/// Largest value of `x-deadline-ms`; the policy of the service lowers it further.
+const MAX_DEADLINE_MS: u64 = 600_000;
+
+/// The HTTP server for callers and operators.
+#[derive(Debug)]
+pub struct CallerServer {
+    listener: TcpListener,
+}
+
+impl CallerServer {
+    /// Binds the listener.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is in use or not local.
+    pub async fn bind(addr: SocketAddr) -> anyhow::Result<Self> {
+        let listener = TcpListener::bind(addr)
+            .await
+            .with_context(|| format!("bind caller_address {addr} (TCP, HTTP)"))?;
+        Ok(Self { listener })
+    }
+
+    /// Serves until `stop` completes, then finishes the requests that run.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the listener breaks.
+    pub async fn serve<P: CallerPort>(
+        self,
+        port: Arc<P>,
+        stop: impl Future<Output = ()> + Send + 'static,
+    ) -> anyhow::Result<()> {
+        let mut builder = Builder::new(TokioExecutor::new());
+        builder
+            .http1()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEADER_TIMEOUT)
+            .max_buf_size(MAX_HEADER_BYTES);
+        builder.http2().timer(TokioTimer::new()).max_header_list_size(MAX_HEADER_BYTES as u32);
+        viz::Server::with_builder(self.listener, routes(port), builder).signal(stop).await?;
+        Ok(())
+    }
+}
+
+fn routes<P: CallerPort>(port: Arc<P>) -> Router {
+    let addresses = port.clone();
+    let key = port.clone();
+    let query = port.clone();
+    let once = port.clone();
+    let state = port.clone();
+    let ready = port.clone();
+    Router::new()
+        .get("/v1/addresses", move |request: Request| {
+            let port = addresses.clone();
+            async move { Ok::<_, viz::Error>(answer(find_addresses(&*port, &request))) }
+        })
+        .post("/v1/keys", move |_: Request| {
+            let port = key.clone();
+            async move { Ok::<_, viz::Error>(answer(port.issue_key())) }
+        })
+        .post("/v1/services/:service/query", move |request: Request| {
+            let port = query.clone();
+            async move {
+                let reply = match parse(request).await {
+                    Ok(request) => port.query(request).await,
+                    Err(error) => error.into(),
+                };
+                Ok::<_, viz::Error>(answer(reply))
+            }
+        })
+        .post("/v1/services/:service/once", move |request: Request| {
+            let port = once.clone();
+            async move {
+                let reply = match parse(request).await {
+                    Ok(request) => port.once(request).await,
+                    Err(error) => error.into(),
+                };
+                Ok::<_, viz::Error>(answer(reply))
+            }
+        })
+        .get("/v1/state", move |_: Request| {
+            let port = state.clone();
+            async move { Ok::<_, viz::Error>(answer(port.state())) }
+        })
+        .get("/v1/ready", move |_: Request| {
+            let port = ready.clone();
+            async move { Ok::<_, viz::Error>(answer(port.ready())) }
+        })
+        .get("/metrics", move |_: Request| {
+            let port = port.clone();
+            async move { Ok::<_, viz::Error>(port.metrics().into_response()) }
+        })
+        .any("/*", |_: Request| async move {
+            let error = ApiError::not_run(
+                ErrorCode::NotFound,
+                "no such route; see docs/api.md for the routes of a node",
+            );
+            Ok::<_, viz::Error>(answer(error.into()))
+        })
+}
+
+fn answer(reply: Reply) -> Response {
+    let mut response = Response::new(Body::Full(reply.body.into()));
+    *response.status_mut() = reply.status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if reply.status == StatusCode::SERVICE_UNAVAILABLE {
+        response.headers_mut().insert("retry-after", HeaderValue::from_static("1"));
+    }
+    response
+}
+
+fn find_addresses<P: CallerPort>(port: &P, request: &Request) -> Reply {
+    let query = request.uri().query().unwrap_or("");
+    let pairs = url::form_urlencoded::parse(query.as_bytes());
+    let mut caller = None;
+    let mut with_key = false;
+    for (name, value) in pairs {
+        match &*name {
+            "caller" if value.len() <= MAX_NAME_BYTES => caller = Some(value.into_owned()),
+            "key" => with_key = value == "true" || value == "1",
+            _ => {
+                let message =
+                    format!("query parameter \"{name}\" is not allowed; use caller=ID and key=true");
+                return ApiError::not_run(ErrorCode::BadRequest, message).into();
+            }
+        }
+    }
+    port.addresses(caller.as_deref().unwrap_or(""), with_key)
+}
+
+async fn parse(mut request: Request) -> Result<QueryRequest, ApiError> {
+    let service: String = request
+        .param("service")
+        .map_err(|_| bad("the service name in the path is not valid UTF-8"))?;
+    let headers = request.headers().clone();
+    let id = text_header(&headers, "x-request-id")?.unwrap_or_else(new_request_id);
+    let deadline = deadline_header(&headers)?;
+    let trace = text_header(&headers, "traceparent")?;
+    let key = text_header(&headers, "idempotency-key")?;
+    let body = read_body(std::mem::take(request.body_mut())).await?;
+    Ok(QueryRequest {
+        request: RequestId::from(&*id),
+        service: ServiceName::from(service),
+        body,
+        deadline,
+        trace,
+        key,
+    })
+}
+
+async fn read_body(body: Body) -> Result<Bytes, ApiError> {
+    let limited = Limited::new(body, MAX_BODY_BYTES).collect();
+    match tokio::time::timeout(BODY_TIMEOUT, limited).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ApiError::not_run(
+            ErrorCode::TooLarge,
+            format!("the body exceeds {MAX_BODY_BYTES} bytes"),
+        )),
+        Ok(Err(error)) => Err(bad(format!("the body could not be read: {error}"))),
+        Err(_) => Err(bad(format!("the body did not arrive within {BODY_TIMEOUT:?}"))),
+    }
+}
+
+fn deadline_header(headers: &HeaderMap) -> Result<Option<Duration>, ApiError> {
+    let Some(text) = text_header(headers, "x-deadline-ms")? else { return Ok(None) };
+    let millis: u64 = text.parse().map_err(|_| {
+        bad(format!("header x-deadline-ms is \"{text}\"; it takes a whole number of milliseconds"))
+    })?;
+    if millis == 0 || millis > MAX_DEADLINE_MS {
+        return Err(bad(format!("header x-deadline-ms is {millis}; allowed is 1 to {MAX_DEADLINE_MS}")));
+    }
+    Ok(Some(Duration::from_millis(millis)))
+}
+
+fn text_header(headers: &HeaderMap, name: &str) -> Result<Option<Arc<str>>, ApiError> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    let text = value
+        .to_str()
+        .map_err(|_| bad(format!("header {name} holds bytes other than visible ASCII")))?;
+    if text.is_empty() || text.len() > MAX_NAME_BYTES {
+        return Err(bad(format!("header {name} must have 1 to {MAX_NAME_BYTES} characters")));
+    }
+    Ok(Some(text.into()))
+}
+
+fn new_request_id() -> Arc<str> {
+    format!("{:016x}", rand::random::<u64>()).into()
+}
+
+fn bad(message: impl Into<String>) -> ApiError {
+    ApiError::not_run(ErrorCode::BadRequest, message)
+}
--- /dev/null
+++ b/src/adapter/peer/quic.rs
@@ -0,0 +1,535 @@
+use std::{
+    collections::HashMap,
+    fmt, io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use anyhow::Context;
+use quinn::{
+    ClientConfig, Connection, Endpoint, IdleTimeout, Incoming, RecvStream, SendStream, ServerConfig,
+    TransportConfig, VarInt,
+    crypto::rustls::{QuicClientConfig, QuicServerConfig},
+};
+use rustls::{
+    DigitallySignedStruct, SignatureScheme,
+    client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier},
+    crypto::{CryptoProvider, verify_tls13_signature},
+    pki_types::{CertificateDer, PrivatePkcs8KeyDer, ServerName, UnixTime},
+};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tokio::{
+    sync::{Mutex as AsyncMutex, mpsc},
+    time::timeout,
+};
+
+use crate::core::{
+    Incarnation, NodeId, RequestId, ServiceName,
+    call::{LeafBatch, LeafReply},
+    config::{Document, Versions},
+};
+
+/// Name in the self-signed certificates. Peers are authenticated by the fleet key, not by this name.
+const SERVER_NAME: &str = "cranberrychute";
+/// Time allowed for a connection and its authentication.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Interval of keep-alive packets, a quarter of the idle time-out so that three may be lost.
+const KEEP_ALIVE: Duration = Duration::from_millis(250);
+/// Time without any packet after which a connection counts as silent and is closed.
+const IDLE_TIMEOUT_MS: u32 = 1_000;
+/// Largest frame, above the platform's largest value of 1 MB.
+const MAX_FRAME_BYTES: usize = 4 << 20;
+/// Streams that one peer may have open at a time.
+const MAX_STREAMS: u32 = 4_096;
+/// Length of the authenticators exchanged in the hello, bytes.
+const PROOF_BYTES: usize = 32;
+
+/// Who this node is towards its peers.
+#[derive(Clone)]
+pub struct Identity {
+    pub node: NodeId,
+    pub incarnation: Incarnation,
+    /// Secret shared by all nodes of the fleet.
+    pub key: [u8; 32],
+}
+
+impl fmt::Debug for Identity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Identity")
+            .field("node", &self.node)
+            .field("incarnation", &self.incarnation)
+            .finish_non_exhaustive()
+    }
+}
+
+/// An at-most-once request on its way to the node that issued its key.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct OnceForward {
+    pub request: RequestId,
+    pub service: ServiceName,
+    pub key: Arc<str>,
+    pub body: Arc<[u8]>,
+    /// Remaining time in microseconds when the request was forwarded.
+    pub budget: u64,
+    pub trace: Option<Arc<str>>,
+}
+
+/// The issuer's answer to a forwarded request, ready to be passed on to the caller.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct OnceReply {
+    /// HTTP status.
+    pub status: u16,
+    /// JSON body.
+    pub body: Arc<[u8]>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum Request {
+    Batch(LeafBatch),
+    Once(OnceForward),
+    Fetch(Versions),
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Hello {
+    node: NodeId,
+    incarnation: Incarnation,
+    proof: [u8; PROOF_BYTES],
+}
+
+/// The step at which an exchange with a peer failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerStep {
+    Connect,
+    Authenticate,
+    Open,
+    Send,
+    Receive,
+}
+
+/// A failed exchange with a peer.
+#[derive(Debug, thiserror::Error)]
+#[error("{step:?} with peer {peer} failed: {source}")]
+pub struct PeerError {
+    pub step: PeerStep,
+    pub peer: NodeId,
+    #[source]
+    pub source: anyhow::Error,
+}
+
+impl PeerError {
+    /// Returns whether the peer certainly did not receive the request.
+    pub fn not_sent(&self) -> bool {
+        matches!(self.step, PeerStep::Connect | PeerStep::Authenticate | PeerStep::Open)
+    }
+}
+
+/// Serves the requests of peers.
+pub trait PeerHandler: Send + Sync + 'static {
+    /// Runs a batch; dropping the future cancels the calls that still run.
+    fn batch(
+        &self,
+        from: NodeId,
+        batch: LeafBatch,
+        replies: mpsc::Sender<LeafReply>,
+        cancels: mpsc::Receiver<u32>,
+    ) -> impl Future<Output = ()> + Send;
+
+    /// Runs a forwarded at-most-once request.
+    fn once(&self, from: NodeId, request: OnceForward) -> impl Future<Output = OnceReply> + Send;
+
+    /// Returns the documents that are newer than `versions`.
+    fn fetch(&self, versions: Versions) -> Vec<Document>;
+}
+
+type Slot = Arc<AsyncMutex<Option<Link>>>;
+
+#[derive(Clone, Debug)]
+struct Link {
+    addr: SocketAddr,
+    connection: Connection,
+}
+
+/// QUIC connections to and from the other nodes.
+#[derive(Debug)]
+pub struct PeerTransport {
+    identity: Identity,
+    endpoint: Endpoint,
+    links: Mutex<HashMap<NodeId, Slot>>,
+}
+
+impl PeerTransport {
+    /// Binds the endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is in use or no certificate can be generated.
+    pub fn bind(addr: SocketAddr, identity: Identity) -> anyhow::Result<Arc<Self>> {
+        let (server, client) = tls_configs().context("generate the TLS identity")?;
+        let mut endpoint = Endpoint::server(server, addr)
+            .with_context(|| format!("bind peer_address {addr} (UDP, QUIC)"))?;
+        endpoint.set_default_client_config(client);
+        Ok(Arc::new(Self { identity, endpoint, links: Mutex::new(HashMap::new()) }))
+    }
+
+    /// Returns the bound address.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the socket is closed.
+    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.endpoint.local_addr()
+    }
+
+    /// Accepts connections until the endpoint is closed.
+    pub async fn serve<H: PeerHandler>(self: Arc<Self>, handler: Arc<H>) {
+        while let Some(incoming) = self.endpoint.accept().await {
+            let (this, handler) = (self.clone(), handler.clone());
+            tokio::spawn(async move {
+                if let Err(error) = this.serve_connection(incoming, handler).await {
+                    log::debug!("connection from a peer ended: {error:#}");
+                }
+            });
+        }
+    }
+
+    /// Closes all connections after their streams were served.
+    pub async fn close(&self) {
+        self.endpoint.close(VarInt::from_u32(0), b"leaving");
+        let _ = timeout(CONNECT_TIMEOUT, self.endpoint.wait_idle()).await;
+    }
+
+    /// Sends a batch to the owner of its leaves and passes on the replies as they arrive.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the exchange breaks; [`PeerError::not_sent`] tells whether the owner may have run calls.
+    pub async fn batch(
+        &self,
+        to: &NodeId,
+        addr: SocketAddr,
+        batch: LeafBatch,
+        replies: &mpsc::Sender<LeafReply>,
+        mut cancels: mpsc::Receiver<u32>,
+    ) -> Result<(), PeerError> {
+        let fail = |step| move |source| PeerError { step, peer: to.clone(), source };
+        let calls = batch.calls.len();
+        let (mut send, mut recv) = self.open(to, addr).await?;
+        write_frame(&mut send, &Request::Batch(batch)).await.map_err(fail(PeerStep::Send))?;
+        let forward = async {
+            while let Some(index) = cancels.recv().await {
+                if write_frame(&mut send, &index).await.is_err() {
+                    break;
+                }
+            }
+            // Keeps the stream open: its end would cancel the calls that still run.
+            std::future::pending::<()>().await;
+        };
+        let receive = async {
+            for _ in 0..calls {
+                let reply: LeafReply =
+                    read_frame(&mut recv).await.map_err(fail(PeerStep::Receive))?;
+                if replies.send(reply).await.is_err() {
+                    return Ok(());
+                }
+            }
+            Ok(())
+        };
+        tokio::select! {
+            result = receive => result,
+            () = forward => Ok(()),
+        }
+    }
+
+    /// Forwards an at-most-once request to the node that issued its key.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the exchange breaks; [`PeerError::not_sent`] tells whether the request may have run.
+    pub async fn once(
+        &self,
+        to: &NodeId,
+        addr: SocketAddr,
+        request: OnceForward,
+    ) -> Result<OnceReply, PeerError> {
+        self.exchange(to, addr, &Request::Once(request)).await
+    }
+
+    /// Fetches the documents of a peer that are newer than `versions`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the exchange breaks.
+    pub async fn fetch(
+        &self,
+        to: &NodeId,
+        addr: SocketAddr,
+        versions: Versions,
+    ) -> Result<Vec<Document>, PeerError> {
+        self.exchange(to, addr, &Request::Fetch(versions)).await
+    }
+
+    async fn exchange<T: DeserializeOwned>(
+        &self,
+        to: &NodeId,
+        addr: SocketAddr,
+        request: &Request,
+    ) -> Result<T, PeerError> {
+        let fail = |step| move |source| PeerError { step, peer: to.clone(), source };
+        let (mut send, mut recv) = self.open(to, addr).await?;
+        write_frame(&mut send, request).await.map_err(fail(PeerStep::Send))?;
+        read_frame(&mut recv).await.map_err(fail(PeerStep::Receive))
+    }
+
+    async fn open(
+        &self,
+        to: &NodeId,
+        addr: SocketAddr,
+    ) -> Result<(SendStream, RecvStream), PeerError> {
+        let fail = |step| move |source| PeerError { step, peer: to.clone(), source };
+        let connection = timeout(CONNECT_TIMEOUT, self.link(to, addr))
+            .await
+            .map_err(|elapsed| fail(PeerStep::Connect)(elapsed.into()))??;
+        connection.open_bi().await.map_err(|error| fail(PeerStep::Open)(error.into()))
+    }
+
+    async fn link(&self, to: &NodeId, addr: SocketAddr) -> Result<Connection, PeerError> {
+        let slot = {
+            let mut links = self.links.lock().expect("no panic while locked");
+            links.entry(to.clone()).or_default().clone()
+        };
+        let mut slot = slot.lock().await;
+        if let Some(link) = slot.as_ref()
+            && link.addr == addr
+            && link.connection.close_reason().is_none()
+        {
+            return Ok(link.connection.clone());
+        }
+        let connection = self.connect(to, addr).await?;
+        *slot = Some(Link { addr, connection: connection.clone() });
+        Ok(connection)
+    }
+
+    async fn connect(&self, to: &NodeId, addr: SocketAddr) -> Result<Connection, PeerError> {
+        let fail = |step| move |source| PeerError { step, peer: to.clone(), source };
+        let connecting = self
+            .endpoint
+            .connect(addr, SERVER_NAME)
+            .map_err(|error| fail(PeerStep::Connect)(error.into()))?;
+        let connection =
+            connecting.await.map_err(|error| fail(PeerStep::Connect)(error.into()))?;
+        self.greet(&connection, to).await.map_err(fail(PeerStep::Authenticate))?;
+        Ok(connection)
+    }
+
+    async fn greet(&self, connection: &Connection, to: &NodeId) -> anyhow::Result<()> {
+        let (mut send, mut recv) = connection.open_bi().await?;
+        write_frame(&mut send, &self.hello(connection, b"client")?).await?;
+        let hello: Hello = read_frame(&mut recv).await?;
+        self.verify(connection, &hello, b"server")?;
+        anyhow::ensure!(hello.node == *to, "the address belongs to node {}", hello.node);
+        Ok(())
+    }
+
+    fn hello(&self, connection: &Connection, role: &[u8]) -> anyhow::Result<Hello> {
+        let Identity { node, incarnation, .. } = &self.identity;
+        let proof = self.proof(connection, role, node, *incarnation)?;
+        Ok(Hello { node: node.clone(), incarnation: *incarnation, proof })
+    }
+
+    fn verify(&self, connection: &Connection, hello: &Hello, role: &[u8]) -> anyhow::Result<()> {
+        let wanted = self.proof(connection, role, &hello.node, hello.incarnation)?;
+        // blake3::Hash compares in constant time.
+        let same = blake3::Hash::from_bytes(wanted) == blake3::Hash::from_bytes(hello.proof);
+        anyhow::ensure!(same, "node {} does not have this fleet's key; set fleet_key", hello.node);
+        Ok(())
+    }
+
+    /// Binds the fleet key to this TLS session, so that a man in the middle cannot pass the proof on.
+    fn proof(
+        &self,
+        connection: &Connection,
+        role: &[u8],
+        node: &NodeId,
+        incarnation: Incarnation,
+    ) -> anyhow::Result<[u8; PROOF_BYTES]> {
+        let mut session = [0; PROOF_BYTES];
+        connection
+            .export_keying_material(&mut session, b"cranberrychute hello", role)
+            .map_err(|error| anyhow::anyhow!("export keying material: {error:?}"))?;
+        let mut mac = blake3::Hasher::new_keyed(&self.identity.key);
+        mac.update(&session).update(role).update(node.as_str().as_bytes());
+        Ok(*mac.update(&incarnation.0.to_le_bytes()).finalize().as_bytes())
+    }
+
+    async fn serve_connection<H: PeerHandler>(
+        &self,
+        incoming: Incoming,
+        handler: Arc<H>,
+    ) -> anyhow::Result<()> {
+        let connection = incoming.await?;
+        let node = timeout(CONNECT_TIMEOUT, self.welcome(&connection)).await??;
+        loop {
+            let (send, recv) = connection.accept_bi().await?;
+            let (handler, node) = (handler.clone(), node.clone());
+            tokio::spawn(async move {
+                if let Err(error) = serve_stream(send, recv, node.clone(), handler).await {
+                    log::debug!(peer = node.as_str(); "stream from a peer ended: {error:#}");
+                }
+            });
+        }
+    }
+
+    async fn welcome(&self, connection: &Connection) -> anyhow::Result<NodeId> {
+        let (mut send, mut recv) = connection.accept_bi().await?;
+        let hello: Hello = read_frame(&mut recv).await?;
+        if let Err(error) = self.verify(connection, &hello, b"client") {
+            metrics::counter!("cranberrychute_peer_rejected_total").increment(1);
+            connection.close(VarInt::from_u32(1), b"wrong fleet key");
+            return Err(error);
+        }
+        write_frame(&mut send, &self.hello(connection, b"server")?).await?;
+        Ok(hello.node)
+    }
+}
+
+async fn serve_stream<H: PeerHandler>(
+    mut send: SendStream,
+    mut recv: RecvStream,
+    node: NodeId,
+    handler: Arc<H>,
+) -> anyhow::Result<()> {
+    match read_frame(&mut recv).await? {
+        Request::Batch(batch) => serve_batch(send, recv, node, batch, handler).await?,
+        Request::Once(request) => {
+            let reply = handler.once(node, request).await;
+            write_frame(&mut send, &reply).await?;
+        }
+        Request::Fetch(versions) => write_frame(&mut send, &handler.fetch(versions)).await?,
+    }
+    Ok(())
+}
+
+async fn serve_batch<H: PeerHandler>(
+    mut send: SendStream,
+    mut recv: RecvStream,
+    node: NodeId,
+    batch: LeafBatch,
+    handler: Arc<H>,
+) -> anyhow::Result<()> {
+    let calls = batch.calls.len();
+    let (replies, mut queue) = mpsc::channel(calls.max(1));
+    let (cancel, cancels) = mpsc::channel(calls.max(1));
+    let run = handler.batch(node, batch, replies, cancels);
+    let write = async {
+        while let Some(reply) = queue.recv().await {
+            write_frame(&mut send, &reply).await?;
+        }
+        anyhow::Ok(())
+    };
+    let read = async {
+        while let Ok(index) = read_frame::<u32>(&mut recv).await {
+            let _ = cancel.send(index).await;
+        }
+        // The entry node went away or cancelled the query: dropping `run` cancels the calls.
+        anyhow::Ok(())
+    };
+    let work = async {
+        let ((), written) = tokio::join!(run, write);
+        written
+    };
+    tokio::select! {
+        result = work => result,
+        result = read => result,
+    }
+}
+
+async fn write_frame<T: Serialize>(send: &mut SendStream, value: &T) -> anyhow::Result<()> {
+    let mut frame = vec![0; 4];
+    frame = postcard::to_extend(value, frame)?;
+    let length = frame.len() - 4;
+    anyhow::ensure!(length <= MAX_FRAME_BYTES, "frame of {length} bytes exceeds the limit");
+    frame[..4].copy_from_slice(&u32::try_from(length)?.to_le_bytes());
+    send.write_all(&frame).await?;
+    Ok(())
+}
+
+async fn read_frame<T: DeserializeOwned>(recv: &mut RecvStream) -> anyhow::Result<T> {
+    let mut length = [0; 4];
+    recv.read_exact(&mut length).await?;
+    let length = u32::from_le_bytes(length) as usize;
+    anyhow::ensure!(length <= MAX_FRAME_BYTES, "frame of {length} bytes exceeds the limit");
+    let mut frame = vec![0; length];
+    recv.read_exact(&mut frame).await?;
+    Ok(postcard::from_bytes(&frame)?)
+}
+
+fn tls_configs() -> anyhow::Result<(ServerConfig, ClientConfig)> {
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let identity = rcgen::generate_simple_self_signed(vec![SERVER_NAME.to_owned()])?;
+    let key = PrivatePkcs8KeyDer::from(identity.signing_key.serialize_der());
+    let server = rustls::ServerConfig::builder_with_provider(provider.clone())
+        .with_protocol_versions(&[&rustls::version::TLS13])?
+        .with_no_client_auth()
+        .with_single_cert(vec![identity.cert.der().clone()], key.into())?;
+    let client = rustls::ClientConfig::builder_with_provider(provider.clone())
+        .with_protocol_versions(&[&rustls::version::TLS13])?
+        .dangerous()
+        .with_custom_certificate_verifier(Arc::new(AnyCertificate(provider)))
+        .with_no_client_auth();
+    let transport = Arc::new(transport_config());
+    let mut server = ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(server)?));
+    server.transport_config(transport.clone());
+    let mut client = ClientConfig::new(Arc::new(QuicClientConfig::try_from(client)?));
+    client.transport_config(transport);
+    Ok((server, client))
+}
+
+fn transport_config() -> TransportConfig {
+    let mut config = TransportConfig::default();
+    config
+        .keep_alive_interval(Some(KEEP_ALIVE))
+        .max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))))
+        .max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS));
+    config
+}
+
+/// Accepts every certificate: the hello that follows proves the fleet key within the TLS session.
+#[derive(Debug)]
+struct AnyCertificate(Arc<CryptoProvider>);
+
+impl ServerCertVerifier for AnyCertificate {
+    fn verify_server_cert(
+        &self,
+        _end_entity: &CertificateDer<'_>,
+        _intermediates: &[CertificateDer<'_>],
+        _server_name: &ServerName<'_>,
+        _ocsp_response: &[u8],
+        _now: UnixTime,
+    ) -> Result<ServerCertVerified, rustls::Error> {
+        Ok(ServerCertVerified::assertion())
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        _message: &[u8],
+        _cert: &CertificateDer<'_>,
+        _dss: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        Err(rustls::Error::General("TLS 1.2 is not offered".to_owned()))
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        cert: &CertificateDer<'_>,
+        dss: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        verify_tls13_signature(message, cert, dss, &self.0.signature_verification_algorithms)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        self.0.signature_verification_algorithms.supported_schemes()
+    }
+}
--- /dev/null
+++ b/src/node/telemetry.rs
@@ -0,0 +1,120 @@
+use std::{collections::VecDeque, fmt, sync::Mutex, time::SystemTime};
+
+use anyhow::Context;
+use fastrace::collector::{Config, Reporter, SpanRecord};
+use fern::{Dispatch, FormatCallback};
+use log::{LevelFilter, Record, kv};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use serde_json::{Map, Value, json};
+
+/// Target of the log lines that carry finished trace spans.
+pub const SPAN_TARGET: &str = "trace";
+/// Spans kept in memory for `GET /v1/state`, over all traces.
+const KEPT_SPANS: usize = 512;
+
+static RECENT: Mutex<VecDeque<Value>> = Mutex::new(VecDeque::new());
+
+/// Starts logging to standard error.
+///
+/// # Errors
+///
+/// Fails when a logger is installed already.
+pub fn start_logging(level: LevelFilter, json: bool) -> anyhow::Result<()> {
+    let format = if json { format_json } else { format_text };
+    Dispatch::new()
+        .level(LevelFilter::Warn)
+        .level_for("cranberrychute", level)
+        .level_for(SPAN_TARGET, level)
+        .format(format)
+        .chain(std::io::stderr())
+        .apply()
+        .context("install the logger")
+}
+
+/// Starts the reporter that writes finished spans to the log.
+pub fn start_tracing() {
+    fastrace::set_reporter(LogReporter, Config::default());
+}
+
+/// Installs the metrics recorder, or returns a handle of its own when one is installed already.
+pub fn start_metrics() -> PrometheusHandle {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    // Several nodes in one process, as in the demo, share the recorder of the first.
+    if metrics::set_global_recorder(recorder).is_err() {
+        log::debug!("metrics are recorded by the first node of this process");
+    }
+    handle
+}
+
+/// Returns the latest finished spans, oldest first.
+pub fn recent_spans() -> Vec<Value> {
+    RECENT.lock().expect("no panic while locked").iter().cloned().collect()
+}
+
+fn format_text(out: FormatCallback<'_>, message: &fmt::Arguments<'_>, record: &Record<'_>) {
+    let time = humantime::format_rfc3339_millis(SystemTime::now());
+    let mut fields = String::new();
+    let mut visitor = TextFields(&mut fields);
+    let _ = record.key_values().visit(&mut visitor);
+    out.finish(format_args!("{time} {:5} {} {message}{fields}", record.level(), record.target()));
+}
+
+fn format_json(out: FormatCallback<'_>, message: &fmt::Arguments<'_>, record: &Record<'_>) {
+    let mut line = Map::new();
+    let time = humantime::format_rfc3339_millis(SystemTime::now()).to_string();
+    line.insert("time".into(), time.into());
+    line.insert("level".into(), record.level().as_str().into());
+    line.insert("target".into(), record.target().into());
+    line.insert("message".into(), message.to_string().into());
+    let _ = record.key_values().visit(&mut JsonFields(&mut line));
+    out.finish(format_args!("{}", Value::Object(line)));
+}
+
+struct TextFields<'a>(&'a mut String);
+
+impl<'kvs> kv::VisitSource<'kvs> for TextFields<'_> {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        use fmt::Write;
+        write!(self.0, " {key}={value}").map_err(|_| kv::Error::msg("format a log field"))
+    }
+}
+
+struct JsonFields<'a>(&'a mut Map<String, Value>);
+
+impl<'kvs> kv::VisitSource<'kvs> for JsonFields<'_> {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        let value = serde_json::to_value(&value).unwrap_or_else(|_| value.to_string().into());
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
+struct LogReporter;
+
+impl Reporter for LogReporter {
+    fn report(&mut self, spans: Vec<SpanRecord>) {
+        for span in spans {
+            let fields: Map<String, Value> = span
+                .properties
+                .iter()
+                .map(|(key, value)| (key.to_string(), value.to_string().into()))
+                .collect();
+            let record = json!({
+                "trace": span.trace_id.to_string(),
+                "span": span.span_id.to_string(),
+                "parent": span.parent_id.to_string(),
+                "name": span.name,
+                "start_us": span.begin_time_unix_ns / 1_000,
+                "duration_us": span.duration_ns / 1_000,
+                "fields": fields,
+            });
+            log::debug!(target: SPAN_TARGET, span:serde = record; "span {}", span.name);
+            let mut recent = RECENT.lock().expect("no panic while locked");
+            if recent.len() == KEPT_SPANS {
+                recent.pop_front();
+            }
+            recent.push_back(record);
+        }
+    }
+}
