--- a/src/adapter/peer/mod.rs
+++ b/src/adapter/peer/mod.rs
@@ -1,1 +1,5 @@
-//! Placeholder until the module lands.
+//! Messages between nodes.
+
+mod control;
+
+pub use self::control::{ControlError, ControlSocket, FleetKey, Incoming};
--- a/src/core/member/mod.rs
+++ b/src/core/member/mod.rs
@@ -1,1 +1,13 @@
-//! Placeholder until the module lands.
+//! Membership in the style of SWIM: which nodes are alive, at a constant cost per node.
+//!
+//! Membership is a hint. It decides who asks for a lease and where messages go, never who may act.
+
+mod membership;
+mod message;
+mod settings;
+
+pub use self::{
+    membership::Membership,
+    message::{Life, MemberMessage, Probe, Rumor},
+    settings::MemberSettings,
+};
--- /dev/null
+++ b/src/core/member/settings.rs
@@ -0,0 +1,34 @@
+use std::time::Duration;
+
+/// Times and sizes of the membership protocol.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberSettings {
+    /// Time between two probes.
+    pub period: Duration,
+    /// Time after which a probe without an answer is repeated through other nodes.
+    pub timeout: Duration,
+    /// Number of nodes asked to probe on this node's behalf.
+    pub relays: usize,
+    /// Time a suspected node has to refute.
+    pub suspicion: Duration,
+    /// Rumors in one message.
+    pub rumors: usize,
+    /// Rumors kept for sending.
+    pub queue: usize,
+    /// Gap between two ticks above which the node is taken to have been paused.
+    pub pause: Duration,
+}
+
+impl Default for MemberSettings {
+    fn default() -> Self {
+        Self {
+            period: Duration::from_secs(1),
+            timeout: Duration::from_millis(300),
+            relays: 3,
+            suspicion: Duration::from_secs(2),
+            rumors: 8,
+            queue: 256,
+            pause: Duration::from_secs(1),
+        }
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod lease;
 pub mod member;
 pub mod once;
+mod outbound;
 pub mod query;
 mod rendezvous;
 mod time;
@@ -23,6 +24,7 @@
         Domain, Incarnation, LeafId, NodeId, PartitionId, RequestId, ServiceName, ShardId,
         SnapshotId,
     },
+    outbound::Outbound,
     rendezvous::{rank, score},
     time::{PauseDetector, Time},
 };
