--- a/src/adapter/peer/mod.rs
+++ b/src/adapter/peer/mod.rs
@@ -1,7 +1,11 @@
 //! Messages between nodes: leaf batches and documents over QUIC, control messages over UDP.
 
+mod control;
 mod quic;
 
-pub use self::quic::{
-    Identity, OnceForward, OnceReply, PeerError, PeerHandler, PeerStep, PeerTransport,
+pub use self::{
+    control::{ControlError, ControlSocket, FleetKey, Incoming},
+    quic::{
+        Identity, OnceForward, OnceReply, PeerError, PeerHandler, PeerStep, PeerTransport,
+    },
 };
