--- /dev/null
+++ b/src/core/crash/ledger.rs
@@ -0,0 +1,322 @@
+use std::{
+    collections::{HashMap, HashSet, VecDeque},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::core::{ServiceName, Time};
+
+/// How long a crash counts, and how long a quarantine lasts after the last crash.
+const LIFETIME: Duration = Duration::from_secs(600);
+
+/// Crashes remembered. At full size a lost failure domain is 3,200 leaves; older crashes are forgotten first.
+const MAX_EVENTS: usize = 4_096;
+
+/// Fingerprints remembered as harmless, in each of two generations: 1 MB for both.
+const MAX_KNOWN: usize = 16_384;
+
+/// Clearances remembered; the oldest are forgotten first, which costs one more try alone.
+const MAX_CLEARED: usize = 4_096;
+
+/// Most fingerprints of one crash. Leaves have few slots; the cap bounds the size of a rumor.
+pub const MAX_PRINTS: usize = 32;
+
+/// Events returned by one call of [`CrashLedger::rumors`].
+const RUMORS_PER_CALL: usize = 4;
+
+/// Times that one event is passed on: above log2 of 2,800 nodes.
+const RUMOR_SENDS: u8 = 14;
+
+/// Identifies the text of a query to one service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint(pub u128);
+
+/// Identifies one crash; drawn at random by the node that saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct CrashId(pub u64);
+
+/// A connection to a leaf was reset while calls were in flight on it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashEvent {
+    pub id: CrashId,
+    /// Age in milliseconds when the event was passed on; clocks of two nodes are not comparable.
+    pub age: u32,
+    /// The distinct queries that were in flight, at most [`MAX_PRINTS`].
+    pub prints: SmallVec<[Fingerprint; 4]>,
+    /// The only call in flight was one sent with `alone`.
+    pub alone: bool,
+}
+
+impl CrashEvent {
+    /// Creates an event that happened just now.
+    pub fn new(id: CrashId, prints: impl IntoIterator<Item = Fingerprint>, alone: bool) -> Self {
+        let mut prints: SmallVec<[Fingerprint; 4]> = prints.into_iter().collect();
+        prints.sort_unstable();
+        prints.dedup();
+        prints.truncate(MAX_PRINTS);
+        Self {
+            id,
+            age: 0,
+            alone: alone && prints.len() == 1,
+            prints,
+        }
+    }
+}
+
+/// What is known about a query.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Never seen: to be tried on one leaf first.
+    Fresh,
+    /// Ran without harm.
+    Known,
+    /// Was in flight at a crash: gets one more try, alone on its leaf.
+    Suspect,
+    /// Crashed a leaf once more while it ran alone: not to be run.
+    Quarantined,
+}
+
+#[derive(Debug)]
+struct Event {
+    id: CrashId,
+    at: Time,
+    prints: SmallVec<[Fingerprint; 4]>,
+    alone: bool,
+    sends: u8,
+}
+
+/// The crashes that count against one fingerprint.
+#[derive(Debug, Default)]
+struct Record {
+    crashes: SmallVec<[(CrashId, Time, bool); 2]>,
+    quarantine: Option<Time>,
+}
+
+/// Remembers crashes, suspects and quarantined queries; bounded and expiring.
+///
+/// All queries in flight at a crash are suspects until one of these happens: they run alone without harm
+/// (cleared), or a query that was in flight at the same crash is quarantined, which explains the crash. Narrowing
+/// the suspects to those present at several crashes was rejected: two crashers beside one popular query would
+/// leave only the popular one suspect, and each of them a third crash.
+#[derive(Debug, Default)]
+pub struct CrashLedger {
+    /// In order of arrival.
+    events: VecDeque<Event>,
+    ids: HashSet<CrashId>,
+    records: HashMap<Fingerprint, Record>,
+    /// When a fingerprint last ran alone without harm. Earlier crashes do not count against it.
+    cleared: HashMap<Fingerprint, Time>,
+    clear_order: VecDeque<(Fingerprint, Time)>,
+    known: HashSet<Fingerprint>,
+    known_before: HashSet<Fingerprint>,
+}
+
+impl CrashLedger {
+    /// Creates an empty ledger.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the fingerprint of a query, the same on every node.
+    pub fn fingerprint(service: &ServiceName, text: &str) -> Fingerprint {
+        let seed = xxhash_rust::xxh3::xxh3_64(service.as_str().as_bytes());
+        Fingerprint(xxhash_rust::xxh3::xxh3_128_with_seed(text.as_bytes(), seed))
+    }
+
+    /// Returns what is known about a query.
+    pub fn verdict(&self, now: Time, print: Fingerprint) -> Verdict {
+        if let Some(record) = self.records.get(&print) {
+            if record.quarantine.is_some_and(|until| now < until) {
+                return Verdict::Quarantined;
+            }
+            if record.crashes.iter().any(|c| now < c.1 + LIFETIME) {
+                return Verdict::Suspect;
+            }
+        }
+        if self.known.contains(&print) || self.known_before.contains(&print) {
+            Verdict::Known
+        } else {
+            Verdict::Fresh
+        }
+    }
+
+    /// Records that a query ran without harm.
+    ///
+    /// Only a run that was sent with `alone` clears a suspect: a run that started before the crash, or on a leaf
+    /// whose shard does not trigger the fault, proves nothing. A quarantine always lasts its time.
+    pub fn ran(&mut self, now: Time, print: Fingerprint, alone: bool) {
+        let suspect = match self.records.get_mut(&print) {
+            Some(record) if alone && record.quarantine.is_none_or(|until| until <= now) => {
+                self.records.remove(&print);
+                self.clear(now, print);
+                false
+            }
+            Some(record) => record.crashes.iter().any(|c| now < c.1 + LIFETIME),
+            None => false,
+        };
+        if !suspect && !self.known.contains(&print) {
+            if self.known.len() >= MAX_KNOWN {
+                self.known_before = std::mem::take(&mut self.known);
+            }
+            self.known.insert(print);
+        }
+    }
+
+    /// Records a crash seen here or by a peer. Duplicates and reordered events are harmless.
+    ///
+    /// Returns whether the event was new.
+    pub fn crashed(&mut self, now: Time, event: CrashEvent) -> bool {
+        self.expire(now);
+        let age = u64::from(event.age) * 1_000;
+        let at = Time(now.0.saturating_sub(age));
+        let valid = (1..=MAX_PRINTS).contains(&event.prints.len())
+            && (!event.alone || event.prints.len() == 1);
+        if !valid || age >= LIFETIME.as_micros() as u64 || !self.ids.insert(event.id) {
+            return false;
+        }
+        let event = Event {
+            id: event.id,
+            at,
+            prints: event.prints,
+            alone: event.alone,
+            sends: 0,
+        };
+        let explained = event.prints.len() > 1
+            && event
+                .prints
+                .iter()
+                .any(|print| self.quarantined_at(*print, at));
+        for print in &event.prints {
+            let cleared = self.cleared.get(print).is_some_and(|&time| at <= time);
+            let explained = explained && !self.quarantined_at(*print, at);
+            if !cleared && !explained {
+                let record = self.records.entry(*print).or_default();
+                if !record.crashes.iter().any(|c| c.0 == event.id) {
+                    record.crashes.push((event.id, at, event.alone));
+                }
+            }
+        }
+        let prints = event.prints.clone();
+        self.events.push_back(event);
+        for print in prints {
+            self.judge(print);
+        }
+        if self.events.len() > MAX_EVENTS
+            && let Some(event) = self.events.pop_front()
+        {
+            self.forget(&event);
+        }
+        true
+    }
+
+    /// Returns crashes to pass on to a peer: the least often sent first, each a bounded number of times.
+    pub fn rumors(&mut self, now: Time) -> Vec<CrashEvent> {
+        self.expire(now);
+        let mut due: Vec<&mut Event> = self
+            .events
+            .iter_mut()
+            .rev()
+            .filter(|event| event.sends < RUMOR_SENDS)
+            .collect();
+        due.sort_by_key(|event| event.sends);
+        due.into_iter()
+            .take(RUMORS_PER_CALL)
+            .map(|event| {
+                event.sends += 1;
+                let age = now.since(event.at).as_millis();
+                CrashEvent {
+                    id: event.id,
+                    age: age.try_into().unwrap_or(u32::MAX),
+                    prints: event.prints.clone(),
+                    alone: event.alone,
+                }
+            })
+            .collect()
+    }
+
+    /// Returns the number of quarantined queries, for the operator's view.
+    pub fn quarantined(&self, now: Time) -> usize {
+        self.records
+            .values()
+            .filter(|record| record.quarantine.is_some_and(|until| now < until))
+            .count()
+    }
+
+    /// Quarantines a fingerprint that crashed alone and at least once more. Each crash is then explained, so
+    /// that it no longer counts against the other queries in flight.
+    fn judge(&mut self, print: Fingerprint) {
+        let Some(record) = self.records.get_mut(&print) else {
+            return;
+        };
+        if record.crashes.len() < 2 || !record.crashes.iter().any(|c| c.2) {
+            return;
+        }
+        let last = record.crashes.iter().map(|c| c.1).max();
+        record.quarantine = last.map(|at| at + LIFETIME);
+        let ids: SmallVec<[CrashId; 4]> = record.crashes.iter().map(|c| c.0).collect();
+        for event in self.events.iter().filter(|event| ids.contains(&event.id)) {
+            for other in event.prints.iter().filter(|other| **other != print) {
+                if let Some(record) = self.records.get_mut(other)
+                    && record.quarantine.is_none()
+                {
+                    record.crashes.retain(|c| c.0 != event.id);
+                    if record.crashes.is_empty() {
+                        self.records.remove(other);
+                    }
+                }
+            }
+        }
+    }
+
+    fn quarantined_at(&self, print: Fingerprint, at: Time) -> bool {
+        self.records
+            .get(&print)
+            .and_then(|record| record.quarantine)
+            .is_some_and(|until| at < until)
+    }
+
+    fn clear(&mut self, now: Time, print: Fingerprint) {
+        self.cleared.insert(print, now);
+        self.clear_order.push_back((print, now));
+        if self.clear_order.len() > MAX_CLEARED {
+            self.drop_clearance();
+        }
+    }
+
+    fn drop_clearance(&mut self) {
+        if let Some((print, at)) = self.clear_order.pop_front()
+            && self.cleared.get(&print) == Some(&at)
+        {
+            self.cleared.remove(&print);
+        }
+    }
+
+    fn expire(&mut self, now: Time) {
+        let expired = |at: Time| now >= at + LIFETIME;
+        while self.clear_order.front().is_some_and(|c| expired(c.1)) {
+            self.drop_clearance();
+        }
+        // Events arrive almost in order of time: one that is held up behind a younger one stays a little longer.
+        while self.events.front().is_some_and(|event| expired(event.at)) {
+            if let Some(event) = self.events.pop_front() {
+                self.forget(&event);
+            }
+        }
+    }
+
+    fn forget(&mut self, event: &Event) {
+        self.ids.remove(&event.id);
+        for print in &event.prints {
+            if let Some(record) = self.records.get_mut(print) {
+                record.crashes.retain(|c| c.0 != event.id);
+                if record.crashes.is_empty() {
+                    self.records.remove(print);
+                }
+            }
+        }
+    }
+}
--- a/src/core/invariant.rs
+++ b/src/core/invariant.rs
@@ -21,6 +21,8 @@
     AtMostOnce,
     /// A leaving upstream gets no new work.
     LeafLeaving,
+    /// Nothing is dispatched to a leaf without the lease of its partition, or for longer than the lease.
+    LeaseHeld,
     /// A planned stop cuts no request short.
     GracefulStop,
     /// A configuration in force never reverts.
@@ -39,6 +41,7 @@
             Invariant::NotRunFinal => "not_run_final",
             Invariant::AtMostOnce => "at_most_once",
             Invariant::LeafLeaving => "leaf_leaving",
+            Invariant::LeaseHeld => "lease_held",
             Invariant::GracefulStop => "graceful_stop",
             Invariant::ConfigForward => "config_forward",
         }
