--- a/src/adapter/peer/quic.rs
+++ b/src/adapter/peer/quic.rs
@@ -27,7 +27,7 @@
 use crate::core::{
     Incarnation, NodeId, RequestId, ServiceName,
     call::{LeafBatch, LeafReply},
-    config::{Document, Versions},
+    config::{Document, Versions, relay::RelayMessage},
 };
 
 /// Name in the self-signed certificates. Peers are authenticated by the fleet key, not by this name.
@@ -89,6 +89,7 @@
     Batch(LeafBatch),
     Once(OnceForward),
     Fetch(Versions),
+    Relay(RelayMessage),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -141,6 +142,9 @@
 
     /// Returns the documents that are newer than `versions`.
     fn fetch(&self, versions: Versions) -> Vec<Document>;
+
+    /// Takes a relay message that is too large for a datagram.
+    fn relay(&self, from: NodeId, message: RelayMessage) -> impl Future<Output = ()> + Send;
 }
 
 type Slot = Arc<AsyncMutex<Option<Link>>>;
@@ -270,6 +274,20 @@
         self.exchange(to, addr, &Request::Fetch(versions)).await
     }
 
+    /// Sends a relay message that is too large for a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the exchange breaks.
+    pub async fn relay(
+        &self,
+        to: &NodeId,
+        addr: SocketAddr,
+        message: RelayMessage,
+    ) -> Result<(), PeerError> {
+        self.exchange(to, addr, &Request::Relay(message)).await
+    }
+
     async fn exchange<T: DeserializeOwned>(
         &self,
         to: &NodeId,
@@ -406,6 +424,10 @@
             let reply = handler.once(node, request).await;
             write_frame(&mut send, &reply).await?;
         }
+        Request::Relay(message) => {
+            handler.relay(node, message).await;
+            write_frame(&mut send, &()).await?;
+        }
         Request::Fetch(versions) => write_frame(&mut send, &handler.fetch(versions)).await?,
     }
     Ok(())
--- /dev/null
+++ b/src/cli/node.rs
@@ -0,0 +1,72 @@
+use std::{path::PathBuf, process::ExitCode};
+
+use argh::FromArgs;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::node::{self, LogFormat, Settings, SettingsError};
+
+/// Run a node. SIGTERM or SIGINT starts a graceful shutdown: the node hands its work over and serves until no
+/// caller can hold its address any more. Logs go to standard error.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "node")]
+pub(super) struct Node {
+    /// settings file (TOML); see docs/settings.md
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+impl Node {
+    pub(super) fn run(self) -> ExitCode {
+        let settings = match Settings::load(&self.settings) {
+            Ok(settings) => settings,
+            Err(error) => {
+                super::complain(&error.to_string());
+                if let SettingsError::Faults { faults, .. } = &error {
+                    for fault in faults {
+                        super::complain(&format!("  {fault}"));
+                    }
+                }
+                return ExitCode::from(super::USAGE);
+            }
+        };
+        let json = settings.log.format == LogFormat::Json;
+        if let Err(error) = node::start_logging(settings.log.level, json) {
+            super::complain(&format!("{error:#}"));
+            return ExitCode::FAILURE;
+        }
+        node::start_tracing();
+        match serve(settings) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                log::error!("{error:#}");
+                super::complain(&format!("cranberrychute: {error:#}"));
+                ExitCode::FAILURE
+            }
+        }
+    }
+}
+
+fn serve(settings: Settings) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        node::run(settings, async move {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            // Later signals are taken and ignored, so that a second one cuts nothing short.
+            tokio::spawn(async move {
+                loop {
+                    tokio::select! {
+                        _ = terminate.recv() => {}
+                        _ = interrupt.recv() => {}
+                    }
+                    log::info!("already leaving; the graceful shutdown goes on");
+                }
+            });
+        })
+        .await
+    })
+}
--- /dev/null
+++ b/src/cli/state.rs
@@ -0,0 +1,57 @@
+use std::{net::SocketAddr, process::ExitCode, time::Duration};
+
+use anyhow::Context;
+use argh::FromArgs;
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+
+/// Time allowed for the answer of a node.
+const TIMEOUT: Duration = Duration::from_secs(5);
+/// Largest state, bytes.
+const MAX_STATE_BYTES: usize = 16 << 20;
+
+/// Show the state of a node to an operator, as JSON: leases, leaves, configuration versions, refusals, recent
+/// trace spans.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "state")]
+pub(super) struct State {
+    /// caller address of the node, for example 127.0.0.1:8001
+    #[argh(positional)]
+    node: SocketAddr,
+
+    /// one line instead of indented JSON
+    #[argh(switch)]
+    compact: bool,
+}
+
+impl State {
+    pub(super) fn run(self) -> ExitCode {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let text = runtime
+            .context("start the runtime")
+            .and_then(|runtime| runtime.block_on(self.read()));
+        match text {
+            Ok(text) => super::print(&text),
+            Err(error) => {
+                super::complain(&format!("state of node {}: {error:#}", self.node));
+                ExitCode::FAILURE
+            }
+        }
+    }
+
+    async fn read(&self) -> anyhow::Result<String> {
+        let client = Client::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
+        let request = Request::get(format!("http://{}/v1/state", self.node)).body(Empty::new())?;
+        let exchange = async {
+            let response = client.request(request).await.context("connect")?;
+            let body = Limited::new(response.into_body(), MAX_STATE_BYTES).collect().await;
+            body.map_err(|error| anyhow::anyhow!("read the answer: {error}"))
+        };
+        let body = tokio::time::timeout(TIMEOUT, exchange).await.context("no answer in time")??;
+        let state: serde_json::Value =
+            serde_json::from_slice(&body.to_bytes()).context("the answer is not JSON")?;
+        Ok(if self.compact { state.to_string() } else { format!("{state:#}") })
+    }
+}
--- /dev/null
+++ b/src/node/api.rs
@@ -0,0 +1,132 @@
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use fastrace::{Span, collector::SpanContext};
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    adapter::caller::{QueryRequest, Reply},
+    core::{
+        RequestId, ShardId, SnapshotId,
+        call::Hit,
+        once::OnceOutcome,
+        query::{Answer, Coverage, Missing, RunOutcome},
+    },
+};
+
+/// Lifetime of an idempotency key, milliseconds.
+pub(super) const KEY_LIFETIME_MS: u64 = 30_000;
+/// Longest time for which an at-most-once request waits for the node that issued its key.
+pub(super) const FORWARD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time added for the way there and back, so that the issuer's own deadline ends first.
+pub(super) const FORWARD_GRACE: Duration = Duration::from_millis(500);
+
+/// The body of a query.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct QueryBody {
+    pub(super) text: Arc<str>,
+    #[serde(default = "default_top")]
+    pub(super) top: u16,
+}
+
+fn default_top() -> u16 {
+    10
+}
+
+/// The answer to `GET /v1/addresses`.
+#[derive(Debug, Serialize)]
+pub(super) struct AddressesAnswer {
+    pub(super) addresses: Vec<SocketAddr>,
+    pub(super) lifetime_ms: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) key: Option<KeyAnswer>,
+}
+
+/// An idempotency key.
+#[derive(Debug, Serialize)]
+pub(super) struct KeyAnswer {
+    pub(super) key: String,
+    pub(super) lifetime_ms: u64,
+}
+
+/// The answer to a query, as callers get it.
+#[derive(Debug, Serialize)]
+pub(super) struct QueryAnswer<'a> {
+    request: &'a RequestId,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    outcome: Option<&'static str>,
+    hits: &'a [Hit],
+    snapshot: SnapshotId,
+    coverage: Coverage,
+    missing: Vec<MissingShard>,
+    elapsed_ms: f64,
+}
+
+#[derive(Debug, Serialize)]
+struct MissingShard {
+    shard: ShardId,
+    reason: String,
+}
+
+impl<'a> QueryAnswer<'a> {
+    pub(super) fn new(request: &'a RequestId, answer: &'a Answer) -> Self {
+        Self {
+            request,
+            outcome: None,
+            hits: &answer.hits,
+            snapshot: answer.snapshot,
+            coverage: answer.coverage,
+            missing: answer.missing.iter().map(MissingShard::from).collect(),
+            elapsed_ms: answer.elapsed.as_secs_f64() * 1_000.0,
+        }
+    }
+}
+
+impl From<&Missing> for MissingShard {
+    fn from(missing: &Missing) -> Self {
+        Self { shard: missing.shard, reason: missing.reason.to_string() }
+    }
+}
+
+/// The outcome of an at-most-once request without an answer.
+#[derive(Debug, Serialize)]
+struct OnceRefusal<'a> {
+    request: &'a RequestId,
+    outcome: &'static str,
+    not_run: bool,
+    message: &'a str,
+}
+
+/// Renders the outcome of an at-most-once request.
+pub(super) fn once_reply(request: &RequestId, outcome: &OnceOutcome) -> Reply {
+    let name = match outcome.run {
+        RunOutcome::Done => "done",
+        RunOutcome::NotRun => "not_run",
+        RunOutcome::Unknown => "unknown",
+    };
+    match &outcome.answer {
+        Some(answer) => {
+            let answer = QueryAnswer { outcome: Some(name), ..QueryAnswer::new(request, answer) };
+            Reply::json(StatusCode::OK, &answer)
+        }
+        None => {
+            let refusal = OnceRefusal {
+                request,
+                outcome: name,
+                not_run: outcome.run == RunOutcome::NotRun,
+                message: outcome.reason.as_deref().unwrap_or(""),
+            };
+            Reply::json(StatusCode::OK, &refusal)
+        }
+    }
+}
+
+/// Starts the span of a request, below the caller's span if it sent one.
+pub(super) fn root_span(name: &'static str, request: &QueryRequest) -> Span {
+    let parent = request.trace.as_deref().and_then(SpanContext::decode_w3c_traceparent);
+    let span = Span::root(name, parent.unwrap_or_else(SpanContext::random));
+    span.with_properties(|| {
+        [("request", request.request.to_string()), ("service", request.service.to_string())]
+    })
+}
--- /dev/null
+++ b/src/node/once.rs
@@ -0,0 +1,201 @@
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
+
+use fastrace::Span;
+use http::StatusCode;
+use tokio::sync::watch;
+
+use super::{
+    Node,
+    api::{self, KeyAnswer},
+    query::{self, Mode},
+};
+use crate::{
+    adapter::{
+        caller::{ApiError, ErrorCode, QueryRequest, Reply},
+        peer::{OnceForward, OnceReply},
+    },
+    core::{
+        NodeId,
+        once::{Begin, OnceError, OnceOutcome},
+        query::RunOutcome,
+    },
+};
+
+/// Where a request entered this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    Caller,
+    Peer,
+}
+
+impl Node {
+    /// Issues an idempotency key.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the table is full or the node is leaving.
+    pub(super) fn new_key(&self) -> Result<KeyAnswer, ApiError> {
+        let mut keys = self.keys.lock().expect("no panic while locked");
+        match keys.issue(self.clock.now(), SystemTime::now()) {
+            Ok(key) => Ok(KeyAnswer { key: keys.encode(&key), lifetime_ms: api::KEY_LIFETIME_MS }),
+            Err(error) => Err(ApiError::not_run(ErrorCode::Unavailable, error.to_string())),
+        }
+    }
+
+    /// Serves an at-most-once request of a caller.
+    pub(super) async fn serve_once(self: &Arc<Self>, request: QueryRequest) -> Reply {
+        self.once_from(Source::Caller, request).await
+    }
+
+    /// Serves an at-most-once request that another node forwarded because this one issued its key.
+    pub(super) async fn serve_forwarded(
+        self: &Arc<Self>,
+        _from: NodeId,
+        request: OnceForward,
+    ) -> OnceReply {
+        let request = QueryRequest {
+            request: request.request,
+            service: request.service,
+            body: request.body.to_vec().into(),
+            deadline: Some(Duration::from_micros(request.budget)),
+            trace: request.trace,
+            key: Some(request.key),
+        };
+        let reply = self.once_from(Source::Peer, request).await;
+        OnceReply { status: reply.status.as_u16(), body: reply.body.to_vec().into() }
+    }
+
+    async fn once_from(self: &Arc<Self>, source: Source, request: QueryRequest) -> Reply {
+        let Some(key) = request.key.clone() else {
+            let message = "header idempotency-key is missing; obtain a key with POST /v1/keys";
+            return ApiError::not_run(ErrorCode::BadKey, message).into();
+        };
+        let begin = {
+            let mut keys = self.keys.lock().expect("no panic while locked");
+            let begin = keys.begin(self.clock.now(), &key, body_hash(&request));
+            if let Begin::Run { serial } = begin {
+                let (sender, _) = watch::channel(None);
+                self.running.lock().expect("no panic while locked").insert(serial, sender);
+            }
+            begin
+        };
+        match begin {
+            Begin::Run { serial } => {
+                // The request goes on when its caller disconnects: a copy may attach to it.
+                let (node, request) = (self.clone(), request.clone());
+                tokio::spawn(async move { node.execute_once(serial, request).await });
+                self.attach(serial, &key, &request).await
+            }
+            Begin::Attach { serial } => self.attach(serial, &key, &request).await,
+            Begin::Replay(outcome) => api::once_reply(&request.request, &outcome),
+            Begin::Forward { node, .. } if source == Source::Caller => {
+                self.forward_once(node, key, request).await
+            }
+            Begin::Forward { node, .. } => unknown(format!("node {node} issued the key")),
+            Begin::Unknown => unknown("the node that issued the key has restarted or is gone"),
+            Begin::Error(error) => key_error(error),
+        }
+    }
+
+    async fn attach(&self, serial: u64, key: &str, request: &QueryRequest) -> Reply {
+        let running = self.running.lock().expect("no panic while locked").get(&serial).cloned();
+        if let Some(sender) = running {
+            let mut outcome = sender.subscribe();
+            drop(sender);
+            if let Ok(outcome) = outcome.wait_for(Option::is_some).await
+                && let Some(outcome) = &*outcome
+            {
+                return api::once_reply(&request.request, outcome);
+            }
+        }
+        // The copy that ran ended between the two look-ups; its outcome is in the table.
+        let mut keys = self.keys.lock().expect("no panic while locked");
+        match keys.begin(self.clock.now(), key, body_hash(request)) {
+            Begin::Replay(outcome) => api::once_reply(&request.request, &outcome),
+            _ => unknown("the outcome of the copy that ran is not known"),
+        }
+    }
+
+    async fn execute_once(self: Arc<Self>, serial: u64, request: QueryRequest) {
+        let guard = self.work.guard();
+        let outcome = match self.prepare(&request) {
+            Err(error) => OnceOutcome::not_run(&error.message),
+            Ok(query) => {
+                let span = api::root_span("once", &request);
+                self.run_once_query(query, span).await
+            }
+        };
+        let outcome = {
+            let mut keys = self.keys.lock().expect("no panic while locked");
+            keys.finish(self.clock.now(), serial, outcome)
+        };
+        let sender = self.running.lock().expect("no panic while locked").remove(&serial);
+        if let Some(sender) = sender {
+            sender.send_replace(Some(outcome));
+        }
+        drop(guard);
+    }
+
+    async fn run_once_query(
+        self: &Arc<Self>,
+        query: crate::core::query::Query,
+        span: Span,
+    ) -> OnceOutcome {
+        match query::run(self, query, Mode::AtMostOnce, span).await {
+            Ok(answer) => OnceOutcome::answered(Arc::new(answer)),
+            Err(error) if error.not_run() => OnceOutcome::not_run(&error.to_string()),
+            Err(error) => OnceOutcome::unknown(&error.to_string()),
+        }
+    }
+
+    async fn forward_once(&self, issuer: NodeId, key: Arc<str>, request: QueryRequest) -> Reply {
+        let Some(address) = self.address(&issuer) else {
+            return unknown(format!("node {issuer}, which issued the key, is not known any more"));
+        };
+        let budget = request.deadline.unwrap_or(api::FORWARD_TIMEOUT).min(api::FORWARD_TIMEOUT);
+        let forward = OnceForward {
+            request: request.request,
+            service: request.service,
+            key,
+            body: request.body.to_vec().into(),
+            budget: budget.as_micros() as u64,
+            trace: request.trace,
+        };
+        let exchange = self.peers.once(&issuer, address.peer, forward);
+        match tokio::time::timeout(budget + api::FORWARD_GRACE, exchange).await {
+            Ok(Ok(reply)) => Reply {
+                status: StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY),
+                body: reply.body.to_vec().into(),
+            },
+            Ok(Err(error)) => unknown(format!("the node that issued the key: {error}")),
+            Err(_) => unknown(format!("node {issuer}, which issued the key, did not answer in time")),
+        }
+    }
+}
+
+/// An earlier copy of the request may have run, so this is never "not run".
+fn unknown(reason: impl Into<String>) -> Reply {
+    let message = format!("outcome unknown: {}; ask again with the same key", reason.into());
+    ApiError::may_have_run(ErrorCode::Unknown, message).into()
+}
+
+fn key_error(error: OnceError) -> Reply {
+    let not_run = error.not_run();
+    ApiError { error: ErrorCode::BadKey, message: error.to_string(), not_run }.into()
+}
+
+fn body_hash(request: &QueryRequest) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(request.service.as_str().as_bytes()).update(&[0]).update(&request.body);
+    *hasher.finalize().as_bytes()
+}
+
+impl Node {
+    /// Returns whether an outcome says that nothing ran.
+    pub(super) fn is_not_run(outcome: &OnceOutcome) -> bool {
+        outcome.run == RunOutcome::NotRun
+    }
+}
--- /dev/null
+++ b/src/node/platform.rs
@@ -0,0 +1,99 @@
+use std::{sync::Arc, time::Duration};
+
+use tokio::task::JoinSet;
+
+use super::Node;
+use crate::{
+    adapter::platform::{PlatformClient, PlatformError, PlatformSettings, Reading},
+    core::{
+        PauseDetector, Time,
+        config::relay::{ReadPacer, ReadStep, role},
+    },
+};
+
+/// Time between two looks at the pacer.
+const POLL: Duration = Duration::from_millis(50);
+/// Gap between two looks above which the process was paused.
+const PAUSE_LIMIT: Duration = Duration::from_secs(1);
+/// Time between two requests to the seeds while no configuration is known.
+const JOIN_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Reads and watches the configuration service until the node stops.
+pub(super) async fn run(node: Arc<Node>) {
+    let bases = node.settings.platform.clone();
+    let client = Arc::new(PlatformClient::new(PlatformSettings { bases, ..Default::default() }));
+    let now = node.clock.now();
+    let mut pacer = ReadPacer::new(now);
+    let mut pauses = PauseDetector::new(PAUSE_LIMIT, now);
+    let mut requests: JoinSet<(ReadStep, Result<Reading, PlatformError>)> = JoinSet::new();
+    let mut next_join = now;
+    loop {
+        let now = node.clock.now();
+        if let Some(pause) = pauses.tick(now) {
+            log::warn!("the process was paused for {pause:?}; the configuration is read again");
+            pacer.refresh(now);
+        }
+        node.assume_role(now, &mut pacer);
+        while let Some(step) = pacer.step(now) {
+            let client = client.clone();
+            requests.spawn(async move { (step, request(&client, step).await) });
+        }
+        if now >= next_join && !node.has_configuration() {
+            next_join = now + JOIN_INTERVAL;
+            node.join().await;
+        }
+        tokio::select! {
+            Some(Ok((step, result))) = requests.join_next() => {
+                node.finish_read(&mut pacer, step, result).await;
+            }
+            () = tokio::time::sleep(POLL) => {}
+        }
+    }
+}
+
+async fn request(client: &PlatformClient, step: ReadStep) -> Result<Reading, PlatformError> {
+    match step {
+        ReadStep::Read { after } => client.watch(after, Duration::ZERO).await,
+        ReadStep::Watch { after, wait } => client.watch(after, wait).await,
+    }
+}
+
+impl Node {
+    fn assume_role(&self, now: Time, pacer: &mut ReadPacer) {
+        let view = self.view();
+        let role = {
+            let members = self.members.lock().expect("no panic while locked");
+            let vms = view.vms.vms.iter();
+            let live = vms.filter(|vm| vm.id == self.me || members.is_alive(&vm.id));
+            role(&self.me, live.map(|vm| (&vm.id, &vm.domain)))
+        };
+        pacer.set_role(now, role, &mut *self.rng.lock().expect("no panic while locked"));
+    }
+
+    fn has_configuration(&self) -> bool {
+        self.config.lock().expect("no panic while locked").store.view().vms_version > 0
+    }
+
+    async fn finish_read(
+        &self,
+        pacer: &mut ReadPacer,
+        step: ReadStep,
+        result: Result<Reading, PlatformError>,
+    ) {
+        let now = self.clock.now();
+        let revision = result.as_ref().ok().map(|reading| reading.revision);
+        pacer.finished(now, step, revision, &mut *self.rng.lock().expect("no panic while locked"));
+        match result {
+            Ok(reading) => {
+                self.config.lock().expect("no panic while locked").contact = Some(now);
+                let mut out = Vec::new();
+                self.learn_documents(reading.documents, &mut out);
+                self.send_all(out).await;
+            }
+            Err(error) => {
+                metrics::counter!("cranberrychute_platform_errors_total").increment(1);
+                log::warn!("{error}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/node/query.rs
@@ -0,0 +1,263 @@
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use fastrace::{
+    Span,
+    future::FutureExt,
+    prelude::{LocalSpan, SpanContext},
+};
+use tokio::{sync::mpsc, task::JoinSet};
+
+use super::{Node, service::Ledger};
+use crate::core::{
+    NodeId, PartitionId, ServiceName, Time,
+    call::{Failure, LeafBatch, LeafCall, LeafReply, LeafStatus, NotRun, Outcome},
+    config::{ServiceMap, ServicePolicy, View},
+    query::{Answer, CallId, Context, Query, QueryAction, QueryError, QueryPlan},
+};
+
+/// Whether the leaf calls of a query may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Mode {
+    Repeatable,
+    AtMostOnce,
+}
+
+/// The part of the configuration that one query uses.
+pub(super) struct Target {
+    pub(super) view: Arc<View>,
+    pub(super) policy: Arc<ServicePolicy>,
+    pub(super) map: Arc<ServiceMap>,
+}
+
+impl Target {
+    /// Finds the policy and the map in force for a service.
+    pub(super) fn find(view: Arc<View>, service: &ServiceName) -> Option<Self> {
+        let policy = view.services.get(service)?.clone();
+        let map = view.maps.get(service)?.clone();
+        Some(Self { view, policy, map })
+    }
+}
+
+struct Event {
+    call: CallId,
+    outcome: Outcome,
+    status: Option<LeafStatus>,
+}
+
+/// A batch in progress: where a call of it can be cancelled.
+struct Cancel {
+    cancels: mpsc::Sender<u32>,
+    index: u32,
+}
+
+/// Runs the plan of one query: carries out its actions and feeds it the replies.
+struct Driver<'a> {
+    node: &'a Arc<Node>,
+    query: Query,
+    span: Span,
+    events: mpsc::UnboundedSender<Event>,
+    /// Dropping the set cancels all calls in progress.
+    batches: JoinSet<()>,
+    cancels: HashMap<CallId, Cancel>,
+    wake: Option<Time>,
+}
+
+/// Runs a query and returns its answer.
+///
+/// # Errors
+///
+/// Fails when the plan refuses the query; nothing ran then.
+pub(super) async fn run(
+    node: &Arc<Node>,
+    query: Query,
+    mode: Mode,
+    span: Span,
+) -> Result<Answer, QueryError> {
+    let Some(mut target) = Target::find(node.view(), &query.service) else {
+        return Err(QueryError::NoSnapshot(query.service));
+    };
+    let (events, mut inbox) = mpsc::unbounded_channel();
+    let mut out = Vec::new();
+    let start = query.clone();
+    let mut plan = node.with_context(&target, &query.service, |context| match mode {
+        Mode::Repeatable => QueryPlan::start(node.clock.now(), start, context, &mut out),
+        Mode::AtMostOnce => QueryPlan::once(node.clock.now(), start, context, &mut out),
+    })?;
+    let deadline = plan.deadline();
+    let mut driver = Driver {
+        node,
+        query,
+        span,
+        events,
+        batches: JoinSet::new(),
+        cancels: HashMap::new(),
+        wake: None,
+    };
+    loop {
+        if let Some(answer) = driver.act(&target.view, deadline, &mut out) {
+            return Ok(answer);
+        }
+        let pause = driver.wake.map_or(Duration::MAX, |wake| wake.since(node.clock.now()));
+        let event = tokio::select! {
+            event = inbox.recv() => event,
+            () = tokio::time::sleep(pause.min(Duration::from_secs(60))) => None,
+        };
+        // The plan keeps its snapshot; replicas, domains and leaving marks follow the view in force.
+        if let Some(fresh) = Target::find(node.view(), &driver.query.service) {
+            target = fresh;
+        }
+        node.with_context(&target, &driver.query.service, |context| {
+            let now = node.clock.now();
+            match event {
+                Some(Event { call, outcome, status }) => {
+                    plan.reply(now, call, outcome, status, context, &mut out);
+                }
+                None => plan.wake(now, context, &mut out),
+            }
+        });
+    }
+}
+
+impl Driver<'_> {
+    /// Carries out the actions of the plan; returns the answer once there is one.
+    fn act(&mut self, view: &View, deadline: Time, out: &mut Vec<QueryAction>) -> Option<Answer> {
+        let mut groups: HashMap<NodeId, Vec<(CallId, LeafCall)>> = HashMap::new();
+        let mut answer = None;
+        for action in out.drain(..) {
+            match action {
+                QueryAction::Send { call, leaf_call, owner } => {
+                    match owner.or_else(|| self.owner(view, &leaf_call)) {
+                        Some(owner) => groups.entry(owner).or_default().push((call, leaf_call)),
+                        None => self.refuse(call, NotRun::NotOwner { holder: None }),
+                    }
+                }
+                QueryAction::Cancel(call) => {
+                    if let Some(cancel) = self.cancels.remove(&call) {
+                        let _ = cancel.cancels.try_send(cancel.index);
+                    }
+                }
+                QueryAction::WakeAt(at) => self.wake = Some(at),
+                QueryAction::Finish(done) => answer = Some(done),
+            }
+        }
+        for (owner, calls) in groups {
+            self.send(view, owner, calls, deadline);
+        }
+        answer
+    }
+
+    fn owner(&self, view: &View, call: &LeafCall) -> Option<NodeId> {
+        let map = view.maps.get(&self.query.service)?;
+        let info = map.leaves.get(&call.leaf)?;
+        let partition = PartitionId::of(&call.leaf, &info.domain, self.node.partitions());
+        let leases = self.node.leases.lock().expect("no panic while locked");
+        leases.holder_hint(self.node.clock.now(), &partition)
+    }
+
+    fn refuse(&self, call: CallId, reason: NotRun) {
+        let event = Event { call, outcome: Outcome::NotRun(reason), status: None };
+        let _ = self.events.send(event);
+    }
+
+    fn send(
+        &mut self,
+        view: &View,
+        owner: NodeId,
+        calls: Vec<(CallId, LeafCall)>,
+        deadline: Time,
+    ) {
+        let span = Span::enter_with_parent("leaf_batch", &self.span)
+            .with_properties(|| [("owner", owner.to_string()), ("calls", calls.len().to_string())]);
+        let (ids, calls): (Vec<CallId>, Vec<LeafCall>) = calls.into_iter().unzip();
+        let trace = SpanContext::from_span(&span).map(|span| span.encode_w3c_traceparent().into());
+        let batch = LeafBatch {
+            request: self.query.request.clone(),
+            service: self.query.service.clone(),
+            trace,
+            budget: deadline.since(self.node.clock.now()).as_micros() as u64,
+            text: self.query.text.clone(),
+            top: self.query.top,
+            calls,
+        };
+        let (cancels, cancelled) = mpsc::channel(ids.len());
+        for (index, call) in ids.iter().enumerate() {
+            let cancel = Cancel { cancels: cancels.clone(), index: index as u32 };
+            self.cancels.insert(*call, cancel);
+        }
+        let (node, events) = (self.node.clone(), self.events.clone());
+        let addr = view.vms.vms.iter().find(|vm| vm.id == owner).map(|vm| vm.peer);
+        let work = async move {
+            let mut open: Vec<Option<CallId>> = ids.into_iter().map(Some).collect();
+            let (replies, mut inbox) = mpsc::channel(open.len());
+            let run = async {
+                if owner == node.me {
+                    node.run_batch(batch, replies, cancelled).await;
+                    return Failure::OwnerLost.into();
+                }
+                let Some(addr) = addr else { return Outcome::NotRun(NotRun::Unreachable) };
+                match node.peers.batch(&owner, addr, batch, &replies, cancelled).await {
+                    Ok(()) => Failure::OwnerLost.into(),
+                    Err(error) => {
+                        log::debug!(peer = owner.as_str(); "leaf batch failed: {error}");
+                        match error.not_sent() {
+                            true => Outcome::NotRun(NotRun::Unreachable),
+                            false => Failure::OwnerLost.into(),
+                        }
+                    }
+                }
+            };
+            let mut run = std::pin::pin!(run);
+            let mut take = |reply: LeafReply, open: &mut Vec<Option<CallId>>| {
+                if let Some(call) = open.get_mut(reply.index as usize).and_then(Option::take) {
+                    let LeafReply { outcome, status, .. } = reply;
+                    let _ = events.send(Event { call, outcome, status: Some(status) });
+                }
+            };
+            let rest = loop {
+                tokio::select! {
+                    biased;
+                    Some(reply) = inbox.recv() => take(reply, &mut open),
+                    rest = &mut run => break rest,
+                }
+            };
+            while let Ok(reply) = inbox.try_recv() {
+                take(reply, &mut open);
+            }
+            for call in open.into_iter().flatten() {
+                let _ = events.send(Event { call, outcome: rest.clone(), status: None });
+            }
+        };
+        self.batches.spawn(work.in_span(span));
+    }
+}
+
+impl From<Failure> for Outcome {
+    fn from(failure: Failure) -> Self {
+        Outcome::Failed(failure)
+    }
+}
+
+impl Node {
+    /// Calls `act` with the shared state of a service.
+    pub(super) fn with_context<T>(
+        &self,
+        target: &Target,
+        service: &ServiceName,
+        act: impl FnOnce(&mut Context<'_, Ledger<'_>>) -> T,
+    ) -> T {
+        let _span = LocalSpan::enter_with_local_parent("plan");
+        let state = self.service(service);
+        let mut state = state.lock().expect("no panic while locked");
+        let crash = self.crash.lock().expect("no panic while locked");
+        let state = &mut *state;
+        act(&mut Context {
+            policy: &target.policy,
+            map: &target.map,
+            domains: &target.view.domains,
+            health: &mut state.health,
+            budget: &mut state.budget,
+            crash: &Ledger(&crash),
+            rng: &mut state.rng,
+        })
+    }
+}
