--- a/src/core/once/table.rs
+++ b/src/core/once/table.rs
@@ -1,22 +1,28 @@
 use std::{
+    collections::VecDeque,
+    mem,
     sync::Arc,
-    time::{Duration, SystemTime},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use super::{FleetKey, Key, OnceError};
 use crate::core::{
     Incarnation, NodeId, Time,
+    invariant::{Invariant, check},
     query::{Answer, RunOutcome},
 };
 
+/// Bytes counted for a key and its state without the answer.
+const KEY_BYTES: usize = 128;
+
 /// Bounds of a [`KeyTable`].
 #[derive(Clone, Debug)]
 pub struct KeySettings {
     /// Most keys alive at a time.
     pub keys: usize,
-    /// Most bytes of stored answers.
+    /// Most bytes of keys and stored answers.
     pub bytes: usize,
-    /// Bytes reserved for the answer of a request that runs.
+    /// Bytes reserved for the answer of a key that was issued or runs.
     pub reserve: usize,
     /// Time a key lives.
     pub lifetime: Duration,
@@ -27,7 +33,7 @@
         Self {
             keys: 50_000,
             bytes: 32 << 20,
-            reserve: 16 << 10,
+            reserve: 4 << 10,
             lifetime: Duration::from_secs(30),
         }
     }
@@ -70,6 +76,15 @@
             reason: Some(reason.into()),
         }
     }
+
+    fn bytes(&self) -> usize {
+        let answer = self.answer.as_ref().map_or(0, |answer| {
+            let hits = answer.hits.iter();
+            let hits: usize = hits.map(|hit| hit.id.len() + hit.text.len() + 64).sum();
+            hits + answer.missing.len() * 64 + 128
+        });
+        answer + self.reason.as_ref().map_or(0, |reason| reason.len())
+    }
 }
 
 /// What to do with a request that carries a key.
@@ -93,6 +108,9 @@
 }
 
 /// The keys issued by one incarnation of a node.
+///
+/// Serial numbers are issued in order and expire in order, so the keys alive are one range of numbers and an
+/// expired key is recognized without state.
 #[derive(Debug)]
 pub struct KeyTable {
     me: NodeId,
@@ -100,6 +118,25 @@
     fleet: FleetKey,
     settings: KeySettings,
     leaving: bool,
+    /// Serial number of the first entry.
+    first: u64,
+    entries: VecDeque<Entry>,
+    bytes: usize,
+}
+
+#[derive(Debug)]
+struct Entry {
+    expiry: Time,
+    body: [u8; 32],
+    state: State,
+    bytes: usize,
+}
+
+#[derive(Debug)]
+enum State {
+    Issued,
+    Running,
+    Ended(OnceOutcome),
 }
 
 impl KeyTable {
@@ -116,6 +153,9 @@
             fleet,
             settings,
             leaving: false,
+            first: 0,
+            entries: VecDeque::new(),
+            bytes: 0,
         }
     }
 
@@ -125,11 +165,34 @@
     ///
     /// Returns [`OnceError::Full`] at the bound and [`OnceError::Leaving`] after [`KeyTable::leave`].
     pub fn issue(&mut self, now: Time, wall: SystemTime) -> Result<Key, OnceError> {
-        let _ = (now, wall, &self.me, self.incarnation, &self.settings);
         if self.leaving {
             return Err(OnceError::Leaving);
         }
-        Err(OnceError::Full)
+        self.expire(now);
+        let bytes = KEY_BYTES + self.settings.reserve;
+        let full = self.entries.len() >= self.settings.keys;
+        if full || self.bytes + bytes > self.settings.bytes {
+            return Err(OnceError::Full);
+        }
+        let serial = self.first + self.entries.len() as u64;
+        // The clock is monotonic; the maximum keeps expiries in order even if a reading were not.
+        let expiry = now + self.settings.lifetime;
+        let last = self.entries.back().map_or(expiry, |entry| entry.expiry);
+        self.entries.push_back(Entry {
+            expiry: expiry.max(last),
+            body: [0; 32],
+            state: State::Issued,
+            bytes,
+        });
+        self.bytes += bytes;
+        let ends = wall + self.settings.lifetime;
+        let since = ends.duration_since(UNIX_EPOCH).unwrap_or_default();
+        Ok(Key {
+            node: self.me.clone(),
+            incarnation: self.incarnation,
+            serial,
+            expiry_ms: u64::try_from(since.as_millis()).unwrap_or(u64::MAX),
+        })
     }
 
     /// Returns the text of a key.
@@ -138,17 +201,85 @@
     }
 
     /// Decides about a copy of a request; `body` is the hash of what it asks for.
+    ///
+    /// Gives [`Begin::Run`] at most once for each key.
     pub fn begin(&mut self, now: Time, key: &str, body: [u8; 32]) -> Begin {
-        let _ = (now, body);
-        match Key::decode(key, &self.fleet) {
-            Ok(_) => Begin::Unknown,
-            Err(error) => Begin::Error(error),
+        let key = match Key::decode(key, &self.fleet) {
+            Ok(key) => key,
+            Err(error) => return Begin::Error(error),
+        };
+        if key.node != self.me {
+            return Begin::Forward {
+                node: key.node,
+                incarnation: key.incarnation,
+            };
+        }
+        if key.incarnation != self.incarnation {
+            return Begin::Unknown;
+        }
+        let serial = key.serial;
+        self.expire(now);
+        let Some(position) = serial.checked_sub(self.first) else {
+            return Begin::Error(OnceError::Expired);
+        };
+        let entry = usize::try_from(position).map(|position| self.entries.get_mut(position));
+        let Ok(Some(entry)) = entry else {
+            return Begin::Error(OnceError::Forged);
+        };
+        match &entry.state {
+            // Answers larger than their reserve have used up the memory.
+            State::Issued if self.bytes > self.settings.bytes => {
+                let outcome = OnceOutcome::not_run("the node has no memory left for the answer");
+                entry.body = body;
+                entry.state = State::Ended(outcome.clone());
+                Begin::Replay(outcome)
+            }
+            State::Issued => {
+                entry.body = body;
+                entry.state = State::Running;
+                Begin::Run { serial }
+            }
+            _ if entry.body != body => Begin::Error(OnceError::BodyMismatch),
+            State::Running => Begin::Attach { serial },
+            State::Ended(outcome) => Begin::Replay(outcome.clone()),
         }
     }
 
     /// Records the end of the request that [`KeyTable::begin`] let run and returns the outcome to give.
+    ///
+    /// The first end stays: a later one is a fault, is counted as a violation and does not replace it.
     pub fn finish(&mut self, now: Time, serial: u64, outcome: OnceOutcome) -> OnceOutcome {
-        let _ = (now, serial);
+        self.expire(now);
+        let Some(position) = serial.checked_sub(self.first) else {
+            // Expired while it ran: no copy can ask for the outcome any more.
+            return outcome;
+        };
+        let entry = usize::try_from(position).map(|position| self.entries.get_mut(position));
+        let Ok(Some(entry)) = entry else {
+            let _ = check(Invariant::AtMostOnce, false, || {
+                format!("end of request {serial}, whose key was not issued")
+            });
+            return outcome;
+        };
+        let ran = outcome.run != RunOutcome::NotRun;
+        match &entry.state {
+            State::Running => {}
+            State::Issued => {
+                let _ = check(Invariant::AtMostOnce, !ran, || {
+                    format!("end of request {serial}, which did not begin")
+                });
+            }
+            State::Ended(ended) => {
+                let refused = ended.run == RunOutcome::NotRun;
+                let _ = check(Invariant::NotRunFinal, !(refused && ran), || {
+                    format!("request {serial} was refused as \"not run\" and ran")
+                });
+                return ended.clone();
+            }
+        }
+        let bytes = KEY_BYTES + outcome.bytes();
+        self.bytes = self.bytes - mem::replace(&mut entry.bytes, bytes) + bytes;
+        entry.state = State::Ended(outcome.clone());
         outcome
     }
 
@@ -159,16 +290,29 @@
 
     /// Returns when the last key expires, for the end of a graceful shutdown.
     pub fn last_expiry(&self) -> Option<Time> {
-        None
+        self.entries.back().map(|entry| entry.expiry)
     }
 
     /// Returns the number of keys alive.
     pub fn len(&self) -> usize {
-        0
+        self.entries.len()
     }
 
     /// Returns whether no key is alive.
     pub fn is_empty(&self) -> bool {
-        self.len() == 0
+        self.entries.is_empty()
+    }
+
+    /// Returns the bytes counted for keys and stored answers.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Forgets the keys that have expired.
+    fn expire(&mut self, now: Time) {
+        while let Some(entry) = self.entries.pop_front_if(|entry| now >= entry.expiry) {
+            self.bytes -= entry.bytes;
+            self.first += 1;
+        }
     }
 }
--- a/src/core/query/mod.rs
+++ b/src/core/query/mod.rs
@@ -3,8 +3,11 @@
 mod answer;
 mod budget;
 mod health;
+mod merge;
 mod plan;
+mod replica;
 mod request;
+mod shard;
 
 pub use self::{
     answer::{Answer, Coverage, Missing, MissingReason, RunOutcome},
