Emulated platform and upstreams, example processes and data

Cause: the node needs something to talk to that follows the contracts of docs/design.md section 11 and fails on request. Without it no test can tell a fault of the node from a fault of its surroundings.

The platform serves versioned documents by long poll, keeps past states for stale and rolled-back service, and counts reads.

Ruled out: enforcing limits without counting refused calls, because a node that exceeds the cold capacity would then stay unnoticed; closing and rebinding a port on a crash, because another process may take the port in between, so a bound socket that does not listen keeps it; zero linger on all connections, because a regular end would then discard answers.

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -1,1 +1,18 @@
-//! Stand-ins for the platform and the upstreams.
+//! Stand-ins for the platform and the upstreams, for tests, the demo and experiments.
+//!
+//! [`Platform`] is the configuration service and the VM list. [`Upstream`] hosts leaves that index lines
+//! of a [`Corpus`]. Both speak the contracts of `docs/design.md` section 11 and can be made to fail while
+//! they run.
+
+mod data;
+mod http;
+mod layout;
+mod platform;
+mod upstream;
+
+pub use self::{
+    data::{Corpus, Hit, Record, score, shard_of, terms},
+    layout::{LeafSpec, SnapshotSpec, map_document, spread},
+    platform::{Platform, PlatformControl, PlatformCounters},
+    upstream::{Execution, Fault, LeafControl, LeafCounters, Upstream, UpstreamSettings},
+};
