--- a/src/core/crash/ledger.rs
+++ b/src/core/crash/ledger.rs
@@ -17,6 +17,9 @@
 /// Fingerprints remembered as harmless, in each of two generations: 1 MB for both.
 const MAX_KNOWN: usize = 16_384;
 
+/// Quarantines in force; the oldest are lifted first.
+const MAX_QUARANTINED: usize = 4_096;
+
 /// Clearances remembered; the oldest are forgotten first, which costs one more try alone.
 const MAX_CLEARED: usize = 4_096;
 
@@ -89,11 +92,12 @@
     sends: u8,
 }
 
-/// The crashes that count against one fingerprint.
-#[derive(Debug, Default)]
-struct Record {
-    crashes: SmallVec<[(CrashId, Time, bool); 2]>,
-    quarantine: Option<Time>,
+/// One crash that counts against a fingerprint.
+#[derive(Clone, Copy, Debug)]
+struct Crash {
+    id: CrashId,
+    at: Time,
+    alone: bool,
 }
 
 /// Remembers crashes, suspects and quarantined queries; bounded and expiring.
@@ -107,7 +111,10 @@
     /// In order of arrival.
     events: VecDeque<Event>,
     ids: HashSet<CrashId>,
-    records: HashMap<Fingerprint, Record>,
+    suspects: HashMap<Fingerprint, SmallVec<[Crash; 2]>>,
+    /// End of each quarantine.
+    quarantine: HashMap<Fingerprint, Time>,
+    quarantine_order: VecDeque<Fingerprint>,
     /// When a fingerprint last ran alone without harm. Earlier crashes do not count against it.
     cleared: HashMap<Fingerprint, Time>,
     clear_order: VecDeque<(Fingerprint, Time)>,
@@ -129,13 +136,11 @@
 
     /// Returns what is known about a query.
     pub fn verdict(&self, now: Time, print: Fingerprint) -> Verdict {
-        if let Some(record) = self.records.get(&print) {
-            if record.quarantine.is_some_and(|until| now < until) {
-                return Verdict::Quarantined;
-            }
-            if record.crashes.iter().any(|c| now < c.1 + LIFETIME) {
-                return Verdict::Suspect;
-            }
+        if self.is_quarantined(now, print) {
+            return Verdict::Quarantined;
+        }
+        if self.is_suspect(now, print) {
+            return Verdict::Suspect;
         }
         if self.known.contains(&print) || self.known_before.contains(&print) {
             Verdict::Known
@@ -149,16 +154,10 @@
     /// Only a run that was sent with `alone` clears a suspect: a run that started before the crash, or on a leaf
     /// whose shard does not trigger the fault, proves nothing. A quarantine always lasts its time.
     pub fn ran(&mut self, now: Time, print: Fingerprint, alone: bool) {
-        let suspect = match self.records.get_mut(&print) {
-            Some(record) if alone && record.quarantine.is_none_or(|until| until <= now) => {
-                self.records.remove(&print);
-                self.clear(now, print);
-                false
-            }
-            Some(record) => record.crashes.iter().any(|c| now < c.1 + LIFETIME),
-            None => false,
-        };
-        if !suspect && !self.known.contains(&print) {
+        if alone && !self.is_quarantined(now, print) && self.suspects.remove(&print).is_some() {
+            self.clear(now, print);
+        }
+        if !self.known.contains(&print) {
             if self.known.len() >= MAX_KNOWN {
                 self.known_before = std::mem::take(&mut self.known);
             }
@@ -185,25 +184,22 @@
             alone: event.alone,
             sends: 0,
         };
-        let explained = event.prints.len() > 1
-            && event
-                .prints
-                .iter()
-                .any(|print| self.quarantined_at(*print, at));
+        let explained = event.prints.iter().any(|p| self.is_quarantined(at, *p));
         for print in &event.prints {
             let cleared = self.cleared.get(print).is_some_and(|&time| at <= time);
-            let explained = explained && !self.quarantined_at(*print, at);
+            let explained = explained && !self.is_quarantined(at, *print);
             if !cleared && !explained {
-                let record = self.records.entry(*print).or_default();
-                if !record.crashes.iter().any(|c| c.0 == event.id) {
-                    record.crashes.push((event.id, at, event.alone));
-                }
+                self.suspects.entry(*print).or_default().push(Crash {
+                    id: event.id,
+                    at,
+                    alone: event.alone,
+                });
             }
         }
         let prints = event.prints.clone();
         self.events.push_back(event);
         for print in prints {
-            self.judge(print);
+            self.judge(now, print);
         }
         if self.events.len() > MAX_EVENTS
             && let Some(event) = self.events.pop_front()
@@ -240,43 +236,64 @@
 
     /// Returns the number of quarantined queries, for the operator's view.
     pub fn quarantined(&self, now: Time) -> usize {
-        self.records
-            .values()
-            .filter(|record| record.quarantine.is_some_and(|until| now < until))
-            .count()
+        self.quarantine.values().filter(|end| now < **end).count()
     }
 
-    /// Quarantines a fingerprint that crashed alone and at least once more. Each crash is then explained, so
-    /// that it no longer counts against the other queries in flight.
-    fn judge(&mut self, print: Fingerprint) {
-        let Some(record) = self.records.get_mut(&print) else {
+    fn is_quarantined(&self, now: Time, print: Fingerprint) -> bool {
+        self.quarantine.get(&print).is_some_and(|end| now < *end)
+    }
+
+    fn is_suspect(&self, now: Time, print: Fingerprint) -> bool {
+        self.suspects
+            .get(&print)
+            .is_some_and(|crashes| crashes.iter().any(|c| now < c.at + LIFETIME))
+    }
+
+    /// Quarantines a fingerprint that crashed alone and at least once more. Each of these crashes is then
+    /// explained, so it no longer counts against the other queries in flight.
+    fn judge(&mut self, now: Time, print: Fingerprint) {
+        let Some(crashes) = self.suspects.get(&print) else {
             return;
         };
-        if record.crashes.len() < 2 || !record.crashes.iter().any(|c| c.2) {
+        let recent = || crashes.iter().filter(|crash| now < crash.at + LIFETIME);
+        if !recent().any(|crash| crash.alone) || recent().count() < 2 {
             return;
         }
-        let last = record.crashes.iter().map(|c| c.1).max();
-        record.quarantine = last.map(|at| at + LIFETIME);
-        let ids: SmallVec<[CrashId; 4]> = record.crashes.iter().map(|c| c.0).collect();
-        for event in self.events.iter().filter(|event| ids.contains(&event.id)) {
-            for other in event.prints.iter().filter(|other| **other != print) {
-                if let Some(record) = self.records.get_mut(other)
-                    && record.quarantine.is_none()
-                {
-                    record.crashes.retain(|c| c.0 != event.id);
-                    if record.crashes.is_empty() {
-                        self.records.remove(other);
-                    }
-                }
+        let Some(last) = recent().map(|crash| crash.at).max() else {
+            return;
+        };
+        let ids: HashSet<CrashId> = recent().map(|crash| crash.id).collect();
+        if self.quarantine.insert(print, last + LIFETIME).is_none() {
+            self.quarantine_order.push_back(print);
+            if self.quarantine_order.len() > MAX_QUARANTINED {
+                self.lift_oldest();
             }
         }
+        let others: SmallVec<[Fingerprint; 8]> = self
+            .events
+            .iter()
+            .filter(|event| ids.contains(&event.id))
+            .flat_map(|event| event.prints.iter().copied())
+            .filter(|other| *other != print && !self.is_quarantined(now, *other))
+            .collect();
+        for other in others {
+            self.drop_crashes(other, |id| ids.contains(&id));
+        }
     }
 
-    fn quarantined_at(&self, print: Fingerprint, at: Time) -> bool {
-        self.records
-            .get(&print)
-            .and_then(|record| record.quarantine)
-            .is_some_and(|until| at < until)
+    fn drop_crashes(&mut self, print: Fingerprint, gone: impl Fn(CrashId) -> bool) {
+        if let Some(crashes) = self.suspects.get_mut(&print) {
+            crashes.retain(|crash| !gone(crash.id));
+            if crashes.is_empty() {
+                self.suspects.remove(&print);
+            }
+        }
+    }
+
+    fn lift_oldest(&mut self) {
+        if let Some(print) = self.quarantine_order.pop_front() {
+            self.quarantine.remove(&print);
+        }
     }
 
     fn clear(&mut self, now: Time, print: Fingerprint) {
@@ -300,6 +317,11 @@
         while self.clear_order.front().is_some_and(|c| expired(c.1)) {
             self.drop_clearance();
         }
+        while let Some(print) = self.quarantine_order.front()
+            && !self.is_quarantined(now, *print)
+        {
+            self.lift_oldest();
+        }
         // Events arrive almost in order of time: one that is held up behind a younger one stays a little longer.
         while self.events.front().is_some_and(|event| expired(event.at)) {
             if let Some(event) = self.events.pop_front() {
@@ -311,12 +333,7 @@
     fn forget(&mut self, event: &Event) {
         self.ids.remove(&event.id);
         for print in &event.prints {
-            if let Some(record) = self.records.get_mut(print) {
-                record.crashes.retain(|c| c.0 != event.id);
-                if record.crashes.is_empty() {
-                    self.records.remove(print);
-                }
-            }
+            self.drop_crashes(*print, |id| id == event.id);
         }
     }
 }
--- a/src/core/leaf/control.rs
+++ b/src/core/leaf/control.rs
@@ -102,6 +102,8 @@
     slow: u32,
     last_answer: Time,
     last_dispatch: Time,
+    /// The end of the lease as last seen; zero without one.
+    lease_end: Time,
 }
 
 impl LeafControl {
@@ -127,6 +129,7 @@
             slow: 0,
             last_answer: now,
             last_dispatch: now,
+            lease_end: Time(0),
         }
     }
 
@@ -182,28 +185,18 @@
     ///
     /// `lease_end` is the end of the lease as known right now, nothing if it is not held.
     pub fn next(&mut self, now: Time, lease_end: Option<Time>) -> Next {
-        self.expire(now);
+        self.observe(now, lease_end);
         for alone in [true, false] {
             let Some(&ticket) = self.line(alone).last() else {
                 continue;
             };
-            let deadline = call_deadline(now, ticket.deadline, lease_end);
-            let refusal = if self.leaving {
-                Some(NotRun::Leaving)
-            } else if lease_end.is_none_or(|end| end <= now) {
-                Some(NotRun::NotOwner { holder: None })
-            } else if !self.can_start(now, deadline) {
-                Some(NotRun::TooLate)
-            } else {
-                None
-            };
-            if let Some(reason) = refusal {
+            if let Some(reason) = self.refusal(now, ticket, lease_end) {
                 self.line(alone).pop();
                 return Next::Refuse { ticket, reason };
             }
             if self.has_room(alone) {
                 self.line(alone).pop();
-                return self.dispatch(now, ticket, deadline, lease_end);
+                return self.dispatch(now, ticket, lease_end);
             }
             if alone {
                 // Calls behind a waiting `alone` one are held back, else it would never find the leaf empty.
@@ -213,6 +206,17 @@
         Next::Idle { wake: self.wake() }
     }
 
+    /// Returns the next queued call that cannot run any more, for times when no connection is available.
+    pub fn refuse(&mut self, now: Time, lease_end: Option<Time>) -> Option<(Ticket, NotRun)> {
+        self.observe(now, lease_end);
+        [true, false].into_iter().find_map(|alone| {
+            let &ticket = self.line(alone).last()?;
+            let reason = self.refusal(now, ticket, lease_end)?;
+            self.line(alone).pop();
+            Some((ticket, reason))
+        })
+    }
+
     /// Records the result of a dispatched call; one that is not known any more is ignored.
     pub fn finish(&mut self, now: Time, ticket: TicketId, result: CallResult) {
         self.expire(now);
@@ -318,6 +322,18 @@
         }
     }
 
+    fn refusal(&self, now: Time, ticket: Ticket, lease_end: Option<Time>) -> Option<NotRun> {
+        if self.leaving {
+            return Some(NotRun::Leaving);
+        }
+        let end = lease_end.filter(|end| now < *end);
+        let Some(end) = end else {
+            return Some(NotRun::NotOwner { holder: None });
+        };
+        let deadline = call_deadline(now, ticket.deadline, end);
+        (!self.can_start(now, deadline)).then_some(NotRun::TooLate)
+    }
+
     fn has_room(&self, alone: bool) -> bool {
         if alone {
             return self.flights.is_empty() && self.limit > 0;
@@ -333,13 +349,8 @@
     }
 
     /// Asserts the rules of a dispatch apart from the code that decides, and records the call as in flight.
-    fn dispatch(
-        &mut self,
-        now: Time,
-        ticket: Ticket,
-        deadline: Time,
-        lease_end: Option<Time>,
-    ) -> Next {
+    fn dispatch(&mut self, now: Time, ticket: Ticket, lease_end: Option<Time>) -> Next {
+        let deadline = call_deadline(now, ticket.deadline, lease_end.unwrap_or_default());
         let bearable = self.cold_capacity.saturating_add(self.levels);
         let count = self.flights.len();
         let bears = !self.cold || count < usize::from(bearable);
@@ -437,6 +448,20 @@
         self.instance = None;
     }
 
+    /// Notes the lease. After a gap another node may have called the leaf, which is cold for this one then.
+    fn observe(&mut self, now: Time, lease_end: Option<Time>) {
+        self.expire(now);
+        match lease_end {
+            Some(end) if now < end => {
+                if self.lease_end <= now {
+                    self.turn_cold(now);
+                }
+                self.lease_end = end;
+            }
+            _ => self.lease_end = Time(0),
+        }
+    }
+
     /// Applies what follows from the time alone.
     fn expire(&mut self, now: Time) {
         let mut at = 0;
@@ -463,7 +488,8 @@
         }
     }
 
-    fn wake(&self) -> Option<Time> {
+    /// Returns when the passing of time alone changes what [`Self::next`] returns.
+    pub fn wake(&self) -> Option<Time> {
         let median = u64::from(self.latency.median());
         let reserve = median.max(MIN_CALL.as_micros() as u64);
         let late = [&self.queue, &self.alone]
@@ -475,10 +501,10 @@
     }
 }
 
-fn call_deadline(now: Time, deadline: Time, lease_end: Option<Time>) -> Time {
+fn call_deadline(now: Time, deadline: Time, lease_end: Time) -> Time {
     let margin = LEASE_MARGIN.as_micros() as u64;
-    let lease = lease_end.map_or(0, |end| end.0.saturating_sub(margin));
-    deadline.min(now + MAX_CALL).min(Time(lease))
+    let lease = Time(lease_end.0.saturating_sub(margin));
+    deadline.min(now + MAX_CALL).min(lease)
 }
 
 fn micros(now: Time, earlier: Time) -> u32 {
