--- a/src/core/leaf/control.rs
+++ b/src/core/leaf/control.rs
@@ -67,6 +67,8 @@
     /// The cold epoch at dispatch. Answers of earlier epochs say nothing about the present state.
     epoch: u64,
     alone: bool,
+    /// Sent although its time is below the median.
+    probe: bool,
     /// No result is expected any more; only certainty that the leaf stopped, or its deadline.
     stopping: bool,
 }
@@ -100,6 +102,7 @@
     baseline: Option<u32>,
     cold_since: Time,
     slow: u32,
+    /// When the leaf last answered, or was last found idle for too long.
     last_answer: Time,
     last_dispatch: Time,
     /// The end of the lease as last seen; zero without one.
@@ -343,9 +346,12 @@
 
     fn can_start(&self, now: Time, deadline: Time) -> bool {
         let left = deadline.since(now);
-        let median = Duration::from_micros(u64::from(self.latency.median()));
         let probe = self.flights.is_empty() && now.since(self.last_dispatch) >= PROBE_INTERVAL;
-        left >= MIN_CALL && (left >= median || probe)
+        left >= MIN_CALL && (left >= self.median() || probe)
+    }
+
+    fn median(&self) -> Duration {
+        Duration::from_micros(u64::from(self.latency.median()))
     }
 
     /// Asserts the rules of a dispatch apart from the code that decides, and records the call as in flight.
@@ -380,6 +386,7 @@
             sent: now,
             epoch: self.epoch,
             alone: ticket.alone,
+            probe: deadline.since(now) < self.median(),
             stopping: false,
         });
         Next::Dispatch { ticket, deadline }
@@ -394,6 +401,10 @@
             }
             return;
         }
+        if flight.probe {
+            // The leaf is faster than the window says; waiting until that has turned over would take too long.
+            self.latency = LatencyWindow::default();
+        }
         self.latency.record(micros);
         let replaced = self.instance.is_some_and(|known| known != instance);
         self.instance = Some(instance);
@@ -473,8 +484,9 @@
             let flight = self.flights.swap_remove(at);
             self.record_censored(micros(flight.deadline, flight.sent));
         }
-        if !self.cold && now.since(self.last_answer) >= self.settings.idle_cold {
+        if now.since(self.last_answer) >= self.settings.idle_cold {
             self.turn_cold(now);
+            self.last_answer = now;
         }
         if self.cold && now.since(self.cold_since) >= BASELINE_LIFETIME {
             self.baseline = None;
@@ -490,8 +502,7 @@
 
     /// Returns when the passing of time alone changes what [`Self::next`] returns.
     pub fn wake(&self) -> Option<Time> {
-        let median = u64::from(self.latency.median());
-        let reserve = median.max(MIN_CALL.as_micros() as u64);
+        let reserve = self.median().max(MIN_CALL).as_micros() as u64;
         let late = [&self.queue, &self.alone]
             .into_iter()
             .filter_map(|queue| queue.last())
