--- a/src/core/invariant.rs
+++ b/src/core/invariant.rs
@@ -25,6 +25,12 @@
     GracefulStop,
     /// A configuration in force never reverts.
     ConfigForward,
+    /// A lease is held only with a majority of every voter set in force.
+    LeaseQuorum,
+    /// A lease ends no later than was asked for.
+    LeaseLength,
+    /// A voter promises a partition to one holder at a time.
+    OnePromise,
 }
 
 impl Invariant {
@@ -41,6 +47,9 @@
             Invariant::LeafLeaving => "leaf_leaving",
             Invariant::GracefulStop => "graceful_stop",
             Invariant::ConfigForward => "config_forward",
+            Invariant::LeaseQuorum => "lease_quorum",
+            Invariant::LeaseLength => "lease_length",
+            Invariant::OnePromise => "one_promise",
         }
     }
 }
--- a/src/core/lease/message.rs
+++ b/src/core/lease/message.rs
@@ -40,7 +40,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
     pub partition: PartitionId,
-    /// Hashes of the voter sets of which the requester needs a majority each.
+    /// Hashes of the voter sets of which the requester needs a majority each, and of those of which it knows
+    /// that they no longer count.
     pub sets: SmallVec<[u32; 2]>,
 }
 
--- a/src/core/lease/mod.rs
+++ b/src/core/lease/mod.rs
@@ -4,9 +4,14 @@
 //! own for a lease and renews it; as voter it promises each partition to at most one holder at a time.
 //! `docs/design.md` section 3 gives the rules.
 
+mod claim;
 mod message;
+mod promises;
+mod ranking;
+mod roster;
 mod settings;
 mod table;
+mod voters;
 
 pub use self::{
     message::{Claim, ConfigDigest, LeaseMessage, Verdict, Vote, VoteReply, VoteRequest},
--- /dev/null
+++ b/src/core/lease/voters.rs
@@ -0,0 +1,250 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use smallvec::SmallVec;
+
+use crate::core::{
+    NodeId, PartitionId, Time,
+    lease::{
+        LeaseSettings,
+        roster::{Roster, VoterSet},
+    },
+};
+
+/// Time after which the voter sets of a partition that nobody asked for are forgotten.
+const IDLE: Duration = Duration::from_secs(30);
+
+/// Time for which a voter set that no longer counts is still named to voters. They learnt of its replacement
+/// at other times and may count it for a few seconds longer.
+const NAMED: Duration = Duration::from_secs(20);
+
+/// Replaced lists kept at most. They serve partitions first asked for within the joint period.
+const MAX_LISTS: usize = 32;
+
+/// The voter sets in force for each partition that this node holds, wants or votes on.
+#[derive(Debug)]
+pub(crate) struct VoterSets {
+    me: NodeId,
+    count: usize,
+    joint: Duration,
+    list: Option<Arc<Roster>>,
+    replaced: Vec<ReplacedList>,
+    zones: BTreeMap<PartitionId, Zone>,
+    /// The list version last heard from each node.
+    epochs: BTreeMap<NodeId, u64>,
+}
+
+#[derive(Debug)]
+struct ReplacedList {
+    list: Arc<Roster>,
+    at: Time,
+    successor: u64,
+}
+
+#[derive(Debug)]
+struct Zone {
+    current: VoterSet,
+    old: Vec<OldSet>,
+    /// Hashes of sets that no longer count, and until when they are named.
+    over: Vec<(u32, Time)>,
+    used: Time,
+}
+
+/// A voter set of a replaced list. It stays in force until no majority of it can follow that list.
+#[derive(Debug)]
+struct OldSet {
+    set: VoterSet,
+    replaced: Time,
+    successor: u64,
+}
+
+impl VoterSets {
+    pub(crate) fn new(me: NodeId, settings: &LeaseSettings) -> Self {
+        Self {
+            me,
+            count: settings.voters,
+            joint: settings.joint,
+            list: None,
+            replaced: Vec::new(),
+            zones: BTreeMap::new(),
+            epochs: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn list(&self) -> Option<&Arc<Roster>> {
+        self.list.as_ref()
+    }
+
+    /// Returns the version of the list in force, zero without one.
+    pub(crate) fn epoch(&self) -> u64 {
+        self.list.as_ref().map_or(0, |list| list.version)
+    }
+
+    pub(crate) fn set_list(&mut self, now: Time, list: Roster) {
+        let list = Arc::new(list);
+        let successor = list.version;
+        for (partition, zone) in &mut self.zones {
+            let next = list.voters(partition, self.count);
+            if next != zone.current {
+                zone.old.push(OldSet {
+                    set: std::mem::replace(&mut zone.current, next),
+                    replaced: now,
+                    successor,
+                });
+            }
+        }
+        if let Some(previous) = self.list.replace(list) {
+            self.replaced.push(ReplacedList {
+                list: previous,
+                at: now,
+                successor,
+            });
+        }
+        self.note_epoch(&self.me.clone(), successor);
+        self.expire(now);
+    }
+
+    /// Records the list version of another node.
+    pub(crate) fn note_epoch(&mut self, node: &NodeId, epoch: u64) {
+        // The last value counts, not the highest: a node that restarted may be on an older list again.
+        self.epochs.insert(node.clone(), epoch);
+    }
+
+    /// Returns the sets of which a holder needs a majority each, the current one first. Empty without a list.
+    pub(crate) fn in_force(
+        &mut self,
+        now: Time,
+        partition: &PartitionId,
+    ) -> SmallVec<[VoterSet; 2]> {
+        let Some(list) = self.list.clone() else {
+            return SmallVec::new();
+        };
+        let zone = self.zones.entry(partition.clone()).or_insert_with(|| {
+            let current = list.voters(partition, self.count);
+            let old = self.replaced.iter().map(|replaced| OldSet {
+                set: replaced.list.voters(partition, self.count),
+                replaced: replaced.at,
+                successor: replaced.successor,
+            });
+            Zone {
+                old: old.filter(|old| old.set != current).collect(),
+                current,
+                over: Vec::new(),
+                used: now,
+            }
+        });
+        zone.used = now;
+        zone.expire(now, self.joint, &list, &self.epochs);
+        let mut sets = SmallVec::from_iter([zone.current.clone()]);
+        for old in &zone.old {
+            if !sets.contains(&old.set) {
+                sets.push(old.set.clone());
+            }
+        }
+        sets
+    }
+
+    /// Returns the hashes of sets of a partition that counted a short time ago.
+    pub(crate) fn over(&self, partition: &PartitionId) -> impl Iterator<Item = u32> {
+        let zone = self.zones.get(partition);
+        let over = zone.map_or(&[][..], |zone| &zone.over);
+        over.iter().map(|(hash, _)| *hash)
+    }
+
+    /// Returns the voters of replaced sets whose list version has to be asked for.
+    pub(crate) fn unconfirmed(&self) -> BTreeSet<NodeId> {
+        self.zones
+            .values()
+            .flat_map(|zone| &zone.old)
+            .flat_map(|old| {
+                let members = old.set.members.iter();
+                members.filter(|node| {
+                    self.epochs
+                        .get(*node)
+                        .is_none_or(|epoch| *epoch < old.successor)
+                })
+            })
+            .cloned()
+            .collect()
+    }
+
+    /// Forgets what no longer matters.
+    pub(crate) fn expire(&mut self, now: Time) {
+        self.replaced
+            .retain(|replaced| now < replaced.at + self.joint);
+        let excess = self.replaced.len().saturating_sub(MAX_LISTS);
+        self.replaced.drain(..excess);
+        let Some(list) = &self.list else {
+            return;
+        };
+        for zone in self.zones.values_mut() {
+            zone.expire(now, self.joint, list, &self.epochs);
+        }
+        self.zones
+            .retain(|_, zone| !zone.old.is_empty() || now < zone.used + IDLE);
+        if self.epochs.len() > 2 * self.zones.len() * self.count {
+            let zones = &self.zones;
+            self.epochs.retain(|node, _| {
+                *node == self.me
+                    || zones.values().any(|zone| {
+                        zone.current.contains(node)
+                            || zone.old.iter().any(|old| old.set.contains(node))
+                    })
+            });
+        }
+    }
+}
+
+impl Zone {
+    fn expire(
+        &mut self,
+        now: Time,
+        joint: Duration,
+        list: &Roster,
+        epochs: &BTreeMap<NodeId, u64>,
+    ) {
+        self.over.retain(|(_, until)| now < *until);
+        let over = &mut self.over;
+        self.old.retain(|old| {
+            let is_over = old.is_over(now, joint, list, epochs);
+            if is_over {
+                over.push((old.set.hash, now + NAMED));
+            }
+            !is_over
+        });
+    }
+}
+
+impl OldSet {
+    /// Returns whether the set no longer counts: the joint period has passed, and either so many of its
+    /// voters are on a newer list that the rest is no majority, or most of them were declared gone.
+    ///
+    /// The period alone is not enough. In a network partition that lasts longer, a majority of this set may
+    /// renew a lease under the old list although a single VM was replaced, because half of the old voters plus
+    /// one and half of the new voters plus one need not overlap.
+    fn is_over(
+        &self,
+        now: Time,
+        joint: Duration,
+        list: &Roster,
+        epochs: &BTreeMap<NodeId, u64>,
+    ) -> bool {
+        if now < self.replaced + joint {
+            return false;
+        }
+        let members = &self.set.members;
+        let moved = members
+            .iter()
+            .filter(|node| {
+                epochs
+                    .get(*node)
+                    .is_some_and(|epoch| *epoch >= self.successor)
+            })
+            .count();
+        let gone = members.iter().filter(|node| !list.contains(node)).count();
+        moved > members.len() - self.set.majority() || 2 * gone > members.len()
+    }
+}
