--- a/src/core/config/mod.rs
+++ b/src/core/config/mod.rs
@@ -3,17 +3,18 @@
 mod digest;
 mod documents;
 mod fault;
-mod parse;
+pub(crate) mod parse;
 pub mod relay;
 mod store;
+pub(crate) mod table;
 
 pub use self::{
-    digest::{Digest, Standing, Versions},
+    digest::{Digest, Stamp, Standing, Versions},
     documents::{
         AlarmPolicy, Document, DomainList, HedgePolicy, LeafInfo, QuietHours, ServiceMap,
         ServicePolicy, Shard, Snapshot, SnapshotState, View, Vm, VmList, VmState,
     },
     fault::{Fault, Rejection},
-    parse::{Parsed, parse_document},
-    store::{Applied, ConfigStore},
+    parse::{DocumentKind, MAX_VALUE_BYTES, MapPart, Parsed, document_kind, parse_document},
+    store::{Applied, ConfigStore, MAX_KEYS, MAX_STORE_BYTES, MAX_VERSION},
 };
--- /dev/null
+++ b/src/core/config/table.rs
@@ -0,0 +1,283 @@
+use std::{fmt::Display, ops::RangeInclusive};
+
+use serde_json::{Map, Value};
+
+use super::Fault;
+
+/// Faults listed per value; further ones are counted only, so that a hostile value can't fill memory.
+const MAX_FAULTS: usize = 32;
+/// Longest excerpt of a value in a reason, characters.
+const MAX_EXCERPT: usize = 60;
+/// Endings that name a unit, longest first where one ends with another.
+const UNITS: [&str; 14] = [
+    "_milliseconds",
+    "_ms",
+    "_seconds",
+    "_secs",
+    "_s",
+    "_us",
+    "_minutes",
+    "_min",
+    "_hours",
+    "_hour",
+    "_percent",
+    "_bytes",
+    "_kb",
+    "_mb",
+];
+
+/// Collects the faults of one value.
+#[derive(Debug, Default)]
+pub(crate) struct Faults {
+    listed: Vec<Fault>,
+    omitted: usize,
+}
+
+impl Faults {
+    pub(crate) fn add(
+        &mut self,
+        field: impl Into<String>,
+        reason: impl Into<String>,
+        allowed: impl Into<String>,
+    ) {
+        if self.listed.len() < MAX_FAULTS {
+            self.listed.push(Fault::new(field, reason, allowed));
+        } else {
+            self.omitted += 1;
+        }
+    }
+
+    /// Returns `value` if there is no fault.
+    pub(crate) fn verdict<T>(mut self, value: T) -> Result<T, Vec<Fault>> {
+        if self.listed.is_empty() {
+            return Ok(value);
+        }
+        if self.omitted > 0 {
+            let reason = format!("{} more faults are not listed", self.omitted);
+            self.listed.push(Fault::new("", reason, "no faults"));
+        }
+        Err(self.listed)
+    }
+}
+
+/// Reads the fields of a TOML or JSON table, records every fault, and goes on.
+///
+/// Fields that are missing or not valid read as the default of their type; the value must then be dropped,
+/// because [`Faults::verdict`] refuses it.
+pub(crate) struct Table<'a> {
+    path: String,
+    fields: Option<&'a Map<String, Value>>,
+    known: Vec<&'static str>,
+    pub(crate) faults: &'a mut Faults,
+}
+
+impl<'a> Table<'a> {
+    /// Opens `value` at `path` as a table.
+    pub(crate) fn open(path: String, value: &'a Value, faults: &'a mut Faults) -> Self {
+        if !value.is_object() {
+            faults.add(path.clone(), excerpt(value), "table");
+        }
+        Self {
+            path,
+            fields: value.as_object(),
+            known: Vec::new(),
+            faults,
+        }
+    }
+
+    /// Returns the path of a field.
+    pub(crate) fn field(&self, key: &str) -> String {
+        match self.path.as_str() {
+            "" => key.to_owned(),
+            path => format!("{path}.{key}"),
+        }
+    }
+
+    /// Records a fault of a field.
+    pub(crate) fn fault(
+        &mut self,
+        key: &str,
+        reason: impl Into<String>,
+        allowed: impl Into<String>,
+    ) {
+        self.faults.add(self.field(key), reason, allowed);
+    }
+
+    /// Returns a field that may be absent; JSON null counts as absent.
+    pub(crate) fn raw(&mut self, key: &'static str) -> Option<&'a Value> {
+        self.known.push(key);
+        self.fields?.get(key).filter(|value| !value.is_null())
+    }
+
+    /// Returns a field that may be absent, parsed; `allowed` describes the valid values.
+    pub(crate) fn optional<T>(
+        &mut self,
+        key: &'static str,
+        allowed: impl Display,
+        parse: impl FnOnce(&Value) -> Option<T>,
+    ) -> Option<T> {
+        let value = self.raw(key)?;
+        let parsed = parse(value);
+        if parsed.is_none() {
+            self.fault(key, excerpt(value), allowed.to_string());
+        }
+        parsed
+    }
+
+    /// Returns a required field, parsed.
+    pub(crate) fn required<T>(
+        &mut self,
+        key: &'static str,
+        allowed: impl Display,
+        parse: impl FnOnce(&Value) -> Option<T>,
+    ) -> Option<T> {
+        let present = self.fields.is_some_and(|fields| fields.contains_key(key));
+        if self.fields.is_some() && !present {
+            self.fault(key, "missing", allowed.to_string());
+        }
+        self.optional(key, allowed, parse)
+    }
+
+    /// Returns a whole number within `range`, of the given unit; required unless there is a default.
+    pub(crate) fn integer<T>(
+        &mut self,
+        key: &'static str,
+        default: Option<T>,
+        range: RangeInclusive<i64>,
+        unit: &str,
+    ) -> T
+    where
+        T: TryFrom<i64> + Default,
+    {
+        let of = if unit.is_empty() { "" } else { " of " };
+        let (low, high) = range.clone().into_inner();
+        let allowed = format!("whole number{of}{unit} from {low} to {high}, without a unit");
+        let parse = |value: &Value| {
+            let number = value.as_i64().filter(|number| range.contains(number))?;
+            T::try_from(number).ok()
+        };
+        match default {
+            Some(default) => self.optional(key, allowed, parse).unwrap_or(default),
+            None => self.required(key, allowed, parse).unwrap_or_default(),
+        }
+    }
+
+    /// Returns a number within `range`; required unless there is a default.
+    pub(crate) fn number(
+        &mut self,
+        key: &'static str,
+        default: Option<f64>,
+        range: RangeInclusive<f64>,
+        unit: &str,
+    ) -> f64 {
+        let allowed = format!("number{unit} from {} to {}", range.start(), range.end());
+        let parse = |value: &Value| value.as_f64().filter(|number| range.contains(number));
+        match default {
+            Some(default) => self.optional(key, allowed, parse).unwrap_or(default),
+            None => self.required(key, allowed, parse).unwrap_or_default(),
+        }
+    }
+
+    /// Returns a boolean, false if absent.
+    pub(crate) fn flag(&mut self, key: &'static str) -> bool {
+        self.optional(key, "true or false", Value::as_bool)
+            .unwrap_or_default()
+    }
+
+    /// Reads a nested table that may be absent.
+    pub(crate) fn table<T>(
+        &mut self,
+        key: &'static str,
+        read: impl FnOnce(&mut Table<'_>) -> T,
+    ) -> Option<T> {
+        let value = self.raw(key)?;
+        let path = self.field(key);
+        Some(Table::within(path, value, self.faults, read))
+    }
+
+    /// Reads `value` at `path` as a table, and reports the keys that `read` did not ask for.
+    pub(crate) fn within<T>(
+        path: String,
+        value: &Value,
+        faults: &mut Faults,
+        read: impl FnOnce(&mut Table<'_>) -> T,
+    ) -> T {
+        let mut table = Table::open(path, value, faults);
+        let result = read(&mut table);
+        table.close();
+        result
+    }
+
+    /// Reads every element of a list of at most `max` elements; `read` gets the path of the element.
+    pub(crate) fn list<T>(
+        &mut self,
+        key: &'static str,
+        needed: bool,
+        max: usize,
+        of: &str,
+        mut read: impl FnMut(String, &Value, &mut Faults) -> Option<T>,
+    ) -> Vec<T> {
+        let allowed = format!("list of at most {max} {of}");
+        let value = self.raw(key);
+        let list = value
+            .and_then(Value::as_array)
+            .filter(|list| list.len() <= max);
+        match value {
+            None if needed && self.fields.is_some() => self.fault(key, "missing", allowed),
+            Some(value) if list.is_none() => self.fault(key, excerpt(value), allowed),
+            _ => {}
+        }
+        let path = self.field(key);
+        let elements = list.into_iter().flatten().enumerate();
+        elements
+            .filter_map(|(at, value)| read(format!("{path}[{at}]"), value, self.faults))
+            .collect()
+    }
+
+    /// Reports the keys that were never asked for.
+    fn close(self) {
+        let fields = self.fields.into_iter().flatten();
+        for (key, _) in fields.filter(|(key, _)| !self.known.contains(&key.as_str())) {
+            let field = self.field(&cut(key));
+            let twin = self.known.iter().find(|known| stem(known) == stem(key));
+            match twin {
+                Some(known) => self.faults.add(
+                    field,
+                    "unknown key, possibly with the wrong unit",
+                    format!("the key `{known}`"),
+                ),
+                None => {
+                    let known = self.known.join(", ");
+                    self.faults
+                        .add(field, "unknown key", format!("the keys {known}"));
+                }
+            }
+        }
+    }
+}
+
+/// Returns a key without the ending that names its unit.
+fn stem(key: &str) -> &str {
+    UNITS
+        .iter()
+        .find_map(|unit| key.strip_suffix(unit))
+        .unwrap_or(key)
+}
+
+/// Describes a value that is not allowed, in a bounded length.
+pub(crate) fn excerpt(value: &Value) -> String {
+    match value {
+        Value::Array(list) => format!("is a list of {}", list.len()),
+        Value::Object(_) => "is a table".to_owned(),
+        Value::String(text) => format!("is \"{}\"", cut(text)),
+        other => format!("is {other}"),
+    }
+}
+
+/// Shortens a text that comes from outside.
+pub(crate) fn cut(text: &str) -> String {
+    match text.char_indices().nth(MAX_EXCERPT) {
+        Some((end, _)) => format!("{}...", &text[..end]),
+        None => text.to_owned(),
+    }
+}
