--- a/src/core/call/mod.rs
+++ b/src/core/call/mod.rs
@@ -1,5 +1,7 @@
 //! The messages between an entry node and the owner of a leaf.
 
+mod text;
+
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -10,7 +10,7 @@
         RequestId, ShardId, SnapshotId,
         call::Hit,
         once::OnceOutcome,
-        query::{Answer, Coverage, Missing, RunOutcome},
+        query::{Answer, Coverage, Missing, MissingReason, RunOutcome},
     },
 };
 
@@ -85,7 +85,19 @@
 
 impl From<&Missing> for MissingShard {
     fn from(missing: &Missing) -> Self {
-        Self { shard: missing.shard, reason: missing.reason.to_string() }
+        Self { shard: missing.shard, reason: describe(&missing.reason) }
+    }
+}
+
+fn describe(reason: &MissingReason) -> String {
+    match reason {
+        MissingReason::NoReplica => "no replica is in service".to_owned(),
+        MissingReason::Late => "no answer in time".to_owned(),
+        MissingReason::Truncated => "the leaf searched only a part of the shard".to_owned(),
+        MissingReason::SnapshotLost => "the leaves no longer serve the snapshot".to_owned(),
+        MissingReason::NotRun(reason) => reason.to_string(),
+        MissingReason::Failed(failure) => failure.to_string(),
+        MissingReason::Canary => "not run: the canary request failed".to_owned(),
     }
 }
 
--- a/src/node/once.rs
+++ b/src/node/once.rs
@@ -20,7 +20,6 @@
     core::{
         NodeId,
         once::{Begin, OnceError, OnceOutcome},
-        query::RunOutcome,
     },
 };
 
@@ -85,8 +84,7 @@
         match begin {
             Begin::Run { serial } => {
                 // The request goes on when its caller disconnects: a copy may attach to it.
-                let (node, request) = (self.clone(), request.clone());
-                tokio::spawn(async move { node.execute_once(serial, request).await });
+                tokio::spawn(self.clone().execute_once(serial, request.clone()));
                 self.attach(serial, &key, &request).await
             }
             Begin::Attach { serial } => self.attach(serial, &key, &request).await,
@@ -120,7 +118,7 @@
     }
 
     async fn execute_once(self: Arc<Self>, serial: u64, request: QueryRequest) {
-        let guard = self.work.guard();
+        let work = self.work.token();
         let outcome = match self.prepare(&request) {
             Err(error) => OnceOutcome::not_run(&error.message),
             Ok(query) => {
@@ -136,7 +134,7 @@
         if let Some(sender) = sender {
             sender.send_replace(Some(outcome));
         }
-        drop(guard);
+        drop(work);
     }
 
     async fn run_once_query(
@@ -192,10 +190,3 @@
     hasher.update(request.service.as_str().as_bytes()).update(&[0]).update(&request.body);
     *hasher.finalize().as_bytes()
 }
-
-impl Node {
-    /// Returns whether an outcome says that nothing ran.
-    pub(super) fn is_not_run(outcome: &OnceOutcome) -> bool {
-        outcome.run == RunOutcome::NotRun
-    }
-}
--- a/src/node/query.rs
+++ b/src/node/query.rs
@@ -207,7 +207,7 @@
                 }
             };
             let mut run = std::pin::pin!(run);
-            let mut take = |reply: LeafReply, open: &mut Vec<Option<CallId>>| {
+            let take = |reply: LeafReply, open: &mut Vec<Option<CallId>>| {
                 if let Some(call) = open.get_mut(reply.index as usize).and_then(Option::take) {
                     let LeafReply { outcome, status, .. } = reply;
                     let _ = events.send(Event { call, outcome, status: Some(status) });
