Emulated leaf: let a reset call end before the next one is counted

Cause: a call that is reset ends in a task of its own. A call that follows on the same connection could be counted first and then looked like one above the slots or the cold capacity, which a test would blame on the node.

A call that finds the leaf full now gives other tasks up to 64 turns, and the upstream process runs on one thread so that turns are in order. Ruled out: a pause of some milliseconds, because real excess shorter than that would no longer be counted.

--- a/emulator/src/upstream/leaf.rs
+++ b/emulator/src/upstream/leaf.rs
@@ -18,6 +18,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
+    task::yield_now,
     time::sleep,
 };
 
@@ -34,6 +35,8 @@
 
 /// Executions recorded one by one; more are only counted.
 const MAX_EXECUTIONS: usize = 200_000;
+/// Turns a call waits for others that were reset before it. Microseconds, so real excess is still counted.
+const RESET_TURNS: usize = 64;
 /// Exit code of a process that crashed on purpose.
 const CRASH_EXIT: i32 = 70;
 const HEADER_NOT_RUN: &str = "x-not-run";
@@ -458,6 +461,14 @@
         )
     }
 
+    fn is_full(&self) -> bool {
+        let state = self.lock();
+        match state.is_cold() {
+            true => state.cold.running >= self.spec.cold_capacity,
+            false => state.running >= self.spec.slots,
+        }
+    }
+
     /// Admits a call or says why it did not run.
     fn admit(
         self: &Arc<Self>,
@@ -544,6 +555,13 @@
     }
 
     async fn search(self: Arc<Self>, headers: &HeaderMap, search: Search) -> Reply {
+        // The task of a call that was reset on the same connection may not have run yet.
+        for _ in 0..RESET_TURNS {
+            if !self.is_full() {
+                break;
+            }
+            yield_now().await;
+        }
         let admitted = match self.admit(headers, &search) {
             Ok(admitted) => admitted,
             Err(refusal) => return Ok(*refusal),
--- a/examples/upstream.rs
+++ b/examples/upstream.rs
@@ -80,7 +80,8 @@
     }
 }
 
-#[tokio::main]
+// One thread runs tasks in order, so a reset takes effect before a later call on the same connection.
+#[tokio::main(flavor = "current_thread")]
 async fn main() -> anyhow::Result<()> {
     let arguments: Arguments = argh::from_env();
     let leaves: Vec<LeafSpec> = arguments
