Client: do not retry requests that are wrong

Cause: nodes mark every refusal before a run as "not run", also 4xx such as an unknown service, and the client sent these to two more nodes.

Refusals carry the status now, and only 5xx ones are retried. Before: a 400 was sent 3 times. After: once; the test covers it.

--- a/src/client/error.rs
+++ b/src/client/error.rs
@@ -66,8 +66,9 @@
     Lost(String),
     #[error("no answer before the deadline")]
     Deadline,
-    #[error("refused with {code}: {message}")]
+    #[error("refused with {status} {code}: {message}")]
     Refused {
+        status: u16,
         code: String,
         message: String,
         not_run: bool,
--- a/src/client/http.rs
+++ b/src/client/http.rs
@@ -123,6 +123,7 @@
             message,
             not_run,
         }) => ErrorKind::Refused {
+            status: status.as_u16(),
             code: error,
             message,
             not_run,
--- a/src/client/requests.rs
+++ b/src/client/requests.rs
@@ -340,7 +340,12 @@
                 self.sent = true;
                 true
             }
-            ErrorKind::Refused { not_run: true, .. } if self.refusals > 0 => {
+            // A request that is wrong (4xx) is wrong at every node.
+            ErrorKind::Refused {
+                not_run: true,
+                status: 500..,
+                ..
+            } if self.refusals > 0 => {
                 self.refusals -= 1;
                 true
             }
--- a/tests/client.rs
+++ b/tests/client.rs
@@ -211,8 +211,9 @@
 /// Guards against repeating queries that were refused after they ran, and against endless retries of refusals.
 #[tokio::test]
 async fn only_refusals_that_did_not_run_are_retried_and_only_a_few_times() {
-    for (not_run, calls) in [(true, 3), (false, 1)] {
-        let node = Node::start(move |_, _, _| refusal(not_run)).await;
+    for (status, not_run, calls) in [(503, true, 3), (503, false, 1), (400, true, 1)] {
+        let body = json!({"error": "busy", "message": "try later", "not_run": not_run});
+        let node = Node::start(move |_, _, _| Act::Answer(status, body.clone())).await;
         let list = [node.address];
         let seed = Node::start(move |_, _, _| addresses(&list, 60_000)).await;
         let client = client(&[seed.address]).build().unwrap();
