Emulator: lay out nodes on free ports

Cause: the process tests, the demo and later experiments all need node settings, the VM list and ports that do not collide.

Ports come from below the range that the system gives to clients. Ruled out: binding port 0 and closing it, because a connection that opens meanwhile may take the port.

Before and after: the tests of the emulator and the client pass. Not proved here: that a node takes these settings; the process tests start real nodes.

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -7,12 +7,14 @@
 mod data;
 mod http;
 mod layout;
+mod node;
 mod platform;
 mod upstream;
 
 pub use self::{
     data::{Corpus, Hit, Record, score, shard_of, terms},
     layout::{LeafSpec, SnapshotSpec, map_document, spread},
+    node::{NodeSpec, vms_document},
     platform::{Platform, PlatformControl, PlatformCounters},
     upstream::{Execution, Fault, LeafControl, LeafCounters, Upstream, UpstreamSettings},
 };
--- /dev/null
+++ b/emulator/src/node.rs
@@ -0,0 +1,82 @@
+use std::{
+    net::{SocketAddr, TcpListener, UdpSocket},
+    sync::atomic::{AtomicU16, Ordering},
+};
+
+use serde_json::{Value, json};
+
+/// First port tried. Linux gives clients ports from 32768 on, so these do not collide with open connections.
+const FIRST_PORT: u16 = 12_000;
+const PORTS: u16 = 20_000;
+
+/// Where one entry node runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeSpec {
+    pub id: String,
+    pub domain: String,
+    pub caller: SocketAddr,
+    pub peer: SocketAddr,
+    pub control: SocketAddr,
+}
+
+impl NodeSpec {
+    /// Lays nodes on free ports of the loopback address, in turn over the failure domains.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port is free.
+    pub fn spread(count: usize, domains: &[&str]) -> anyhow::Result<Vec<Self>> {
+        (0..count)
+            .map(|n| {
+                Ok(Self {
+                    id: format!("node-{n}"),
+                    domain: domains[n % domains.len()].to_owned(),
+                    caller: free_address()?,
+                    peer: free_address()?,
+                    control: free_address()?,
+                })
+            })
+            .collect()
+    }
+
+    /// Writes the settings of this node (TOML). `nodes` are all nodes of the fleet.
+    pub fn settings(&self, platform: SocketAddr, fleet_key: &str, nodes: &[Self]) -> String {
+        let seeds: Vec<String> = nodes.iter().map(|node| node.control.to_string()).collect();
+        format!(
+            "id = \"{}\"\nfailure_domain = \"{}\"\ncaller_address = \"{}\"\npeer_address = \"{}\"\n\
+             control_address = \"{}\"\nplatform = [\"http://{platform}\"]\nfleet_key = \"{fleet_key}\"\n\
+             seeds = {seeds:?}\n",
+            self.id, self.domain, self.caller, self.peer, self.control
+        )
+    }
+}
+
+/// Builds the `vms` document of nodes that are all live.
+pub fn vms_document(nodes: &[NodeSpec]) -> Value {
+    let vms: Vec<Value> = nodes
+        .iter()
+        .map(|node| {
+            json!({
+                "id": node.id,
+                "domain": node.domain,
+                "state": "live",
+                "caller": node.caller,
+                "peer": node.peer,
+                "control": node.control,
+            })
+        })
+        .collect();
+    json!({"vms": vms})
+}
+
+/// Finds a port that is free for TCP and UDP. No two calls in one process return the same.
+fn free_address() -> anyhow::Result<SocketAddr> {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    // Processes that run at the same time start at different ports.
+    let offset = (std::process::id() % 199) as u16 * 100;
+    (0..PORTS)
+        .map(|_| FIRST_PORT + (offset + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS) % PORTS)
+        .map(|port| SocketAddr::from(([127, 0, 0, 1], port)))
+        .find(|address| TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok())
+        .ok_or_else(|| anyhow::anyhow!("no port from {FIRST_PORT} on is free"))
+}
