--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -243,7 +243,7 @@
             let now = self.clock.now();
             let applied = config.store.apply(now, documents);
             let mut rng = self.rng.lock().expect("no panic while locked");
-            config.relay.learned(now, &applied.changed, &peers, &mut *rng, &mut messages);
+            config.relay.learned(&applied, &peers, &mut *rng, &mut messages);
             applied
         };
         out.extend(messages.into_iter().map(|(to, message)| (to, Control::Relay(message))));
