Platform client, settings, check command and address answers

Cause: a node needs its settings, the configuration service and a way to check both before they are used; a fault must be named with its key and what is allowed, all faults at once.

One reader of tables serves settings and all documents, and reports every fault instead of the first one, which is where serde stops.

Found by the tests: TOML's `nan` became JSON null and passed for an absent value (`min_coverage = nan`); it is now a fault.

--- a/src/adapter/platform/mod.rs
+++ b/src/adapter/platform/mod.rs
@@ -2,4 +2,6 @@
 
 mod client;
 
-pub use self::client::{PlatformClient, PlatformError, PlatformSettings, Reading};
+pub use self::client::{
+    Attempt, PlatformClient, PlatformError, PlatformSettings, PlatformStep, Reading,
+};
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -1,25 +1,102 @@
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    fs,
+    io::{self, Write},
+    path::PathBuf,
+    process::ExitCode,
+};
 
 use argh::FromArgs;
+use serde_json::json;
 
-/// check a settings file or a configuration document
+use crate::{
+    core::config::{Fault, document_kind, parse_document},
+    node::Settings,
+};
+
+/// Exit code for a file with faults.
+const FAULTS: u8 = 1;
+/// Exit code for a file that cannot be read.
+const UNREADABLE: u8 = 2;
+
+/// Check a settings file or a configuration document, and print every fault with what is allowed.
+///
+/// Settings of a node:   cranberrychute check settings node.toml
+/// Policy of a service:  cranberrychute check service/parts parts.toml
+/// Map of a service:     cranberrychute check map/parts parts.json
+/// Other documents:      cranberrychute check domains domains.json
+///
+/// Exit codes: 0 valid, 1 faults, 2 unreadable file or unknown kind.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
 pub struct Check {
+    /// kind of file: "settings", or the key of the document: service/<name>, map/<name>, domains or vms
+    #[argh(positional)]
+    pub kind: String,
     /// file to check
     #[argh(positional)]
     pub file: PathBuf,
-    /// key of the configuration document, such as service/parts; without it the file holds node settings
-    #[argh(option)]
-    pub key: Option<String>,
-    /// print JSON
+    /// print JSON: {{"valid", "faults": [{{"field", "reason", "allowed"}}]}} or {{"error"}}
     #[argh(switch)]
     pub json: bool,
 }
 
 impl Check {
-    /// Checks the file and prints every fault. Exit codes: 0 valid, 1 faults, 2 unreadable.
+    /// Checks the file and prints the result. Exit codes: 0 valid, 1 faults, 2 unreadable or unknown kind.
     pub fn run(&self) -> ExitCode {
-        ExitCode::SUCCESS
+        let file = self.file.display();
+        if let Err(fault) = self.check_kind() {
+            return self.unreadable(&format!("{fault}, or settings"));
+        }
+        let text = match fs::read(&self.file).map(String::from_utf8) {
+            Ok(Ok(text)) => text,
+            Ok(Err(_)) => {
+                let fault = Fault::new("", "is not UTF-8 text", "UTF-8");
+                return self.report(&[fault]);
+            }
+            Err(error) => return self.unreadable(&format!("read {file}: {error}")),
+        };
+        let faults = match self.kind.as_str() {
+            "settings" => Settings::parse(&text).err(),
+            key => parse_document(key, &text).err(),
+        };
+        self.report(&faults.unwrap_or_default())
     }
+
+    fn check_kind(&self) -> Result<(), Fault> {
+        match self.kind.as_str() {
+            "settings" => Ok(()),
+            key => document_kind(key).map(|_| ()),
+        }
+    }
+
+    fn report(&self, faults: &[Fault]) -> ExitCode {
+        let file = self.file.display();
+        if self.json {
+            print(&json!({ "valid": faults.is_empty(), "faults": faults }).to_string());
+        } else if faults.is_empty() {
+            print(&format!("{file}: valid"));
+        } else {
+            faults
+                .iter()
+                .for_each(|fault| print(&format!("{file}: {fault}")));
+        }
+        match faults {
+            [] => ExitCode::SUCCESS,
+            _ => ExitCode::from(FAULTS),
+        }
+    }
+
+    fn unreadable(&self, message: &str) -> ExitCode {
+        match self.json {
+            true => print(&json!({ "error": message }).to_string()),
+            // Nothing can be done about a closed standard error.
+            false => drop(writeln!(io::stderr(), "{message}")),
+        }
+        ExitCode::from(UNREADABLE)
+    }
+}
+
+/// Writes a line to standard output; a closed pipe is not an error.
+fn print(line: &str) {
+    drop(writeln!(io::stdout(), "{line}"));
 }
--- a/src/core/config/parse.rs
+++ b/src/core/config/parse.rs
@@ -443,7 +443,10 @@
     read: impl FnOnce(&mut Table<'_>) -> T,
 ) -> Option<T> {
     match toml::from_str::<Value>(text) {
-        Ok(value) => Some(Table::within(String::new(), &value, faults, read)),
+        Ok(value) => {
+            refuse_infinite("", &value, faults);
+            Some(Table::within(String::new(), &value, faults, read))
+        }
         Err(error) => {
             let end = error.span().map_or(0, |span| span.start);
             let line = 1 + text.bytes().take(end).filter(|&byte| byte == b'\n').count();
@@ -454,6 +457,23 @@
     }
 }
 
+/// Reports TOML's `nan` and `inf`, which become null here and would pass for absent values.
+fn refuse_infinite(path: &str, value: &Value, faults: &mut Faults) {
+    match value {
+        Value::Null => faults.add(path, "is nan or inf", "finite number"),
+        Value::Object(fields) => {
+            for (key, value) in fields {
+                let dot = if path.is_empty() { "" } else { "." };
+                refuse_infinite(&format!("{path}{dot}{}", cut(key)), value, faults);
+            }
+        }
+        Value::Array(list) => list
+            .iter()
+            .for_each(|value| refuse_infinite(path, value, faults)),
+        _ => {}
+    }
+}
+
 fn parse_json<T>(
     text: &str,
     faults: &mut Faults,
--- a/src/core/config/table.rs
+++ b/src/core/config/table.rs
@@ -105,7 +105,9 @@
 
     /// Returns a field that may be absent; JSON null counts as absent.
     pub(crate) fn raw(&mut self, key: &'static str) -> Option<&'a Value> {
-        self.known.push(key);
+        if !self.known.contains(&key) {
+            self.known.push(key);
+        }
         self.fields?.get(key).filter(|value| !value.is_null())
     }
 
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -1,29 +1,44 @@
-use std::{net::SocketAddr, path::Path, sync::Arc};
+use std::{fmt, fs, io, net::SocketAddr, path::Path, sync::Arc};
 
+use log::LevelFilter;
+use serde_json::Value;
 use url::Url;
 
-use crate::core::{Domain, NodeId, config::Fault};
+use crate::core::{
+    Domain, NodeId,
+    config::{
+        Fault,
+        parse::{parse_address, parse_toml, read_address, read_name},
+        table::{Faults, Table, excerpt},
+    },
+};
+
+/// Longest list of seeds or base URLs.
+const MAX_LIST: usize = 64;
 
-/// The settings of one node, from its TOML file.
+/// The settings of one node, from its TOML file. The keys of the file are the names of the fields, except
+/// that the three addresses end with `_address`.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// Name of the VM, as in the platform's VM list.
     pub id: NodeId,
     /// Failure domain of the VM.
     pub failure_domain: Domain,
-    /// Address of the HTTP interface for callers and operators.
+    /// `caller_address`: HTTP interface for callers and operators.
     pub caller: SocketAddr,
-    /// Address of the QUIC endpoint for other nodes.
+    /// `peer_address`: QUIC endpoint for other nodes.
     pub peer: SocketAddr,
-    /// Address of the UDP control messages between nodes.
+    /// `control_address`: UDP control messages between nodes.
     pub control: SocketAddr,
     /// Base URLs of the configuration service, tried in turn.
     pub platform: Vec<Url>,
-    /// Key shared by all nodes, from 64 hex digits. It authenticates control messages and request keys.
+    /// Key shared by all nodes, 64 hexadecimal digits. It authenticates control messages and request keys.
     pub fleet_key: FleetKey,
     /// Control addresses of nodes to ask at the start. Default: none.
     pub seeds: Vec<SocketAddr>,
+    /// Table `[limits]`.
     pub limits: Limits,
+    /// Table `[log]`.
     pub log: LogSettings,
 }
 
@@ -31,8 +46,8 @@
 #[derive(Clone, PartialEq, Eq)]
 pub struct FleetKey(pub [u8; 32]);
 
-impl std::fmt::Debug for FleetKey {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Debug for FleetKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("FleetKey(hidden)")
     }
 }
@@ -42,7 +57,7 @@
 pub struct Limits {
     /// Partitions per failure domain, the same on all nodes. Default: 8.
     pub partitions: u16,
-    /// Voters per partition. Default: 9.
+    /// Voters per partition, the same on all nodes. Default: 9.
     pub voters: u16,
     /// Queries in progress. Default: 4,096.
     pub queries: u32,
@@ -52,19 +67,45 @@
     pub body_bytes: u32,
     /// Idempotency keys held at the same time. Default: 65,536.
     pub keys: u32,
-    /// Time allowed for a graceful shutdown, milliseconds. Default: 60,000.
+    /// Lifetime of an address answer, milliseconds. Default: 30,000.
+    pub address_lifetime_ms: u32,
+    /// Longest graceful shutdown, milliseconds. Default: 60,000.
     pub drain_ms: u32,
 }
 
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            partitions: 8,
+            voters: 9,
+            queries: 4_096,
+            connections: 8_192,
+            body_bytes: 65_536,
+            keys: 65_536,
+            address_lifetime_ms: 30_000,
+            drain_ms: 60_000,
+        }
+    }
+}
+
 /// What is logged, and how.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LogSettings {
-    /// Default: `info`.
-    pub level: log::LevelFilter,
-    /// Default: `text`.
+    /// `off`, `error`, `warn`, `info`, `debug` or `trace`. Default: `info`.
+    pub level: LevelFilter,
+    /// `text` or `json`. Default: `text`.
     pub format: LogFormat,
 }
 
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: LevelFilter::Info,
+            format: LogFormat::Text,
+        }
+    }
+}
+
 /// The format of log lines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LogFormat {
@@ -76,22 +117,49 @@
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
     #[error("read settings {path}: {source}")]
-    Unreadable {
-        path: Arc<str>,
-        source: std::io::Error,
-    },
-    #[error("settings {path} have {} faults", faults.len())]
+    Unreadable { path: Arc<str>, source: io::Error },
+    #[error("settings {path}: {}", list(faults))]
     Faults { path: Arc<str>, faults: Vec<Fault> },
 }
 
+fn list(faults: &[Fault]) -> String {
+    let faults: Vec<_> = faults.iter().map(Fault::to_string).collect();
+    faults.join("\n  ")
+}
+
 impl Settings {
     /// Parses settings.
     ///
     /// # Errors
     ///
     /// Returns every fault with its key and what is allowed.
-    pub fn parse(_text: &str) -> Result<Self, Vec<Fault>> {
-        Err(Vec::new())
+    pub fn parse(text: &str) -> Result<Self, Vec<Fault>> {
+        let mut faults = Faults::default();
+        let settings = parse_toml(text, &mut faults, |t| {
+            let settings = Self {
+                id: read_name(t, "id"),
+                failure_domain: read_name(t, "failure_domain"),
+                caller: read_address(t, "caller_address"),
+                peer: read_address(t, "peer_address"),
+                control: read_address(t, "control_address"),
+                platform: read_urls(t),
+                fleet_key: read_key(t),
+                seeds: read_seeds(t),
+                limits: t.table("limits", read_limits).unwrap_or_default(),
+                log: t.table("log", read_log).unwrap_or_default(),
+            };
+            // Both use UDP; the caller address is TCP and may share a port with either.
+            if settings.peer == settings.control && settings.peer.port() != 0 {
+                let reason = format!("is {}, the same as peer_address", settings.control);
+                t.fault(
+                    "control_address",
+                    reason,
+                    "an address other than peer_address",
+                );
+            }
+            settings
+        });
+        faults.verdict(settings)?.ok_or_else(Vec::new)
     }
 
     /// Reads and parses the settings file at `path`.
@@ -101,10 +169,114 @@
     /// Fails when the file cannot be read or has faults.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let name: Arc<str> = path.display().to_string().into();
-        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
+        let text = fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
             path: name.clone(),
             source,
         })?;
         Self::parse(&text).map_err(|faults| SettingsError::Faults { path: name, faults })
     }
 }
+
+fn read_urls(t: &mut Table<'_>) -> Vec<Url> {
+    let of = "base URLs, such as http://10.0.0.2:7000";
+    let urls = t.list("platform", true, MAX_LIST, of, |path, value, faults| {
+        let url = value.as_str().and_then(|text| Url::parse(text).ok());
+        let url = url.filter(|url| url.scheme() == "http" && url.has_host());
+        if url.is_none() {
+            faults.add(path, excerpt(value), "URL that starts with http://");
+        }
+        url
+    });
+    if t.raw("platform")
+        .and_then(Value::as_array)
+        .is_some_and(Vec::is_empty)
+    {
+        t.fault("platform", "is empty", "at least one base URL");
+    }
+    urls
+}
+
+fn read_key(t: &mut Table<'_>) -> FleetKey {
+    let mut bytes = [0; 32];
+    let allowed = "64 hexadecimal digits, as `cranberrychute key` prints them";
+    let digits = t.raw("fleet_key");
+    let decoded = digits
+        .and_then(Value::as_str)
+        .map(|text| hex::decode_to_slice(text, &mut bytes));
+    // The reason doesn't quote the value: a key with a typing error is still a secret.
+    match (digits, decoded) {
+        (None, _) => t.fault("fleet_key", "missing", allowed),
+        (_, Some(Ok(()))) => {}
+        _ => t.fault("fleet_key", "is not a key", allowed),
+    }
+    FleetKey(bytes)
+}
+
+fn read_seeds(t: &mut Table<'_>) -> Vec<SocketAddr> {
+    t.list(
+        "seeds",
+        false,
+        MAX_LIST,
+        "control addresses",
+        |path, value, faults| {
+            let seed = value.as_str().and_then(parse_address);
+            if seed.is_none() {
+                faults.add(path, excerpt(value), "ip:port, such as 10.0.0.7:7300");
+            }
+            seed
+        },
+    )
+}
+
+fn read_limits(t: &mut Table<'_>) -> Limits {
+    let default = Limits::default();
+    let millis = "milliseconds";
+    let lifetime = default.address_lifetime_ms;
+    Limits {
+        partitions: t.integer(
+            "partitions",
+            Some(default.partitions),
+            1..=4_096,
+            "partitions",
+        ),
+        voters: t.integer("voters", Some(default.voters), 1..=15, "voters"),
+        queries: t.integer("queries", Some(default.queries), 1..=1_000_000, "queries"),
+        connections: t.integer(
+            "connections",
+            Some(default.connections),
+            1..=1_000_000,
+            "connections",
+        ),
+        body_bytes: t.integer(
+            "body_bytes",
+            Some(default.body_bytes),
+            1_024..=1 << 20,
+            "bytes",
+        ),
+        keys: t.integer("keys", Some(default.keys), 1..=1_000_000, "keys"),
+        address_lifetime_ms: t.integer(
+            "address_lifetime_ms",
+            Some(lifetime),
+            100..=600_000,
+            millis,
+        ),
+        drain_ms: t.integer("drain_ms", Some(default.drain_ms), 100..=600_000, millis),
+    }
+}
+
+fn read_log(t: &mut Table<'_>) -> LogSettings {
+    let default = LogSettings::default();
+    let levels = "\"off\", \"error\", \"warn\", \"info\", \"debug\" or \"trace\"";
+    let level = t.optional("level", levels, |value| value.as_str()?.parse().ok());
+    let format = t.optional("format", "\"text\" or \"json\"", |value| {
+        match value.as_str()? {
+            "text" => Some(LogFormat::Text),
+            "json" => Some(LogFormat::Json),
+            _ => None,
+        }
+    });
+    LogSettings {
+        level: level.unwrap_or(default.level),
+        format: format.unwrap_or(default.format),
+    }
+}
