--- a/src/adapter/caller/port.rs
+++ b/src/adapter/caller/port.rs
@@ -31,10 +31,16 @@
     /// Serializes `value` as the body.
     pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Self {
         match serde_json::to_vec(value) {
-            Ok(body) => Self { status, body: body.into() },
+            Ok(body) => Self {
+                status,
+                body: body.into(),
+            },
             Err(error) => {
                 log::error!("an answer cannot be serialized: {error}");
-                Self { status: StatusCode::INTERNAL_SERVER_ERROR, body: Bytes::new() }
+                Self {
+                    status: StatusCode::INTERNAL_SERVER_ERROR,
+                    body: Bytes::new(),
+                }
             }
         }
     }
@@ -72,12 +78,20 @@
 impl ApiError {
     /// Creates an error for a request of which nothing ran.
     pub fn not_run(error: ErrorCode, message: impl Into<String>) -> Self {
-        Self { error, message: message.into(), not_run: true }
+        Self {
+            error,
+            message: message.into(),
+            not_run: true,
+        }
     }
 
     /// Creates an error for a request that may have run.
     pub fn may_have_run(error: ErrorCode, message: impl Into<String>) -> Self {
-        Self { error, message: message.into(), not_run: false }
+        Self {
+            error,
+            message: message.into(),
+            not_run: false,
+        }
     }
 
     /// Returns the HTTP status of the error.
--- a/src/adapter/caller/server.rs
+++ b/src/adapter/caller/server.rs
@@ -62,8 +62,13 @@
             .timer(TokioTimer::new())
             .header_read_timeout(HEADER_TIMEOUT)
             .max_buf_size(MAX_HEADER_BYTES);
-        builder.http2().timer(TokioTimer::new()).max_header_list_size(MAX_HEADER_BYTES as u32);
-        viz::Server::with_builder(self.listener, routes(port), builder).signal(stop).await?;
+        builder
+            .http2()
+            .timer(TokioTimer::new())
+            .max_header_list_size(MAX_HEADER_BYTES as u32);
+        viz::Server::with_builder(self.listener, routes(port), builder)
+            .signal(stop)
+            .await?;
         Ok(())
     }
 }
@@ -128,9 +133,13 @@
 fn answer(reply: Reply) -> Response {
     let mut response = Response::new(Body::Full(reply.body.into()));
     *response.status_mut() = reply.status;
-    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if reply.status == StatusCode::SERVICE_UNAVAILABLE {
-        response.headers_mut().insert("retry-after", HeaderValue::from_static("1"));
+        response
+            .headers_mut()
+            .insert("retry-after", HeaderValue::from_static("1"));
     }
     response
 }
@@ -145,8 +154,9 @@
             "caller" if value.len() <= MAX_NAME_BYTES => caller = Some(value.into_owned()),
             "key" => with_key = value == "true" || value == "1",
             _ => {
-                let message =
-                    format!("query parameter \"{name}\" is not allowed; use caller=ID and key=true");
+                let message = format!(
+                    "query parameter \"{name}\" is not allowed; use caller=ID and key=true"
+                );
                 return ApiError::not_run(ErrorCode::BadRequest, message).into();
             }
         }
@@ -183,28 +193,42 @@
             format!("the body exceeds {MAX_BODY_BYTES} bytes"),
         )),
         Ok(Err(error)) => Err(bad(format!("the body could not be read: {error}"))),
-        Err(_) => Err(bad(format!("the body did not arrive within {BODY_TIMEOUT:?}"))),
+        Err(_) => Err(bad(format!(
+            "the body did not arrive within {BODY_TIMEOUT:?}"
+        ))),
     }
 }
 
 fn deadline_header(headers: &HeaderMap) -> Result<Option<Duration>, ApiError> {
-    let Some(text) = text_header(headers, "x-deadline-ms")? else { return Ok(None) };
+    let Some(text) = text_header(headers, "x-deadline-ms")? else {
+        return Ok(None);
+    };
     let millis: u64 = text.parse().map_err(|_| {
-        bad(format!("header x-deadline-ms is \"{text}\"; it takes a whole number of milliseconds"))
+        bad(format!(
+            "header x-deadline-ms is \"{text}\"; it takes a whole number of milliseconds"
+        ))
     })?;
     if millis == 0 || millis > MAX_DEADLINE_MS {
-        return Err(bad(format!("header x-deadline-ms is {millis}; allowed is 1 to {MAX_DEADLINE_MS}")));
+        return Err(bad(format!(
+            "header x-deadline-ms is {millis}; allowed is 1 to {MAX_DEADLINE_MS}"
+        )));
     }
     Ok(Some(Duration::from_millis(millis)))
 }
 
 fn text_header(headers: &HeaderMap, name: &str) -> Result<Option<Arc<str>>, ApiError> {
-    let Some(value) = headers.get(name) else { return Ok(None) };
-    let text = value
-        .to_str()
-        .map_err(|_| bad(format!("header {name} holds bytes other than visible ASCII")))?;
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| {
+        bad(format!(
+            "header {name} holds bytes other than visible ASCII"
+        ))
+    })?;
     if text.is_empty() || text.len() > MAX_NAME_BYTES {
-        return Err(bad(format!("header {name} must have 1 to {MAX_NAME_BYTES} characters")));
+        return Err(bad(format!(
+            "header {name} must have 1 to {MAX_NAME_BYTES} characters"
+        )));
     }
     Ok(Some(text.into()))
 }
--- a/src/adapter/peer/mod.rs
+++ b/src/adapter/peer/mod.rs
@@ -5,7 +5,5 @@
 
 pub use self::{
     control::{ControlError, ControlSocket, FleetKey, Incoming},
-    quic::{
-        Identity, OnceForward, OnceReply, PeerError, PeerHandler, PeerStep, PeerTransport,
-    },
+    quic::{Identity, OnceForward, OnceReply, PeerError, PeerHandler, PeerStep, PeerTransport},
 };
--- a/src/adapter/peer/quic.rs
+++ b/src/adapter/peer/quic.rs
@@ -8,8 +8,8 @@
 
 use anyhow::Context;
 use quinn::{
-    ClientConfig, Connection, Endpoint, IdleTimeout, Incoming, RecvStream, SendStream, ServerConfig,
-    TransportConfig, VarInt,
+    ClientConfig, Connection, Endpoint, IdleTimeout, Incoming, RecvStream, SendStream,
+    ServerConfig, TransportConfig, VarInt,
     crypto::rustls::{QuicClientConfig, QuicServerConfig},
 };
 use rustls::{
@@ -122,7 +122,10 @@
 impl PeerError {
     /// Returns whether the peer certainly did not receive the request.
     pub fn not_sent(&self) -> bool {
-        matches!(self.step, PeerStep::Connect | PeerStep::Authenticate | PeerStep::Open)
+        matches!(
+            self.step,
+            PeerStep::Connect | PeerStep::Authenticate | PeerStep::Open
+        )
     }
 }
 
@@ -174,7 +177,11 @@
         let mut endpoint = Endpoint::server(server, addr)
             .with_context(|| format!("bind peer_address {addr} (UDP, QUIC)"))?;
         endpoint.set_default_client_config(client);
-        Ok(Arc::new(Self { identity, endpoint, links: Mutex::new(HashMap::new()) }))
+        Ok(Arc::new(Self {
+            identity,
+            endpoint,
+            links: Mutex::new(HashMap::new()),
+        }))
     }
 
     /// Returns the bound address.
@@ -217,10 +224,18 @@
         replies: &mpsc::Sender<LeafReply>,
         mut cancels: mpsc::Receiver<u32>,
     ) -> Result<(), PeerError> {
-        let fail = |step| move |source| PeerError { step, peer: to.clone(), source };
+        let fail = |step| {
+            move |source| PeerError {
+                step,
+                peer: to.clone(),
+                source,
+            }
+        };
         let calls = batch.calls.len();
         let (mut send, mut recv) = self.open(to, addr).await?;
-        write_frame(&mut send, &Request::Batch(batch)).await.map_err(fail(PeerStep::Send))?;
+        write_frame(&mut send, &Request::Batch(batch))
+            .await
+            .map_err(fail(PeerStep::Send))?;
         let forward = async {
             while let Some(index) = cancels.recv().await {
                 if write_frame(&mut send, &index).await.is_err() {
@@ -232,8 +247,9 @@
         };
         let receive = async {
             for _ in 0..calls {
-                let reply: LeafReply =
-                    read_frame(&mut recv).await.map_err(fail(PeerStep::Receive))?;
+                let reply: LeafReply = read_frame(&mut recv)
+                    .await
+                    .map_err(fail(PeerStep::Receive))?;
                 if replies.send(reply).await.is_err() {
                     return Ok(());
                 }
@@ -294,9 +310,17 @@
         addr: SocketAddr,
         request: &Request,
     ) -> Result<T, PeerError> {
-        let fail = |step| move |source| PeerError { step, peer: to.clone(), source };
+        let fail = |step| {
+            move |source| PeerError {
+                step,
+                peer: to.clone(),
+                source,
+            }
+        };
         let (mut send, mut recv) = self.open(to, addr).await?;
-        write_frame(&mut send, request).await.map_err(fail(PeerStep::Send))?;
+        write_frame(&mut send, request)
+            .await
+            .map_err(fail(PeerStep::Send))?;
         read_frame(&mut recv).await.map_err(fail(PeerStep::Receive))
     }
 
@@ -305,11 +329,20 @@
         to: &NodeId,
         addr: SocketAddr,
     ) -> Result<(SendStream, RecvStream), PeerError> {
-        let fail = |step| move |source| PeerError { step, peer: to.clone(), source };
+        let fail = |step| {
+            move |source| PeerError {
+                step,
+                peer: to.clone(),
+                source,
+            }
+        };
         let connection = timeout(CONNECT_TIMEOUT, self.link(to, addr))
             .await
             .map_err(|elapsed| fail(PeerStep::Connect)(elapsed.into()))??;
-        connection.open_bi().await.map_err(|error| fail(PeerStep::Open)(error.into()))
+        connection
+            .open_bi()
+            .await
+            .map_err(|error| fail(PeerStep::Open)(error.into()))
     }
 
     async fn link(&self, to: &NodeId, addr: SocketAddr) -> Result<Connection, PeerError> {
@@ -325,19 +358,31 @@
             return Ok(link.connection.clone());
         }
         let connection = self.connect(to, addr).await?;
-        *slot = Some(Link { addr, connection: connection.clone() });
+        *slot = Some(Link {
+            addr,
+            connection: connection.clone(),
+        });
         Ok(connection)
     }
 
     async fn connect(&self, to: &NodeId, addr: SocketAddr) -> Result<Connection, PeerError> {
-        let fail = |step| move |source| PeerError { step, peer: to.clone(), source };
+        let fail = |step| {
+            move |source| PeerError {
+                step,
+                peer: to.clone(),
+                source,
+            }
+        };
         let connecting = self
             .endpoint
             .connect(addr, SERVER_NAME)
             .map_err(|error| fail(PeerStep::Connect)(error.into()))?;
-        let connection =
-            connecting.await.map_err(|error| fail(PeerStep::Connect)(error.into()))?;
-        self.greet(&connection, to).await.map_err(fail(PeerStep::Authenticate))?;
+        let connection = connecting
+            .await
+            .map_err(|error| fail(PeerStep::Connect)(error.into()))?;
+        self.greet(&connection, to)
+            .await
+            .map_err(fail(PeerStep::Authenticate))?;
         Ok(connection)
     }
 
@@ -346,21 +391,35 @@
         write_frame(&mut send, &self.hello(connection, b"client")?).await?;
         let hello: Hello = read_frame(&mut recv).await?;
         self.verify(connection, &hello, b"server")?;
-        anyhow::ensure!(hello.node == *to, "the address belongs to node {}", hello.node);
+        anyhow::ensure!(
+            hello.node == *to,
+            "the address belongs to node {}",
+            hello.node
+        );
         Ok(())
     }
 
     fn hello(&self, connection: &Connection, role: &[u8]) -> anyhow::Result<Hello> {
-        let Identity { node, incarnation, .. } = &self.identity;
+        let Identity {
+            node, incarnation, ..
+        } = &self.identity;
         let proof = self.proof(connection, role, node, *incarnation)?;
-        Ok(Hello { node: node.clone(), incarnation: *incarnation, proof })
+        Ok(Hello {
+            node: node.clone(),
+            incarnation: *incarnation,
+            proof,
+        })
     }
 
     fn verify(&self, connection: &Connection, hello: &Hello, role: &[u8]) -> anyhow::Result<()> {
         let wanted = self.proof(connection, role, &hello.node, hello.incarnation)?;
         // blake3::Hash compares in constant time.
         let same = blake3::Hash::from_bytes(wanted) == blake3::Hash::from_bytes(hello.proof);
-        anyhow::ensure!(same, "node {} does not have this fleet's key; set fleet_key", hello.node);
+        anyhow::ensure!(
+            same,
+            "node {} does not have this fleet's key; set fleet_key",
+            hello.node
+        );
         Ok(())
     }
 
@@ -377,8 +436,13 @@
             .export_keying_material(&mut session, b"cranberrychute hello", role)
             .map_err(|error| anyhow::anyhow!("export keying material: {error:?}"))?;
         let mut mac = blake3::Hasher::new_keyed(&self.identity.key);
-        mac.update(&session).update(role).update(node.as_str().as_bytes());
-        Ok(*mac.update(&incarnation.0.to_le_bytes()).finalize().as_bytes())
+        mac.update(&session)
+            .update(role)
+            .update(node.as_str().as_bytes());
+        Ok(*mac
+            .update(&incarnation.0.to_le_bytes())
+            .finalize()
+            .as_bytes())
     }
 
     async fn serve_connection<H: PeerHandler>(
@@ -471,7 +535,10 @@
     let mut frame = vec![0; 4];
     frame = postcard::to_extend(value, frame)?;
     let length = frame.len() - 4;
-    anyhow::ensure!(length <= MAX_FRAME_BYTES, "frame of {length} bytes exceeds the limit");
+    anyhow::ensure!(
+        length <= MAX_FRAME_BYTES,
+        "frame of {length} bytes exceeds the limit"
+    );
     frame[..4].copy_from_slice(&u32::try_from(length)?.to_le_bytes());
     send.write_all(&frame).await?;
     Ok(())
@@ -481,7 +548,10 @@
     let mut length = [0; 4];
     recv.read_exact(&mut length).await?;
     let length = u32::from_le_bytes(length) as usize;
-    anyhow::ensure!(length <= MAX_FRAME_BYTES, "frame of {length} bytes exceeds the limit");
+    anyhow::ensure!(
+        length <= MAX_FRAME_BYTES,
+        "frame of {length} bytes exceeds the limit"
+    );
     let mut frame = vec![0; length];
     recv.read_exact(&mut frame).await?;
     Ok(postcard::from_bytes(&frame)?)
@@ -548,7 +618,12 @@
         cert: &CertificateDer<'_>,
         dss: &DigitallySignedStruct,
     ) -> Result<HandshakeSignatureValid, rustls::Error> {
-        verify_tls13_signature(message, cert, dss, &self.0.signature_verification_algorithms)
+        verify_tls13_signature(
+            message,
+            cert,
+            dss,
+            &self.0.signature_verification_algorithms,
+        )
     }
 
     fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
--- a/src/cli/ask.rs
+++ b/src/cli/ask.rs
@@ -27,7 +27,7 @@
     error_code(4, "Not run, and it never will be."),
     error_code(5, "Outcome unknown: an at-most-once request may have run.")
 )]
-pub struct Ask {
+pub(super) struct Ask {
     /// address of any node, HOST:PORT; may be repeated
     #[argh(option)]
     seed: Vec<String>,
@@ -59,7 +59,7 @@
 
 impl Ask {
     /// Runs the command on a runtime of its own and returns the exit code.
-    pub fn run(self) -> ExitCode {
+    pub(super) fn run(self) -> ExitCode {
         match tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
@@ -70,7 +70,7 @@
     }
 
     /// Runs the command and returns the exit code.
-    pub async fn execute(self) -> ExitCode {
+    pub(super) async fn execute(self) -> ExitCode {
         if self.text.is_empty() {
             return fail(EXIT_USAGE, "a text to search for is needed");
         }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -8,6 +8,8 @@
 mod node;
 mod state;
 
+pub use self::check::Check;
+
 use std::{
     env,
     io::{self, Write},
@@ -43,16 +45,28 @@
 
 /// Runs the command line of the process and returns its exit code.
 pub fn run() -> ExitCode {
-    let args: Vec<String> = env::args_os().skip(1).map(|arg| arg.to_string_lossy().into()).collect();
+    let args: Vec<String> = env::args_os()
+        .skip(1)
+        .map(|arg| arg.to_string_lossy().into())
+        .collect();
     if matches!(args.first().map(String::as_str), Some("--version" | "-V")) {
         return print(concat!("cranberrychute ", env!("CARGO_PKG_VERSION")));
     }
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
     match Cranberrychute::from_args(&["cranberrychute"], &args) {
         Ok(parsed) => parsed.command.run(),
-        Err(EarlyExit { output, status: Ok(()) }) => print(output.trim_end()),
-        Err(EarlyExit { output, status: Err(()) }) => {
-            let text = format!("{}\nRun cranberrychute --help for usage.", output.trim_end());
+        Err(EarlyExit {
+            output,
+            status: Ok(()),
+        }) => print(output.trim_end()),
+        Err(EarlyExit {
+            output,
+            status: Err(()),
+        }) => {
+            let text = format!(
+                "{}\nRun cranberrychute --help for usage.",
+                output.trim_end()
+            );
             complain(&text);
             ExitCode::from(USAGE)
         }
--- a/src/cli/node.rs
+++ b/src/cli/node.rs
@@ -47,7 +47,9 @@
 }
 
 fn serve(settings: Settings) -> anyhow::Result<()> {
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
     runtime.block_on(async {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
--- a/src/cli/state.rs
+++ b/src/cli/state.rs
@@ -28,7 +28,9 @@
 
 impl State {
     pub(super) fn run(self) -> ExitCode {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build();
         let text = runtime
             .context("start the runtime")
             .and_then(|runtime| runtime.block_on(self.read()));
@@ -46,12 +48,20 @@
         let request = Request::get(format!("http://{}/v1/state", self.node)).body(Empty::new())?;
         let exchange = async {
             let response = client.request(request).await.context("connect")?;
-            let body = Limited::new(response.into_body(), MAX_STATE_BYTES).collect().await;
+            let body = Limited::new(response.into_body(), MAX_STATE_BYTES)
+                .collect()
+                .await;
             body.map_err(|error| anyhow::anyhow!("read the answer: {error}"))
         };
-        let body = tokio::time::timeout(TIMEOUT, exchange).await.context("no answer in time")??;
+        let body = tokio::time::timeout(TIMEOUT, exchange)
+            .await
+            .context("no answer in time")??;
         let state: serde_json::Value =
             serde_json::from_slice(&body.to_bytes()).context("the answer is not JSON")?;
-        Ok(if self.compact { state.to_string() } else { format!("{state:#}") })
+        Ok(if self.compact {
+            state.to_string()
+        } else {
+            format!("{state:#}")
+        })
     }
 }
--- a/src/core/call/text.rs
+++ b/src/core/call/text.rs
@@ -5,7 +5,9 @@
 impl fmt::Display for NotRun {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let text = match self {
-            NotRun::NotOwner { holder: Some(holder) } => {
+            NotRun::NotOwner {
+                holder: Some(holder),
+            } => {
                 return write!(f, "not run: node {holder} holds the lease of the leaf");
             }
             NotRun::NotOwner { holder: None } => "not run: no node holds the lease of the leaf",
@@ -14,7 +16,9 @@
             NotRun::Cold => "not run: the leaf is cold and has no spare capacity",
             NotRun::Shed => "not run: the leaf shed the call",
             NotRun::Unreachable => "not run: no connection to the leaf or its owner",
-            NotRun::Leaving => "not run: the leaf is leaving or its failure domain is out of service",
+            NotRun::Leaving => {
+                "not run: the leaf is leaving or its failure domain is out of service"
+            }
             NotRun::Quarantined => "not run: the query crashed leaves and is quarantined",
             NotRun::UnknownLeaf => "not run: the leaf is not in the map in force at its owner",
         };
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -85,7 +85,10 @@
 
 impl From<&Missing> for MissingShard {
     fn from(missing: &Missing) -> Self {
-        Self { shard: missing.shard, reason: describe(&missing.reason) }
+        Self {
+            shard: missing.shard,
+            reason: describe(&missing.reason),
+        }
     }
 }
 
@@ -119,7 +122,10 @@
     };
     match &outcome.answer {
         Some(answer) => {
-            let answer = QueryAnswer { outcome: Some(name), ..QueryAnswer::new(request, answer) };
+            let answer = QueryAnswer {
+                outcome: Some(name),
+                ..QueryAnswer::new(request, answer)
+            };
             Reply::json(StatusCode::OK, &answer)
         }
         None => {
@@ -136,9 +142,15 @@
 
 /// Starts the span of a request, below the caller's span if it sent one.
 pub(super) fn root_span(name: &'static str, request: &QueryRequest) -> Span {
-    let parent = request.trace.as_deref().and_then(SpanContext::decode_w3c_traceparent);
+    let parent = request
+        .trace
+        .as_deref()
+        .and_then(SpanContext::decode_w3c_traceparent);
     let span = Span::root(name, parent.unwrap_or_else(SpanContext::random));
     span.with_properties(|| {
-        [("request", request.request.to_string()), ("service", request.service.to_string())]
+        [
+            ("request", request.request.to_string()),
+            ("service", request.service.to_string()),
+        ]
     })
 }
--- a/src/node/caller.rs
+++ b/src/node/caller.rs
@@ -47,7 +47,11 @@
         let lifetime_ms = node.address_lifetime().as_millis() as u64;
         Reply::json(
             StatusCode::OK,
-            &AddressesAnswer { addresses: answer.addresses, lifetime_ms, key },
+            &AddressesAnswer {
+                addresses: answer.addresses,
+                lifetime_ms,
+                key,
+            },
         )
     }
 
@@ -91,12 +95,20 @@
         let held: Vec<_> = {
             let leases = node.leases.lock().expect("no panic while locked");
             let partitions = node.leaf_partitions(&view);
-            partitions.iter().filter(|id| leases.expiry(now, id).is_some()).map(|id| id.to_string()).collect()
+            partitions
+                .iter()
+                .filter(|id| leases.expiry(now, id).is_some())
+                .map(|id| id.to_string())
+                .collect()
         };
         let config = node.config.lock().expect("no panic while locked");
         let (versions, rejected) = (config.store.versions(), config.rejected.clone());
         drop(config);
-        let quarantined = node.crash.lock().expect("no panic while locked").quarantined(now);
+        let quarantined = node
+            .crash
+            .lock()
+            .expect("no panic while locked")
+            .quarantined(now);
         let state = json!({
             "node": node.me,
             "incarnation": node.incarnation,
@@ -120,7 +132,9 @@
 
     fn ready(&self) -> Reply {
         let node = &self.0;
-        let refusal = node.refusal().or(node.leaving.load(Ordering::Relaxed).then_some("leaving"));
+        let refusal = node
+            .refusal()
+            .or(node.leaving.load(Ordering::Relaxed).then_some("leaving"));
         match refusal {
             None => Reply::json(StatusCode::OK, &json!({ "ready": true })),
             Some(reason) => ApiError::not_run(ErrorCode::Unavailable, reason).into(),
@@ -157,8 +171,16 @@
         }
         let view = self.view();
         if !view.services.contains_key(&request.service) {
-            let known = view.services.keys().map(ToString::to_string).collect::<Vec<_>>().join(", ");
-            let message = format!("service \"{}\" does not exist; known: {known}", request.service);
+            let known = view
+                .services
+                .keys()
+                .map(ToString::to_string)
+                .collect::<Vec<_>>()
+                .join(", ");
+            let message = format!(
+                "service \"{}\" does not exist; known: {known}",
+                request.service
+            );
             return Err(ApiError::not_run(ErrorCode::NotFound, message));
         }
         if self.work.len() > self.settings.limits.queries as usize {
@@ -166,7 +188,9 @@
             return Err(ApiError::not_run(ErrorCode::Unavailable, message));
         }
         let body: QueryBody = serde_json::from_slice(&request.body).map_err(|error| {
-            let message = format!("the body is not a query: {error}; send {{\"text\": \"...\", \"top\": 10}}");
+            let message = format!(
+                "the body is not a query: {error}; send {{\"text\": \"...\", \"top\": 10}}"
+            );
             ApiError::not_run(ErrorCode::BadRequest, message)
         })?;
         if body.text.is_empty() || body.text.len() > MAX_TEXT_BYTES {
@@ -189,5 +213,9 @@
         QueryError::Top { .. } | QueryError::NoTime => ErrorCode::BadRequest,
         QueryError::Quarantined => ErrorCode::Quarantined,
     };
-    ApiError { error: code, message: error.to_string(), not_run: error.not_run() }
+    ApiError {
+        error: code,
+        message: error.to_string(),
+        not_run: error.not_run(),
+    }
 }
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -1,4 +1,8 @@
-use std::{net::SocketAddr, sync::{Arc, atomic::Ordering}, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -36,13 +40,16 @@
 /// A control message between nodes.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) enum Control {
-    Member(MemberMessage<Payload>),
+    Member(Box<MemberMessage<Payload>>),
     Lease(LeaseMessage<Digest>),
     Relay(RelayMessage),
     /// A crash seen just now, sent to all known nodes at once.
     Crash(CrashEvent),
     /// A node that starts, perhaps not in the VM list yet, asks for the configuration.
-    Join { peer: SocketAddr, digest: Digest },
+    Join {
+        peer: SocketAddr,
+        digest: Digest,
+    },
 }
 
 impl ConfigDigest for Digest {
@@ -98,16 +105,29 @@
             let mut probes = Vec::new();
             let mut rng = self.rng.lock().expect("no panic while locked");
             members.tick(now, &mut *rng, &payload, &mut probes);
-            out.extend(probes.into_iter().map(|Outbound { to, message }| (to, Control::Member(message))));
+            out.extend(
+                probes
+                    .into_iter()
+                    .map(|Outbound { to, message }| (to, Control::Member(Box::new(message)))),
+            );
             let mut leases = self.leases.lock().expect("no panic while locked");
             let mut requests = Vec::new();
-            leases.tick(now, &|node: &NodeId| members.is_alive(node), &payload.digest, &mut requests);
+            leases.tick(
+                now,
+                &|node: &NodeId| members.is_alive(node),
+                &payload.digest,
+                &mut requests,
+            );
             for partition in leases.draining() {
                 if self.pool.in_flight(&partition) == 0 {
                     leases.drained(now, &partition, &mut requests);
                 }
             }
-            out.extend(requests.into_iter().map(|Outbound { to, message }| (to, Control::Lease(message))));
+            out.extend(
+                requests
+                    .into_iter()
+                    .map(|Outbound { to, message }| (to, Control::Lease(message))),
+            );
         }
         self.send_all(out).await;
         self.note_isolation(now);
@@ -118,15 +138,23 @@
         let mut out = Vec::new();
         match message {
             Control::Member(message) => {
-                let Payload { digest, crashes, leaving } = message.payload.clone();
+                let Payload {
+                    digest,
+                    crashes,
+                    leaving,
+                } = message.payload.clone();
                 self.note_departure(&from, leaving);
                 self.learn_crashes(now, crashes);
                 let payload = self.payload();
                 let mut replies = Vec::new();
                 let mut members = self.members.lock().expect("no panic while locked");
-                members.receive(now, &from, message, &payload, &mut replies);
+                members.receive(now, &from, *message, &payload, &mut replies);
                 drop(members);
-                out.extend(replies.into_iter().map(|Outbound { to, message }| (to, Control::Member(message))));
+                out.extend(
+                    replies
+                        .into_iter()
+                        .map(|Outbound { to, message }| (to, Control::Member(Box::new(message)))),
+                );
                 self.compare_digest(&from, digest, &mut out);
             }
             Control::Lease(message) => {
@@ -140,7 +168,11 @@
                 let mut leases = self.leases.lock().expect("no panic while locked");
                 leases.receive(now, &from, message, &mine, &mut replies);
                 drop(leases);
-                out.extend(replies.into_iter().map(|Outbound { to, message }| (to, Control::Lease(message))));
+                out.extend(
+                    replies
+                        .into_iter()
+                        .map(|Outbound { to, message }| (to, Control::Lease(message))),
+                );
                 if let Some(digest) = digest {
                     self.compare_digest(&from, digest, &mut out);
                 }
@@ -150,7 +182,13 @@
             Control::Join { peer, digest } => {
                 let mut joiners = self.joiners.lock().expect("no panic while locked");
                 if joiners.len() < MAX_JOINERS || joiners.contains_key(&from) {
-                    joiners.insert(from.clone(), PeerAddress { control: address, peer });
+                    joiners.insert(
+                        from.clone(),
+                        PeerAddress {
+                            control: address,
+                            peer,
+                        },
+                    );
                 }
                 drop(joiners);
                 self.compare_digest(&from, digest, &mut out);
@@ -161,9 +199,16 @@
 
     /// Asks the seeds for the configuration, for a node that is not known to the others yet.
     pub(super) async fn join(&self) {
-        let message = Control::Join { peer: self.settings.peer, digest: self.digest() };
+        let message = Control::Join {
+            peer: self.settings.peer,
+            digest: self.digest(),
+        };
         for seed in &self.settings.seeds {
-            if let Err(error) = self.control.send(*seed, message.clone(), Control::split).await {
+            if let Err(error) = self
+                .control
+                .send(*seed, message.clone(), Control::split)
+                .await
+            {
                 log::debug!("seed not asked: {error}");
             }
         }
@@ -172,7 +217,9 @@
     /// Sends messages, each to the address of its node.
     pub(super) async fn send_all(&self, out: Vec<(NodeId, Control)>) {
         for (to, message) in out {
-            let Some(address) = self.address(&to) else { continue };
+            let Some(address) = self.address(&to) else {
+                continue;
+            };
             if let Control::Relay(relay) = &message
                 && postcard::experimental::serialized_size(relay).unwrap_or(usize::MAX)
                     > MAX_DATAGRAM_DOCUMENTS
@@ -180,7 +227,11 @@
                 self.send_large(to, address.peer, relay.clone());
                 continue;
             }
-            if let Err(error) = self.control.send(address.control, message, Control::split).await {
+            if let Err(error) = self
+                .control
+                .send(address.control, message, Control::split)
+                .await
+            {
                 log::debug!(peer = to.as_str(); "control message not sent: {error}");
             }
         }
@@ -196,7 +247,11 @@
     }
 
     fn payload(&self) -> Payload {
-        let crashes = self.crash.lock().expect("no panic while locked").rumors(self.clock.now());
+        let crashes = self
+            .crash
+            .lock()
+            .expect("no panic while locked")
+            .rumors(self.clock.now());
         Payload {
             digest: self.digest(),
             crashes: crashes.into_iter().collect(),
@@ -206,19 +261,34 @@
 
     /// Returns the digest of the configuration in force.
     pub(super) fn digest(&self) -> Digest {
-        self.config.lock().expect("no panic while locked").store.digest()
+        self.config
+            .lock()
+            .expect("no panic while locked")
+            .store
+            .digest()
     }
 
     fn compare_digest(&self, from: &NodeId, digest: Digest, out: &mut Vec<(NodeId, Control)>) {
         let mut config = self.config.lock().expect("no panic while locked");
         let config = &mut *config;
         let mut messages = Vec::new();
-        config.relay.digest_seen(self.clock.now(), from, digest, &config.store, &mut messages);
-        out.extend(messages.into_iter().map(|(to, message)| (to, Control::Relay(message))));
+        config
+            .relay
+            .digest_seen(self.clock.now(), from, digest, &config.store, &mut messages);
+        out.extend(
+            messages
+                .into_iter()
+                .map(|(to, message)| (to, Control::Relay(message))),
+        );
     }
 
     /// Takes a relay message of a peer and puts newer documents in force.
-    pub(super) fn relay(&self, from: &NodeId, message: RelayMessage, out: &mut Vec<(NodeId, Control)>) {
+    pub(super) fn relay(
+        &self,
+        from: &NodeId,
+        message: RelayMessage,
+        out: &mut Vec<(NodeId, Control)>,
+    ) {
         let peers = self.members.lock().expect("no panic while locked").alive();
         let mut messages = Vec::new();
         let applied = {
@@ -229,12 +299,20 @@
             let (relay, store) = (&mut config.relay, &mut config.store);
             relay.receive(now, from, message, store, &peers, &mut *rng, &mut messages)
         };
-        out.extend(messages.into_iter().map(|(to, message)| (to, Control::Relay(message))));
+        out.extend(
+            messages
+                .into_iter()
+                .map(|(to, message)| (to, Control::Relay(message))),
+        );
         self.put_in_force(applied);
     }
 
     /// Takes documents read from the platform and passes new ones on.
-    pub(super) fn learn_documents(&self, documents: Vec<Document>, out: &mut Vec<(NodeId, Control)>) {
+    pub(super) fn learn_documents(
+        &self,
+        documents: Vec<Document>,
+        out: &mut Vec<(NodeId, Control)>,
+    ) {
         let peers = self.members.lock().expect("no panic while locked").alive();
         let mut messages = Vec::new();
         let applied = {
@@ -243,10 +321,16 @@
             let now = self.clock.now();
             let applied = config.store.apply(now, documents);
             let mut rng = self.rng.lock().expect("no panic while locked");
-            config.relay.learned(&applied, &peers, &mut *rng, &mut messages);
+            config
+                .relay
+                .learned(&applied, &peers, &mut *rng, &mut messages);
             applied
         };
-        out.extend(messages.into_iter().map(|(to, message)| (to, Control::Relay(message))));
+        out.extend(
+            messages
+                .into_iter()
+                .map(|(to, message)| (to, Control::Relay(message))),
+        );
         self.put_in_force(applied);
     }
 
@@ -262,7 +346,11 @@
     /// Notes whether this node is cut off from the configuration service and from most other nodes.
     fn note_isolation(&self, now: Time) {
         let contact = self.config.lock().expect("no panic while locked").contact;
-        let heard = self.members.lock().expect("no panic while locked").heard_since(now, ISOLATION_LIMIT);
+        let heard = self
+            .members
+            .lock()
+            .expect("no panic while locked")
+            .heard_since(now, ISOLATION_LIMIT);
         let listed = self.view().vms.vms.len();
         let isolated = isolated(now, contact, heard, listed);
         if self.isolated.swap(isolated, Ordering::Relaxed) != isolated {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -50,7 +50,10 @@
     core::{
         Incarnation, NodeId, PartitionId, ServiceName, Time,
         call::{LeafBatch, LeafReply},
-        config::{Applied, ConfigStore, View, relay::{Relay, may_start}},
+        config::{
+            Applied, ConfigStore, View,
+            relay::{Relay, may_start},
+        },
         crash::{CrashEvent, CrashLedger},
         lease::{LeaseSettings, LeaseTable},
         member::{MemberSettings, Membership},
@@ -104,7 +107,9 @@
 
 impl fmt::Debug for Node {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Node").field("me", &self.me).finish_non_exhaustive()
+        f.debug_struct("Node")
+            .field("me", &self.me)
+            .finish_non_exhaustive()
     }
 }
 
@@ -119,7 +124,8 @@
     log::info!(node = node.me.as_str(), caller = node.settings.caller.to_string().as_str();
         "node started");
     let (stop, stopped) = watch::channel(false);
-    let serve = tokio::spawn(server.serve(Arc::new(caller::Api(node.clone())), stop::wait(stopped)));
+    let serve =
+        tokio::spawn(server.serve(Arc::new(caller::Api(node.clone())), stop::wait(stopped)));
     let mut tasks = tokio::task::JoinSet::new();
     tasks.spawn(control::run(node.clone()));
     tasks.spawn(platform::run(node.clone()));
@@ -144,22 +150,38 @@
         let me = settings.id.clone();
         let incarnation = Incarnation(rand::random());
         let key = settings.fleet_key.0;
-        let identity = Identity { node: me.clone(), incarnation, key };
+        let identity = Identity {
+            node: me.clone(),
+            incarnation,
+            key,
+        };
         let peers = PeerTransport::bind(settings.peer, identity)?;
-        let control =
-            ControlSocket::bind(settings.control, me.clone(), incarnation, ControlKey::new(key))
-                .await
-                .with_context(|| format!("bind control_address {} (UDP)", settings.control))?;
-        let lease_settings =
-            LeaseSettings { voters: settings.limits.voters.into(), ..LeaseSettings::default() };
+        let control = ControlSocket::bind(
+            settings.control,
+            me.clone(),
+            incarnation,
+            ControlKey::new(key),
+        )
+        .await
+        .with_context(|| format!("bind control_address {} (UDP)", settings.control))?;
+        let lease_settings = LeaseSettings {
+            voters: settings.limits.voters.into(),
+            ..LeaseSettings::default()
+        };
         let leases = LeaseTable::new(me.clone(), incarnation, lease_settings, now);
         let leases = Arc::new(Mutex::new(leases));
         let crash = Arc::new(Mutex::new(CrashLedger::new()));
         let (crashes, seen) = mpsc::unbounded_channel();
-        let ports =
-            NodePorts { clock, leases: leases.clone(), crash: crash.clone(), crashes };
-        let pool_settings =
-            PoolSettings { partitions: settings.limits.partitions, ..PoolSettings::default() };
+        let ports = NodePorts {
+            clock,
+            leases: leases.clone(),
+            crash: crash.clone(),
+            crashes,
+        };
+        let pool_settings = PoolSettings {
+            partitions: settings.limits.partitions,
+            ..PoolSettings::default()
+        };
         let key_settings = KeySettings {
             keys: settings.limits.keys as usize,
             lifetime: Duration::from_millis(api::KEY_LIFETIME_MS),
@@ -222,9 +244,16 @@
     fn address(&self, node: &NodeId) -> Option<PeerAddress> {
         let view = self.view();
         let listed = view.vms.vms.iter().find(|vm| vm.id == *node);
-        let listed = listed.map(|vm| PeerAddress { control: vm.control, peer: vm.peer });
+        let listed = listed.map(|vm| PeerAddress {
+            control: vm.control,
+            peer: vm.peer,
+        });
         listed.or_else(|| {
-            self.joiners.lock().expect("no panic while locked").get(node).copied()
+            self.joiners
+                .lock()
+                .expect("no panic while locked")
+                .get(node)
+                .copied()
         })
     }
 
@@ -237,7 +266,9 @@
         let view = {
             let mut config = self.config.lock().expect("no panic while locked");
             for rejection in &applied.rejected {
-                config.rejected.retain(|known| !known.starts_with(&*rejection.key));
+                config
+                    .rejected
+                    .retain(|known| !known.starts_with(&*rejection.key));
                 config.rejected.push(rejection.to_string());
             }
             config.store.view()
@@ -250,7 +281,10 @@
             log::info!(key = &*document.key, version = document.version; "configuration in force");
         }
         *self.view.write().expect("no panic while locked") = view.clone();
-        self.members.lock().expect("no panic while locked").set_vms(now, &view.vms);
+        self.members
+            .lock()
+            .expect("no panic while locked")
+            .set_vms(now, &view.vms);
         let partitions = self.leaf_partitions(&view);
         {
             let mut leases = self.leases.lock().expect("no panic while locked");
@@ -262,7 +296,9 @@
 
     fn leaf_partitions(&self, view: &View) -> BTreeSet<PartitionId> {
         let leaves = view.maps.values().flat_map(|map| &map.leaves);
-        leaves.map(|(leaf, info)| PartitionId::of(leaf, &info.domain, self.partitions())).collect()
+        leaves
+            .map(|(leaf, info)| PartitionId::of(leaf, &info.domain, self.partitions()))
+            .collect()
     }
 
     /// Runs the calls of a batch whose leaves this node owns.
@@ -304,15 +340,24 @@
             let alive = self.members.lock().expect("no panic while locked").alive();
             let out = alive.into_iter().filter(|node| *node != self.me);
             let out = out.take(control::MAX_DIRECT_PEERS);
-            self.send_all(out.map(|node| (node, control::Control::Crash(event.clone()))).collect())
-                .await;
+            self.send_all(
+                out.map(|node| (node, control::Control::Crash(event.clone())))
+                    .collect(),
+            )
+            .await;
         }
     }
 
     /// Returns why the node takes no new work now, if so.
     fn refusal(&self) -> Option<&'static str> {
         let uptime = self.clock.now().since(self.started);
-        let listed = self.view().vms.vms.iter().filter(|vm| vm.id != self.me).count();
+        let listed = self
+            .view()
+            .vms
+            .vms
+            .iter()
+            .filter(|vm| vm.id != self.me)
+            .count();
         let others = listed.max(self.settings.seeds.len());
         let config = self.config.lock().expect("no panic while locked");
         let synced = config.relay.synced();
--- a/src/node/once.rs
+++ b/src/node/once.rs
@@ -39,7 +39,10 @@
     pub(super) fn new_key(&self) -> Result<KeyAnswer, ApiError> {
         let mut keys = self.keys.lock().expect("no panic while locked");
         match keys.issue(self.clock.now(), SystemTime::now()) {
-            Ok(key) => Ok(KeyAnswer { key: keys.encode(&key), lifetime_ms: api::KEY_LIFETIME_MS }),
+            Ok(key) => Ok(KeyAnswer {
+                key: keys.encode(&key),
+                lifetime_ms: api::KEY_LIFETIME_MS,
+            }),
             Err(error) => Err(ApiError::not_run(ErrorCode::Unavailable, error.to_string())),
         }
     }
@@ -64,7 +67,10 @@
             key: Some(request.key),
         };
         let reply = self.once_from(Source::Peer, request).await;
-        OnceReply { status: reply.status.as_u16(), body: reply.body.to_vec().into() }
+        OnceReply {
+            status: reply.status.as_u16(),
+            body: reply.body.to_vec().into(),
+        }
     }
 
     async fn once_from(self: &Arc<Self>, source: Source, request: QueryRequest) -> Reply {
@@ -77,7 +83,10 @@
             let begin = keys.begin(self.clock.now(), &key, body_hash(&request));
             if let Begin::Run { serial } = begin {
                 let (sender, _) = watch::channel(None);
-                self.running.lock().expect("no panic while locked").insert(serial, sender);
+                self.running
+                    .lock()
+                    .expect("no panic while locked")
+                    .insert(serial, sender);
             }
             begin
         };
@@ -99,7 +108,12 @@
     }
 
     async fn attach(&self, serial: u64, key: &str, request: &QueryRequest) -> Reply {
-        let running = self.running.lock().expect("no panic while locked").get(&serial).cloned();
+        let running = self
+            .running
+            .lock()
+            .expect("no panic while locked")
+            .get(&serial)
+            .cloned();
         if let Some(sender) = running {
             let mut outcome = sender.subscribe();
             drop(sender);
@@ -130,7 +144,11 @@
             let mut keys = self.keys.lock().expect("no panic while locked");
             keys.finish(self.clock.now(), serial, outcome)
         };
-        let sender = self.running.lock().expect("no panic while locked").remove(&serial);
+        let sender = self
+            .running
+            .lock()
+            .expect("no panic while locked")
+            .remove(&serial);
         if let Some(sender) = sender {
             sender.send_replace(Some(outcome));
         }
@@ -151,9 +169,14 @@
 
     async fn forward_once(&self, issuer: NodeId, key: Arc<str>, request: QueryRequest) -> Reply {
         let Some(address) = self.address(&issuer) else {
-            return unknown(format!("node {issuer}, which issued the key, is not known any more"));
+            return unknown(format!(
+                "node {issuer}, which issued the key, is not known any more"
+            ));
         };
-        let budget = request.deadline.unwrap_or(api::FORWARD_TIMEOUT).min(api::FORWARD_TIMEOUT);
+        let budget = request
+            .deadline
+            .unwrap_or(api::FORWARD_TIMEOUT)
+            .min(api::FORWARD_TIMEOUT);
         let forward = OnceForward {
             request: request.request,
             service: request.service,
@@ -169,24 +192,37 @@
                 body: reply.body.to_vec().into(),
             },
             Ok(Err(error)) => unknown(format!("the node that issued the key: {error}")),
-            Err(_) => unknown(format!("node {issuer}, which issued the key, did not answer in time")),
+            Err(_) => unknown(format!(
+                "node {issuer}, which issued the key, did not answer in time"
+            )),
         }
     }
 }
 
 /// An earlier copy of the request may have run, so this is never "not run".
 fn unknown(reason: impl Into<String>) -> Reply {
-    let message = format!("outcome unknown: {}; ask again with the same key", reason.into());
+    let message = format!(
+        "outcome unknown: {}; ask again with the same key",
+        reason.into()
+    );
     ApiError::may_have_run(ErrorCode::Unknown, message).into()
 }
 
 fn key_error(error: OnceError) -> Reply {
     let not_run = error.not_run();
-    ApiError { error: ErrorCode::BadKey, message: error.to_string(), not_run }.into()
+    ApiError {
+        error: ErrorCode::BadKey,
+        message: error.to_string(),
+        not_run,
+    }
+    .into()
 }
 
 fn body_hash(request: &QueryRequest) -> [u8; 32] {
     let mut hasher = blake3::Hasher::new();
-    hasher.update(request.service.as_str().as_bytes()).update(&[0]).update(&request.body);
+    hasher
+        .update(request.service.as_str().as_bytes())
+        .update(&[0])
+        .update(&request.body);
     *hasher.finalize().as_bytes()
 }
--- a/src/node/platform.rs
+++ b/src/node/platform.rs
@@ -21,7 +21,10 @@
 /// Reads and watches the configuration service until the node stops.
 pub(super) async fn run(node: Arc<Node>) {
     let bases = node.settings.platform.clone();
-    let client = Arc::new(PlatformClient::new(PlatformSettings { bases, ..Default::default() }));
+    let client = Arc::new(PlatformClient::new(PlatformSettings {
+        bases,
+        ..Default::default()
+    }));
     let now = node.clock.now();
     let mut pacer = ReadPacer::new(now);
     let mut pauses = PauseDetector::new(PAUSE_LIMIT, now);
@@ -67,11 +70,21 @@
             let live = vms.filter(|vm| vm.id == self.me || members.is_alive(&vm.id));
             role(&self.me, live.map(|vm| (&vm.id, &vm.domain)))
         };
-        pacer.set_role(now, role, &mut *self.rng.lock().expect("no panic while locked"));
+        pacer.set_role(
+            now,
+            role,
+            &mut *self.rng.lock().expect("no panic while locked"),
+        );
     }
 
     fn has_configuration(&self) -> bool {
-        self.config.lock().expect("no panic while locked").store.view().vms_version > 0
+        self.config
+            .lock()
+            .expect("no panic while locked")
+            .store
+            .view()
+            .vms_version
+            > 0
     }
 
     async fn finish_read(
@@ -82,7 +95,12 @@
     ) {
         let now = self.clock.now();
         let revision = result.as_ref().ok().map(|reading| reading.revision);
-        pacer.finished(now, step, revision, &mut *self.rng.lock().expect("no panic while locked"));
+        pacer.finished(
+            now,
+            step,
+            revision,
+            &mut *self.rng.lock().expect("no panic while locked"),
+        );
         match result {
             Ok(reading) => {
                 self.config.lock().expect("no panic while locked").contact = Some(now);
--- a/src/node/ports.rs
+++ b/src/node/ports.rs
@@ -35,24 +35,39 @@
     }
 
     fn lease_end(&self, partition: &PartitionId) -> Option<Time> {
-        self.leases.lock().expect("no panic while locked").expiry(self.clock.now(), partition)
+        self.leases
+            .lock()
+            .expect("no panic while locked")
+            .expiry(self.clock.now(), partition)
     }
 
     fn holder(&self, partition: &PartitionId) -> Option<NodeId> {
-        self.leases.lock().expect("no panic while locked").holder_hint(self.clock.now(), partition)
+        self.leases
+            .lock()
+            .expect("no panic while locked")
+            .holder_hint(self.clock.now(), partition)
     }
 
     fn verdict(&self, print: Fingerprint) -> Verdict {
-        self.crash.lock().expect("no panic while locked").verdict(self.clock.now(), print)
+        self.crash
+            .lock()
+            .expect("no panic while locked")
+            .verdict(self.clock.now(), print)
     }
 
     fn ran_alone(&self, print: Fingerprint) {
-        self.crash.lock().expect("no panic while locked").ran(self.clock.now(), print, true);
+        self.crash
+            .lock()
+            .expect("no panic while locked")
+            .ran(self.clock.now(), print, true);
     }
 
     fn crashed(&self, event: CrashEvent) {
-        let new =
-            self.crash.lock().expect("no panic while locked").crashed(self.clock.now(), event.clone());
+        let new = self
+            .crash
+            .lock()
+            .expect("no panic while locked")
+            .crashed(self.clock.now(), event.clone());
         if new {
             let _ = self.crashes.send(event);
         }
--- a/src/node/query.rs
+++ b/src/node/query.rs
@@ -97,7 +97,9 @@
         if let Some(answer) = driver.act(&target.view, deadline, &mut out) {
             return Ok(answer);
         }
-        let pause = driver.wake.map_or(Duration::MAX, |wake| wake.since(node.clock.now()));
+        let pause = driver
+            .wake
+            .map_or(Duration::MAX, |wake| wake.since(node.clock.now()));
         let event = tokio::select! {
             event = inbox.recv() => event,
             () = tokio::time::sleep(pause.min(Duration::from_secs(60))) => None,
@@ -109,7 +111,11 @@
         node.with_context(&target, &driver.query.service, |context| {
             let now = node.clock.now();
             match event {
-                Some(Event { call, outcome, status }) => {
+                Some(Event {
+                    call,
+                    outcome,
+                    status,
+                }) => {
                     plan.reply(now, call, outcome, status, context, &mut out);
                 }
                 None => plan.wake(now, context, &mut out),
@@ -125,12 +131,14 @@
         let mut answer = None;
         for action in out.drain(..) {
             match action {
-                QueryAction::Send { call, leaf_call, owner } => {
-                    match owner.or_else(|| self.owner(view, &leaf_call)) {
-                        Some(owner) => groups.entry(owner).or_default().push((call, leaf_call)),
-                        None => self.refuse(call, NotRun::NotOwner { holder: None }),
-                    }
-                }
+                QueryAction::Send {
+                    call,
+                    leaf_call,
+                    owner,
+                } => match owner.or_else(|| self.owner(view, &leaf_call)) {
+                    Some(owner) => groups.entry(owner).or_default().push((call, leaf_call)),
+                    None => self.refuse(call, NotRun::NotOwner { holder: None }),
+                },
                 QueryAction::Cancel(call) => {
                     if let Some(cancel) = self.cancels.remove(&call) {
                         let _ = cancel.cancels.try_send(cancel.index);
@@ -155,19 +163,21 @@
     }
 
     fn refuse(&self, call: CallId, reason: NotRun) {
-        let event = Event { call, outcome: Outcome::NotRun(reason), status: None };
+        let event = Event {
+            call,
+            outcome: Outcome::NotRun(reason),
+            status: None,
+        };
         let _ = self.events.send(event);
     }
 
-    fn send(
-        &mut self,
-        view: &View,
-        owner: NodeId,
-        calls: Vec<(CallId, LeafCall)>,
-        deadline: Time,
-    ) {
-        let span = Span::enter_with_parent("leaf_batch", &self.span)
-            .with_properties(|| [("owner", owner.to_string()), ("calls", calls.len().to_string())]);
+    fn send(&mut self, view: &View, owner: NodeId, calls: Vec<(CallId, LeafCall)>, deadline: Time) {
+        let span = Span::enter_with_parent("leaf_batch", &self.span).with_properties(|| {
+            [
+                ("owner", owner.to_string()),
+                ("calls", calls.len().to_string()),
+            ]
+        });
         let (ids, calls): (Vec<CallId>, Vec<LeafCall>) = calls.into_iter().unzip();
         let trace = SpanContext::from_span(&span).map(|span| span.encode_w3c_traceparent().into());
         let batch = LeafBatch {
@@ -181,11 +191,19 @@
         };
         let (cancels, cancelled) = mpsc::channel(ids.len());
         for (index, call) in ids.iter().enumerate() {
-            let cancel = Cancel { cancels: cancels.clone(), index: index as u32 };
+            let cancel = Cancel {
+                cancels: cancels.clone(),
+                index: index as u32,
+            };
             self.cancels.insert(*call, cancel);
         }
         let (node, events) = (self.node.clone(), self.events.clone());
-        let addr = view.vms.vms.iter().find(|vm| vm.id == owner).map(|vm| vm.peer);
+        let addr = view
+            .vms
+            .vms
+            .iter()
+            .find(|vm| vm.id == owner)
+            .map(|vm| vm.peer);
         let work = async move {
             let mut open: Vec<Option<CallId>> = ids.into_iter().map(Some).collect();
             let (replies, mut inbox) = mpsc::channel(open.len());
@@ -194,8 +212,14 @@
                     node.run_batch(batch, replies, cancelled).await;
                     return Failure::OwnerLost.into();
                 }
-                let Some(addr) = addr else { return Outcome::NotRun(NotRun::Unreachable) };
-                match node.peers.batch(&owner, addr, batch, &replies, cancelled).await {
+                let Some(addr) = addr else {
+                    return Outcome::NotRun(NotRun::Unreachable);
+                };
+                match node
+                    .peers
+                    .batch(&owner, addr, batch, &replies, cancelled)
+                    .await
+                {
                     Ok(()) => Failure::OwnerLost.into(),
                     Err(error) => {
                         log::debug!(peer = owner.as_str(); "leaf batch failed: {error}");
@@ -209,8 +233,14 @@
             let mut run = std::pin::pin!(run);
             let take = |reply: LeafReply, open: &mut Vec<Option<CallId>>| {
                 if let Some(call) = open.get_mut(reply.index as usize).and_then(Option::take) {
-                    let LeafReply { outcome, status, .. } = reply;
-                    let _ = events.send(Event { call, outcome, status: Some(status) });
+                    let LeafReply {
+                        outcome, status, ..
+                    } = reply;
+                    let _ = events.send(Event {
+                        call,
+                        outcome,
+                        status: Some(status),
+                    });
                 }
             };
             let rest = loop {
@@ -224,7 +254,11 @@
                 take(reply, &mut open);
             }
             for call in open.into_iter().flatten() {
-                let _ = events.send(Event { call, outcome: rest.clone(), status: None });
+                let _ = events.send(Event {
+                    call,
+                    outcome: rest.clone(),
+                    status: None,
+                });
             }
         };
         self.batches.spawn(work.in_span(span));
--- a/src/node/stop.rs
+++ b/src/node/stop.rs
@@ -24,12 +24,19 @@
         self.leaving.store(true, Ordering::Relaxed);
         let now = self.clock.now();
         self.keys.lock().expect("no panic while locked").leave();
-        self.leases.lock().expect("no panic while locked").leave(now);
+        self.leases
+            .lock()
+            .expect("no panic while locked")
+            .leave(now);
         if !ready {
             return;
         }
         let end = now + self.address_lifetime() + ANSWER_MARGIN;
-        let last_key = self.keys.lock().expect("no panic while locked").last_expiry();
+        let last_key = self
+            .keys
+            .lock()
+            .expect("no panic while locked")
+            .last_expiry();
         let end = last_key.map_or(end, |key| key.max(end));
         let limit = now + Duration::from_millis(self.settings.limits.drain_ms.into());
         tokio::time::sleep(end.min(limit).since(now)).await;
@@ -45,7 +52,9 @@
             let mut leases = self.leases.lock().expect("no panic while locked");
             leases.release_all(now, &mut out);
         }
-        let out = out.into_iter().map(|Outbound { to, message }| (to, Control::Lease(message)));
+        let out = out
+            .into_iter()
+            .map(|Outbound { to, message }| (to, Control::Lease(message)));
         self.send_all(out.collect()).await;
         tokio::time::sleep(POLL).await;
         self.peers.close().await;
--- a/src/node/telemetry.rs
+++ b/src/node/telemetry.rs
@@ -8,7 +8,7 @@
 use serde_json::{Map, Value, json};
 
 /// Target of the log lines that carry finished trace spans.
-pub const SPAN_TARGET: &str = "trace";
+const SPAN_TARGET: &str = "trace";
 /// Spans kept in memory for `GET /v1/state`, over all traces.
 const KEPT_SPANS: usize = 512;
 
@@ -37,7 +37,7 @@
 }
 
 /// Installs the metrics recorder, or returns a handle of its own when one is installed already.
-pub fn start_metrics() -> PrometheusHandle {
+pub(super) fn start_metrics() -> PrometheusHandle {
     let recorder = PrometheusBuilder::new().build_recorder();
     let handle = recorder.handle();
     // Several nodes in one process, as in the demo, share the recorder of the first.
@@ -49,7 +49,12 @@
 
 /// Returns the latest finished spans, oldest first.
 pub fn recent_spans() -> Vec<Value> {
-    RECENT.lock().expect("no panic while locked").iter().cloned().collect()
+    RECENT
+        .lock()
+        .expect("no panic while locked")
+        .iter()
+        .cloned()
+        .collect()
 }
 
 fn format_text(out: FormatCallback<'_>, message: &fmt::Arguments<'_>, record: &Record<'_>) {
@@ -57,7 +62,11 @@
     let mut fields = String::new();
     let mut visitor = TextFields(&mut fields);
     let _ = record.key_values().visit(&mut visitor);
-    out.finish(format_args!("{time} {:5} {} {message}{fields}", record.level(), record.target()));
+    out.finish(format_args!(
+        "{time} {:5} {} {message}{fields}",
+        record.level(),
+        record.target()
+    ));
 }
 
 fn format_json(out: FormatCallback<'_>, message: &fmt::Arguments<'_>, record: &Record<'_>) {
