Emulated leaf: bound and separate the record of executions

Cause: every counters answer carried all executions, up to 200,000 per leaf. Over 123 leaves under load that is gigabytes, and polling the counters would have been most of the work of a test.

Executions have an endpoint of their own; ordinary calls are recorded up to 10,000 per leaf, at-most-once calls up to 100,000, and any loss of the latter is counted. Ruled out: recording at-most-once calls only, because the runs of an ordinary request are of use when a fault is searched for.

Memory was estimated, not measured.

--- a/emulator/src/upstream/control.rs
+++ b/emulator/src/upstream/control.rs
@@ -56,8 +56,8 @@
     pub fault_share: Option<f64>,
 }
 
-/// How often one shard call of one request ran.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// How often one shard call of one request ran. Ordinary calls are recorded only up to a bound.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Execution {
     /// `x-request-id`, else the trace id of `traceparent`, else empty.
     pub request: String,
@@ -102,7 +102,6 @@
     pub refused_connections: u64,
     /// Milliseconds since the last search call arrived, absent when none did.
     pub idle_ms: Option<u64>,
-    pub executions: Vec<Execution>,
-    /// Executions that are not in `executions` because it was full.
+    /// Executions of at-most-once calls that were not recorded because there were too many.
     pub unrecorded: u64,
 }
--- a/emulator/src/upstream/leaf.rs
+++ b/emulator/src/upstream/leaf.rs
@@ -33,8 +33,10 @@
     http::{Payload, Reply, Reservation, error, json as json_reply, raw, serve},
 };
 
-/// Executions recorded one by one; more are only counted.
-const MAX_EXECUTIONS: usize = 200_000;
+/// Executions of ordinary calls that are recorded, per leaf. A fleet of leaves under load would fill the memory.
+const MAX_EXECUTIONS: usize = 10_000;
+/// Executions of at-most-once calls that are recorded, per leaf.
+const MAX_ONCE_EXECUTIONS: usize = 100_000;
 /// Turns a call waits for others that were reset before it. Microseconds, so real excess is still counted.
 const RESET_TURNS: usize = 64;
 /// Exit code of a process that crashed on purpose.
@@ -91,7 +93,8 @@
     running: u32,
     open: u32,
     counters: LeafCounters,
-    executions: HashMap<(String, String, u64, u32, bool), u32>,
+    /// How often each call ran; the count inside the key is zero.
+    executions: HashMap<Execution, u32>,
     last_arrival: Option<Instant>,
 }
 
@@ -111,6 +114,18 @@
         };
     }
 
+    fn record(&mut self, call: Execution) {
+        let limit = match call.once {
+            true => MAX_ONCE_EXECUTIONS,
+            false => MAX_EXECUTIONS,
+        };
+        if self.executions.len() < limit || self.executions.contains_key(&call) {
+            *self.executions.entry(call).or_default() += 1;
+        } else {
+            self.counters.unrecorded += u64::from(call.once);
+        }
+    }
+
     fn name(&self) -> String {
         format!("{:016x}", self.instance)
     }
@@ -223,7 +238,6 @@
                 max_connections: 0,
                 refused_connections: 0,
                 idle_ms: None,
-                executions: Vec::new(),
                 unrecorded: 0,
             },
             executions: HashMap::new(),
@@ -260,30 +274,24 @@
 
     pub(crate) fn counters(&self) -> LeafCounters {
         let state = self.lock();
-        let executions =
-            state
-                .executions
-                .iter()
-                .map(
-                    |((request, text, snapshot, shard, once), count)| Execution {
-                        request: request.clone(),
-                        text: text.clone(),
-                        snapshot: *snapshot,
-                        shard: *shard,
-                        once: *once,
-                        count: *count,
-                    },
-                );
         LeafCounters {
             instance: state.name(),
             idle_ms: state
                 .last_arrival
                 .map(|last| last.elapsed().as_millis() as u64),
-            executions: executions.collect(),
             ..state.counters.clone()
         }
     }
 
+    pub(crate) fn executions(&self) -> Vec<Execution> {
+        let state = self.lock();
+        let execution = |(call, count): (&Execution, &u32)| Execution {
+            count: *count,
+            ..call.clone()
+        };
+        state.executions.iter().map(execution).collect()
+    }
+
     pub(crate) fn control(&self, control: &LeafControl) {
         let mut state = self.lock();
         if control.reset {
@@ -417,6 +425,7 @@
             (&Method::GET, "/v1/health") => Ok(self.health()),
             (&Method::GET, "/v1/load") => Ok(self.load()),
             (&Method::GET, "/v1/counters") => Ok(json_reply(StatusCode::OK, &self.counters())),
+            (&Method::GET, "/v1/executions") => Ok(json_reply(StatusCode::OK, &self.executions())),
             (&Method::POST, "/v1/control") => match serde_json::from_slice(&body) {
                 Ok(control) => {
                     self.control(&control);
@@ -522,18 +531,14 @@
         state.running += 1;
         state.cold.running += u32::from(cold);
         state.counters.executed += 1;
-        let key = (
-            request_id(headers),
-            search.text.clone(),
-            search.snapshot,
-            search.shard,
-            search.once,
-        );
-        if state.executions.len() < MAX_EXECUTIONS || state.executions.contains_key(&key) {
-            *state.executions.entry(key).or_default() += 1;
-        } else {
-            state.counters.unrecorded += 1;
-        }
+        state.record(Execution {
+            request: request_id(headers),
+            text: search.text.clone(),
+            snapshot: search.snapshot,
+            shard: search.shard,
+            once: search.once,
+            count: 0,
+        });
         let behaviour = &state.behaviour;
         let factor = state.rng.random_range(0.5..1.5) * if cold { self.cold_factor } else { 1.0 };
         let slow = state.rng.random::<f64>() < behaviour.slow_share;
--- a/emulator/src/upstream/mod.rs
+++ b/emulator/src/upstream/mod.rs
@@ -144,6 +144,14 @@
     pub fn counters(&self) -> Vec<LeafCounters> {
         self.leaves.iter().map(|leaf| leaf.counters()).collect()
     }
+
+    /// Returns how often each call ran, over all leaves.
+    pub fn executions(&self) -> Vec<Execution> {
+        self.leaves
+            .iter()
+            .flat_map(|leaf| leaf.executions())
+            .collect()
+    }
 }
 
 impl Drop for Upstream {
@@ -178,6 +186,10 @@
             let counters: Vec<LeafCounters> = leaves.iter().map(|leaf| leaf.counters()).collect();
             json_reply(StatusCode::OK, &counters)
         }
+        (&Method::GET, "/v1/executions") => {
+            let executions = leaves.iter().flat_map(|leaf| leaf.executions());
+            json_reply(StatusCode::OK, &executions.collect::<Vec<_>>())
+        }
         (&Method::POST, "/v1/control") => {
             let result = serde_json::from_slice::<LeafControl>(request.body())
                 .map_err(|fault| fault.to_string())
--- a/emulator/tests/upstream.rs
+++ b/emulator/tests/upstream.rs
@@ -158,10 +158,8 @@
         (counters.arrived, counters.executed, counters.shed),
         (7, 5, 2)
     );
-    assert_eq!(
-        counters.executions.iter().map(|run| run.count).sum::<u32>(),
-        5
-    );
+    let runs = upstream.executions();
+    assert_eq!(runs.iter().map(|run| run.count).sum::<u32>(), 5);
 }
 
 /// Guards against a crash that leaves connections usable, keeps the instance id or comes back warm.
