Count only settled voters towards a majority

A voter that has just started does not know whether a replaced voter set still counts. A lease now needs a majority of voters that have followed the VM list for the joint period, or the grants of all voters, so that a fleet that starts from nothing does not wait for that period. A mute period of 10 s was ruled out, since it would delay every restart of a voter.

--- a/src/core/lease/message.rs
+++ b/src/core/lease/message.rs
@@ -67,11 +67,13 @@
 /// Whether a voter grants a partition.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Verdict {
-    Granted,
-    /// The partition is promised to another node, or to an earlier incarnation of the requester.
-    Held {
-        by: NodeId,
+    Granted {
+        /// The voter has followed the VM list for at least the joint period, so it knows which replaced voter
+        /// sets still count.
+        settled: bool,
     },
+    /// The partition is promised to another node, or to an earlier incarnation of the requester.
+    Held { by: NodeId },
     /// The voter started or was paused a short time ago, or has no VM list yet.
     Muted,
     /// The voter's configuration is ahead of the requester's, which must fetch it first.
--- a/src/core/lease/table.rs
+++ b/src/core/lease/table.rs
@@ -349,7 +349,9 @@
                 sets: sets.iter().map(|set| set.hash).chain(over).collect(),
             };
             let lease = self.settings.lease;
-            claim.votes.retain(|_, sent| now < *sent + lease);
+            claim
+                .votes
+                .retain(|_, votes| votes.any.is_some_and(|sent| now < sent + lease));
             if !claim.votes.is_empty() && !claim.is_held(now) {
                 claim.partial += 1;
             }
@@ -408,7 +410,9 @@
                 }
                 let length = self.settings.promise;
                 match self.promises.promise(now, &partition, from, run, length) {
-                    Ok(()) => Verdict::Granted,
+                    Ok(()) => Verdict::Granted {
+                        settled: self.voters.is_settled(now),
+                    },
                     Err(by) => Verdict::Held { by },
                 }
             });
@@ -446,9 +450,8 @@
                 continue;
             }
             match verdict {
-                Verdict::Granted => {
-                    let vote = claim.votes.entry(from.clone()).or_insert(sent);
-                    *vote = sent.max(*vote);
+                Verdict::Granted { settled } => {
+                    claim.count(from, sent, settled);
                     let sets = self.voters.in_force(now, &partition);
                     if claim.covers(&sets) {
                         claim.extend(now, &partition, &sets, (latest, self.settings.lease));
--- a/src/core/lease/voters.rs
+++ b/src/core/lease/voters.rs
@@ -31,6 +31,8 @@
     count: usize,
     joint: Duration,
     list: Option<Arc<Roster>>,
+    /// When the first list was learnt.
+    first: Option<Time>,
     replaced: Vec<ReplacedList>,
     zones: BTreeMap<PartitionId, Zone>,
     /// The list version last heard from each node.
@@ -68,6 +70,7 @@
             count: settings.voters,
             joint: settings.joint,
             list: None,
+            first: None,
             replaced: Vec::new(),
             zones: BTreeMap::new(),
             epochs: BTreeMap::new(),
@@ -83,9 +86,15 @@
         self.list.as_ref().map_or(0, |list| list.version)
     }
 
+    /// Returns whether this node has followed the list for at least the joint period.
+    pub(crate) fn is_settled(&self, now: Time) -> bool {
+        self.first.is_some_and(|first| first + self.joint <= now)
+    }
+
     pub(crate) fn set_list(&mut self, now: Time, list: Roster) {
         let list = Arc::new(list);
         let successor = list.version;
+        self.first.get_or_insert(now);
         for (partition, zone) in &mut self.zones {
             let next = list.voters(partition, self.count);
             if next != zone.current {
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -329,7 +329,7 @@
                 && reply
                     .votes
                     .iter()
-                    .any(|vote| vote.verdict == Verdict::Granted)
+                    .any(|vote| matches!(vote.verdict, Verdict::Granted { .. }))
             {
                 return Err(format!("n{index} granted while muted"));
             }
