SWIM-style membership and control messages over UDP

Incarnations are random and have no order, so a live one is replaced only by the node's own word, and replaced ones are remembered against late messages. Each message carries a copy of the caller's payload, such as a digest and crash events. Control messages are postcard in one datagram of at most 1,200 bytes with a keyed BLAKE3 MAC of 16 bytes; larger batches are split by a function that the message type provides, since the adapter does not know the types.

--- a/src/adapter/peer/control.rs
+++ b/src/adapter/peer/control.rs
@@ -1,10 +1,23 @@
-use std::{io, net::SocketAddr};
+use std::{
+    fmt, io,
+    net::SocketAddr,
+    sync::atomic::{AtomicU64, Ordering},
+};
 
-use serde::{Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::net::UdpSocket;
 
 use crate::core::{Incarnation, NodeId};
 
+/// Bytes of a datagram. It fits the smallest path MTU of IPv6, 1,280 bytes, with all headers.
+const MAX_DATAGRAM: usize = 1_200;
+
+/// Bytes of the MAC at the start of each datagram. 128 bits are out of reach of guessing over the network.
+const MAC_BYTES: usize = 16;
+
+/// Separates these messages from other uses of the fleet key.
+const CONTEXT: &str = "cranberrychute 2026 control message";
+
 /// The key shared by all nodes of a fleet.
 #[derive(Clone)]
 pub struct FleetKey([u8; 32]);
@@ -16,8 +29,8 @@
     }
 }
 
-impl std::fmt::Debug for FleetKey {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Debug for FleetKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("FleetKey(..)")
     }
 }
@@ -26,22 +39,20 @@
 #[derive(Debug, thiserror::Error)]
 pub enum ControlError {
     /// The message exceeds one datagram and cannot be split further.
-    #[error(
-        "control message to {to} takes {size} bytes, at most {limit} fit; send less in one message"
-    )]
+    #[error("control message to {to} takes {size} bytes but at most {limit} fit in a datagram")]
     TooLarge {
         to: SocketAddr,
         size: usize,
         limit: usize,
     },
     /// The message cannot be encoded.
-    #[error("control message to {to} cannot be encoded: {source}")]
+    #[error("control message to {to} cannot be encoded")]
     Encode {
         to: SocketAddr,
         source: postcard::Error,
     },
     /// The socket failed.
-    #[error("control message to {to} could not be sent: {source}")]
+    #[error("control message to {to} could not be sent")]
     Send { to: SocketAddr, source: io::Error },
 }
 
@@ -54,6 +65,13 @@
     pub message: M,
 }
 
+#[derive(Serialize, Deserialize)]
+struct Envelope<M> {
+    from: NodeId,
+    incarnation: Incarnation,
+    message: M,
+}
+
 /// The UDP socket for control messages.
 #[derive(Debug)]
 pub struct ControlSocket {
@@ -61,6 +79,7 @@
     me: NodeId,
     incarnation: Incarnation,
     key: FleetKey,
+    dropped: AtomicU64,
 }
 
 impl ControlSocket {
@@ -73,14 +92,14 @@
         address: SocketAddr,
         me: NodeId,
         incarnation: Incarnation,
-        key: FleetKey,
+        key: &FleetKey,
     ) -> io::Result<Self> {
-        let socket = UdpSocket::bind(address).await?;
         Ok(Self {
-            socket,
+            socket: UdpSocket::bind(address).await?,
             me,
             incarnation,
-            key,
+            key: FleetKey(blake3::derive_key(CONTEXT, &key.0)),
+            dropped: AtomicU64::new(0),
         })
     }
 
@@ -93,7 +112,8 @@
         self.socket.local_addr()
     }
 
-    /// Sends a message in one datagram or, where `split` allows it, in several.
+    /// Sends a message in one datagram. One that is too large goes in the parts that `split` makes of it, such
+    /// as [`LeaseMessage::split`](crate::core::lease::LeaseMessage::split); pass `Err` if it has none.
     ///
     /// # Errors
     ///
@@ -104,17 +124,104 @@
         message: M,
         split: impl Fn(M) -> Result<(M, M), M>,
     ) -> Result<(), ControlError> {
-        let _ = (to, message, split, &self.me, self.incarnation, &self.key.0);
+        let mut parts = vec![message];
+        while let Some(part) = parts.pop() {
+            let (part, datagram) = self.encode(to, part)?;
+            if datagram.len() > MAX_DATAGRAM {
+                let (first, second) = split(part).map_err(|_| ControlError::TooLarge {
+                    to,
+                    size: datagram.len(),
+                    limit: MAX_DATAGRAM,
+                })?;
+                parts.extend([second, first]);
+                continue;
+            }
+            let sent = self.socket.send_to(&datagram, to).await;
+            sent.map_err(|source| ControlError::Send { to, source })?;
+        }
         Ok(())
     }
 
     /// Waits for the next message whose MAC is right. Everything else is dropped and counted in
-    /// `cranberrychute_control_dropped_total{reason=...}`.
+    /// `cranberrychute_control_dropped_total{reason=...}`. Cancelling the call loses no message.
     ///
     /// # Errors
     ///
     /// Fails if the socket fails.
     pub async fn receive<M: DeserializeOwned>(&self) -> io::Result<Incoming<M>> {
-        std::future::pending().await
+        // One byte more than the limit, so that a longer datagram is recognized.
+        let mut buffer = [0; MAX_DATAGRAM + 1];
+        loop {
+            let (length, address) = self.socket.recv_from(&mut buffer).await?;
+            match self.decode(&buffer[..length]) {
+                Ok(Envelope {
+                    from,
+                    incarnation,
+                    message,
+                }) => {
+                    return Ok(Incoming {
+                        from,
+                        incarnation,
+                        address,
+                        message,
+                    });
+                }
+                Err(reason) => {
+                    self.dropped.fetch_add(1, Ordering::Relaxed);
+                    metrics::counter!("cranberrychute_control_dropped_total", "reason" => reason)
+                        .increment(1);
+                    log::debug!(address:% = address, reason; "control datagram dropped");
+                }
+            }
+        }
+    }
+
+    /// Returns the number of datagrams dropped so far.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
     }
+
+    fn encode<M: Serialize>(
+        &self,
+        to: SocketAddr,
+        message: M,
+    ) -> Result<(M, Vec<u8>), ControlError> {
+        let envelope = Envelope {
+            from: self.me.clone(),
+            incarnation: self.incarnation,
+            message,
+        };
+        let datagram = vec![0; MAC_BYTES];
+        let mut datagram = postcard::to_extend(&envelope, datagram)
+            .map_err(|source| ControlError::Encode { to, source })?;
+        let (mac, body) = datagram.split_at_mut(MAC_BYTES);
+        mac.copy_from_slice(&self.mac(body));
+        Ok((envelope.message, datagram))
+    }
+
+    fn decode<M: DeserializeOwned>(&self, datagram: &[u8]) -> Result<Envelope<M>, &'static str> {
+        if datagram.len() > MAX_DATAGRAM {
+            return Err("too_long");
+        }
+        let (mac, body) = datagram
+            .split_first_chunk::<MAC_BYTES>()
+            .ok_or("too_short")?;
+        if !constant_time_eq(mac, &self.mac(body)) {
+            return Err("mac");
+        }
+        match postcard::take_from_bytes(body) {
+            Ok((envelope, [])) => Ok(envelope),
+            Ok(_) | Err(_) => Err("encoding"),
+        }
+    }
+
+    fn mac(&self, body: &[u8]) -> [u8; MAC_BYTES] {
+        let mac = blake3::keyed_hash(&self.key.0, body);
+        std::array::from_fn(|index| mac.as_bytes()[index])
+    }
+}
+
+/// Compares without telling by its duration where the first difference is.
+fn constant_time_eq(a: &[u8; MAC_BYTES], b: &[u8; MAC_BYTES]) -> bool {
+    std::hint::black_box(a.iter().zip(b).fold(0, |all, (a, b)| all | (a ^ b))) == 0
 }
--- a/src/core/member/membership.rs
+++ b/src/core/member/membership.rs
@@ -1,35 +1,97 @@
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
 
-use rand::Rng;
+use rand::{
+    Rng,
+    seq::{IndexedRandom, SliceRandom},
+};
 
 use crate::core::{
     Incarnation, NodeId, Outbound, Time,
     config::VmList,
-    member::{MemberMessage, MemberSettings},
+    member::{Life, MemberMessage, MemberSettings, Probe, Rumor, rumors::Rumors, state::Member},
 };
 
+/// Fleets above this size do not hear half of their nodes within seconds. The share of answered probes stands
+/// for the share of nodes there.
+const COUNTED: usize = 64;
+
+/// Probes whose outcome is remembered.
+const OUTCOMES: usize = 16;
+
 /// One node's view of which nodes are alive.
 #[derive(Debug)]
 pub struct Membership {
     me: NodeId,
     incarnation: Incarnation,
+    refutation: u32,
     settings: MemberSettings,
+    last: Time,
+    members: BTreeMap<NodeId, Member>,
+    rumors: Rumors,
+    /// Nodes to probe before the order is drawn anew.
+    order: Vec<NodeId>,
+    next_probe: Time,
+    seq: u64,
+    probe: Option<Probing>,
+    /// Probes on behalf of others, by own sequence number.
+    relayed: BTreeMap<u64, Relayed>,
+    /// When the last probes ended, and whether they were answered.
+    outcomes: VecDeque<(Time, bool)>,
+}
+
+#[derive(Debug)]
+struct Probing {
+    target: NodeId,
+    seq: u64,
+    sent: Time,
+    relayed: bool,
+    answered: bool,
+}
+
+#[derive(Debug)]
+struct Relayed {
+    origin: NodeId,
+    seq: u64,
+    until: Time,
 }
 
 impl Membership {
     /// Creates a view that knows only this node.
     pub fn new(me: NodeId, incarnation: Incarnation, settings: MemberSettings, now: Time) -> Self {
-        let _ = now;
         Self {
             me,
             incarnation,
+            refutation: 0,
             settings,
+            last: now,
+            members: BTreeMap::new(),
+            rumors: Rumors::default(),
+            order: Vec::new(),
+            next_probe: now,
+            seq: 0,
+            probe: None,
+            relayed: BTreeMap::new(),
+            outcomes: VecDeque::new(),
         }
     }
 
     /// Takes the nodes of the VM list. Nodes that are new in it count as alive until probed.
     pub fn set_vms(&mut self, now: Time, vms: &VmList) {
-        let _ = (now, vms);
+        let listed: BTreeSet<&NodeId> = vms.vms.iter().map(|vm| &vm.id).collect();
+        for (node, member) in &mut self.members {
+            if member.listed && !listed.contains(node) {
+                member.heard = member.heard.max(Some(now));
+            }
+            member.listed = listed.contains(node);
+        }
+        for node in listed {
+            if *node != self.me && !self.members.contains_key(node) {
+                self.members.insert(node.clone(), Member::new(now, true));
+            }
+        }
     }
 
     /// Probes when it is time to and ends suspicions. Call it at least every 100 ms. Every message sent
@@ -41,7 +103,36 @@
         payload: &P,
         out: &mut Vec<Outbound<MemberMessage<P>>>,
     ) {
-        let _ = (now, rng, payload, out, &self.settings, self.incarnation);
+        self.observe(now);
+        self.end_suspicions(now);
+        self.relayed.retain(|_, relayed| now < relayed.until);
+        let forget = self.settings.forget;
+        self.members.retain(|_, member| {
+            member.listed || member.heard.is_some_and(|heard| now < heard + forget)
+        });
+        if let Some(probe) = &mut self.probe
+            && !probe.answered
+            && !probe.relayed
+            && now >= probe.sent + self.settings.timeout
+        {
+            probe.relayed = true;
+            let (seq, target) = (probe.seq, probe.target.clone());
+            let helpers: Vec<NodeId> = self
+                .members
+                .iter()
+                .filter(|(node, member)| member.life == Life::Alive && **node != target)
+                .map(|(node, _)| node.clone())
+                .collect();
+            for helper in helpers.choose_multiple(rng, self.settings.relays) {
+                let target = target.clone();
+                self.send(helper, Probe::PingFor { seq, target }, payload, out);
+            }
+        }
+        if now >= self.next_probe {
+            self.next_probe = now + self.settings.period;
+            self.end_probe(now);
+            self.start_probe(now, rng, payload, out);
+        }
     }
 
     /// Handles a message. Its payload is the caller's to read first.
@@ -53,22 +144,258 @@
         payload: &P,
         out: &mut Vec<Outbound<MemberMessage<P>>>,
     ) {
-        let _ = (now, from, message, payload, out);
+        self.observe(now);
+        if *from == self.me {
+            return;
+        }
+        let member = self
+            .members
+            .entry(from.clone())
+            .or_insert_with(|| Member::new(now, false));
+        if member.speak(now, message.incarnation, message.refutation) {
+            self.spread(from);
+        }
+        for rumor in message.rumors.iter().take(self.settings.rumors) {
+            self.hear(now, rumor);
+        }
+        match message.probe {
+            Probe::Ping { seq } => {
+                let node = self.me.clone();
+                self.send(from, Probe::Ack { seq, node }, payload, out);
+            }
+            Probe::PingFor { seq, target } => {
+                if self.relayed.len() < self.settings.queue && self.members.contains_key(&target) {
+                    self.seq += 1;
+                    let relayed = Relayed {
+                        origin: from.clone(),
+                        seq,
+                        until: now + self.settings.period,
+                    };
+                    self.relayed.insert(self.seq, relayed);
+                    self.send(&target, Probe::Ping { seq: self.seq }, payload, out);
+                }
+            }
+            Probe::Ack { seq, node } => self.answer(now, seq, node, payload, out),
+        }
+    }
+
+    /// Records that a node was heard by other means, for example a lease message.
+    pub fn heard(&mut self, now: Time, node: &NodeId) {
+        if let Some(member) = self.members.get_mut(node) {
+            member.heard = Some(now);
+        }
     }
 
     /// Returns whether a node counts as alive. A suspected node does.
     pub fn is_alive(&self, node: &NodeId) -> bool {
-        *node == self.me
+        let member = self.members.get(node);
+        *node == self.me || member.is_some_and(|member| member.life != Life::Dead)
     }
 
     /// Returns the live nodes, this one included, by name.
     pub fn alive(&self) -> Vec<NodeId> {
-        vec![self.me.clone()]
+        let alive = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.life != Life::Dead);
+        let mut nodes: Vec<NodeId> = alive.map(|(node, _)| node.clone()).collect();
+        nodes.push(self.me.clone());
+        nodes.sort_unstable();
+        nodes
     }
 
-    /// Returns how many other listed nodes were heard, directly or through another node, within a time.
+    /// Returns how many other listed nodes were heard, directly or through another node, within a time. In
+    /// fleets of more than 64 nodes this is an estimate from the share of answered probes.
     pub fn heard_since(&self, now: Time, within: Duration) -> usize {
-        let _ = (now, within);
-        0
+        let listed = self.members.values().filter(|member| member.listed);
+        let heard = |member: &&Member| member.heard.is_some_and(|heard| now <= heard + within);
+        let counted = listed.clone().filter(heard).count();
+        let listed = listed.count();
+        if listed <= COUNTED {
+            return counted;
+        }
+        let recent = self
+            .outcomes
+            .iter()
+            .filter(|(ended, _)| now <= *ended + within);
+        let answered = recent.clone().filter(|(_, answered)| *answered).count();
+        counted.max(listed * answered / recent.count().max(1))
+    }
+
+    /// Notices that the process was paused: others have had time to suspect it, and it knows nothing about
+    /// what they did meanwhile.
+    fn observe(&mut self, now: Time) {
+        if now.since(self.last) > self.settings.pause {
+            self.refute(self.refutation);
+            self.probe = None;
+            self.next_probe = now;
+            let suspects = self.members.values_mut();
+            for member in suspects.filter(|member| member.life == Life::Suspect) {
+                member.since = now;
+            }
+        }
+        self.last = self.last.max(now);
+    }
+
+    /// Overrides all suspicions up to a refutation number.
+    fn refute(&mut self, refutation: u32) {
+        self.refutation = refutation.saturating_add(1);
+        let rumor = Rumor {
+            node: self.me.clone(),
+            incarnation: self.incarnation,
+            refutation: self.refutation,
+            life: Life::Alive,
+        };
+        self.rumors.add(rumor, self.settings.queue);
+    }
+
+    fn hear(&mut self, now: Time, rumor: &Rumor) {
+        if rumor.node == self.me {
+            if rumor.incarnation == self.incarnation
+                && rumor.life != Life::Alive
+                && rumor.refutation >= self.refutation
+            {
+                self.refute(rumor.refutation);
+            }
+            return;
+        }
+        // Nodes are not learnt from rumors, so that their number stays bounded.
+        if let Some(member) = self.members.get_mut(&rumor.node)
+            && member.rumor(now, rumor)
+        {
+            if member.life == Life::Alive {
+                member.heard = Some(now);
+            }
+            self.spread(&rumor.node);
+        }
+    }
+
+    /// Queues what is known about a node for others.
+    fn spread(&mut self, node: &NodeId) {
+        let rumor = self
+            .members
+            .get(node)
+            .and_then(|member| member.as_rumor(node));
+        if let Some(rumor) = rumor {
+            self.rumors.add(rumor, self.settings.queue);
+        }
+    }
+
+    fn end_suspicions(&mut self, now: Time) {
+        let over = |member: &Member| {
+            member.life == Life::Suspect && now >= member.since + self.settings.suspicion
+        };
+        let dead: Vec<NodeId> = self
+            .members
+            .iter()
+            .filter(|(_, member)| over(member))
+            .map(|(node, _)| node.clone())
+            .collect();
+        for node in dead {
+            self.mark(now, &node, Life::Dead);
+        }
+    }
+
+    fn mark(&mut self, now: Time, node: &NodeId, life: Life) {
+        if let Some(member) = self.members.get_mut(node) {
+            log::info!(node:% = node, life:? = life; "membership of a node changed");
+            member.turn(now, life);
+            self.spread(node);
+        }
+    }
+
+    /// Suspects the probed node if it did not answer.
+    fn end_probe(&mut self, now: Time) {
+        let Some(probe) = self.probe.take() else {
+            return;
+        };
+        self.outcomes.push_back((now, probe.answered));
+        if self.outcomes.len() > OUTCOMES {
+            self.outcomes.pop_front();
+        }
+        let member = self.members.get(&probe.target);
+        if !probe.answered && member.is_some_and(|member| member.life == Life::Alive) {
+            self.mark(now, &probe.target, Life::Suspect);
+        }
+    }
+
+    /// Probes the next node. Dead ones are probed too, so that the two sides of a healed network partition
+    /// find each other.
+    fn start_probe<P: Clone>(
+        &mut self,
+        now: Time,
+        rng: &mut impl Rng,
+        payload: &P,
+        out: &mut Vec<Outbound<MemberMessage<P>>>,
+    ) {
+        self.order.retain(|node| self.members.contains_key(node));
+        if self.order.is_empty() {
+            self.order = self.members.keys().cloned().collect();
+            self.order.shuffle(rng);
+        }
+        let Some(target) = self.order.pop() else {
+            return;
+        };
+        self.seq += 1;
+        let seq = self.seq;
+        self.send(&target, Probe::Ping { seq }, payload, out);
+        self.probe = Some(Probing {
+            target,
+            seq,
+            sent: now,
+            relayed: false,
+            answered: false,
+        });
+    }
+
+    fn answer<P: Clone>(
+        &mut self,
+        now: Time,
+        seq: u64,
+        node: NodeId,
+        payload: &P,
+        out: &mut Vec<Outbound<MemberMessage<P>>>,
+    ) {
+        if let Some(probe) = &mut self.probe
+            && probe.seq == seq
+            && probe.target == node
+        {
+            probe.answered = true;
+            self.heard(now, &node);
+        } else if let Some(Relayed { origin, seq, .. }) = self.relayed.remove(&seq) {
+            self.send(&origin, Probe::Ack { seq, node }, payload, out);
+        }
+    }
+
+    /// Sends a message with the rumors that are due. A node that is not taken for alive is told so first, for
+    /// it to refute.
+    fn send<P: Clone>(
+        &mut self,
+        to: &NodeId,
+        probe: Probe,
+        payload: &P,
+        out: &mut Vec<Outbound<MemberMessage<P>>>,
+    ) {
+        let member = self.members.get(to);
+        let accused = member.filter(|member| member.life != Life::Alive);
+        let accusation = accused.and_then(|member| member.as_rumor(to));
+        let count = self
+            .settings
+            .rumors
+            .saturating_sub(usize::from(accusation.is_some()));
+        // Enough for every node to hear a rumor with high probability.
+        let times = 3 * (self.members.len() + 2).ilog2();
+        let mut rumors = self.rumors.take(count, times);
+        rumors.extend(accusation);
+        out.push(Outbound {
+            to: to.clone(),
+            message: MemberMessage {
+                incarnation: self.incarnation,
+                refutation: self.refutation,
+                probe,
+                rumors,
+                payload: payload.clone(),
+            },
+        });
     }
 }
--- a/src/core/member/mod.rs
+++ b/src/core/member/mod.rs
@@ -4,7 +4,9 @@
 
 mod membership;
 mod message;
+mod rumors;
 mod settings;
+mod state;
 
 pub use self::{
     membership::Membership,
--- a/src/core/member/settings.rs
+++ b/src/core/member/settings.rs
@@ -3,7 +3,7 @@
 /// Times and sizes of the membership protocol.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MemberSettings {
-    /// Time between two probes.
+    /// Time between two probes, in which a probed node has to answer.
     pub period: Duration,
     /// Time after which a probe without an answer is repeated through other nodes.
     pub timeout: Duration,
@@ -13,10 +13,12 @@
     pub suspicion: Duration,
     /// Rumors in one message.
     pub rumors: usize,
-    /// Rumors kept for sending.
+    /// Rumors kept for sending, and probes kept on behalf of others.
     pub queue: usize,
     /// Gap between two ticks above which the node is taken to have been paused.
     pub pause: Duration,
+    /// Time after which a node that is not on the VM list is forgotten unless it was heard.
+    pub forget: Duration,
 }
 
 impl Default for MemberSettings {
@@ -29,6 +31,7 @@
             rumors: 8,
             queue: 256,
             pause: Duration::from_secs(1),
+            forget: Duration::from_secs(30),
         }
     }
 }
--- /dev/null
+++ b/src/core/member/state.rs
@@ -0,0 +1,109 @@
+use smallvec::SmallVec;
+
+use crate::core::{
+    Incarnation, NodeId, Time,
+    member::{Life, Rumor},
+};
+
+/// Earlier incarnations of a node that are remembered, so that late messages of theirs do not revive them.
+const RETIRED: usize = 4;
+
+/// What a node knows about another one.
+#[derive(Debug)]
+pub(crate) struct Member {
+    /// None before anything was heard of the node.
+    pub(crate) incarnation: Option<Incarnation>,
+    pub(crate) refutation: u32,
+    pub(crate) life: Life,
+    /// When `life` last changed.
+    pub(crate) since: Time,
+    /// When the node was last heard, directly or through another one.
+    pub(crate) heard: Option<Time>,
+    pub(crate) listed: bool,
+    retired: SmallVec<[Incarnation; RETIRED]>,
+}
+
+impl Member {
+    pub(crate) fn new(now: Time, listed: bool) -> Self {
+        Self {
+            incarnation: None,
+            refutation: 0,
+            life: Life::Alive,
+            since: now,
+            heard: None,
+            listed,
+            retired: SmallVec::new(),
+        }
+    }
+
+    /// Takes what the node says about itself. Returns whether that is news to others.
+    ///
+    /// A suspected or dead node becomes alive only with a new incarnation or a higher refutation, since the
+    /// message may have been sent before the suspicion arose.
+    pub(crate) fn speak(&mut self, now: Time, incarnation: Incarnation, refutation: u32) -> bool {
+        if self.retired.contains(&incarnation) {
+            return false;
+        }
+        self.heard = Some(now);
+        if self.incarnation == Some(incarnation) {
+            let news = refutation > self.refutation;
+            if news {
+                self.refutation = refutation;
+                self.turn(now, Life::Alive);
+            }
+            return news;
+        }
+        self.adopt(now, incarnation, refutation, Life::Alive);
+        true
+    }
+
+    /// Takes what another node says about the node. Returns whether that is news.
+    pub(crate) fn rumor(&mut self, now: Time, rumor: &Rumor) -> bool {
+        if self.retired.contains(&rumor.incarnation) {
+            return false;
+        }
+        if self.incarnation == Some(rumor.incarnation) {
+            let news = (rumor.refutation, rumor.life) > (self.refutation, self.life);
+            if news {
+                self.refutation = rumor.refutation;
+                self.turn(now, rumor.life);
+            }
+            return news;
+        }
+        // Incarnations are random and have no order. A live one is replaced only by the node's own word.
+        let news =
+            self.incarnation.is_none() || (rumor.life == Life::Alive && self.life != Life::Alive);
+        if news {
+            self.adopt(now, rumor.incarnation, rumor.refutation, rumor.life);
+        }
+        news
+    }
+
+    pub(crate) fn turn(&mut self, now: Time, life: Life) {
+        if self.life != life {
+            self.life = life;
+            self.since = now;
+        }
+    }
+
+    /// Returns what to tell others about the node, nothing before it was heard of.
+    pub(crate) fn as_rumor(&self, node: &NodeId) -> Option<Rumor> {
+        Some(Rumor {
+            node: node.clone(),
+            incarnation: self.incarnation?,
+            refutation: self.refutation,
+            life: self.life,
+        })
+    }
+
+    fn adopt(&mut self, now: Time, incarnation: Incarnation, refutation: u32, life: Life) {
+        if let Some(previous) = self.incarnation.replace(incarnation) {
+            if self.retired.len() == RETIRED {
+                self.retired.remove(0);
+            }
+            self.retired.push(previous);
+        }
+        self.refutation = refutation;
+        self.turn(now, life);
+    }
+}
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -111,6 +111,11 @@
     }
 }
 
+/// Returns the true time at which a clock shows `time`.
+fn truth(clock: Clock, time: Time) -> u64 {
+    ((time.0 - clock.origin) as f64 / clock.rate) as u64
+}
+
 impl<'a> Fleet<'a> {
     fn new(rng: &'a mut Pcg64) -> Self {
         let size = rng.random_range(3..=8);
@@ -370,7 +375,7 @@
                     "n{index} holds {partition} for longer than it asked"
                 ));
             }
-            let end = node.clock.truth(expiry);
+            let end = truth(node.clock, expiry);
             let runs = self.busy.entry(partition.clone()).or_default();
             runs.retain(|_, until| *until > at);
             if let Some((other, until)) = runs.iter().find(|(other, _)| **other != me) {
--- a/tests/schedules/mod.rs
+++ b/tests/schedules/mod.rs
@@ -65,8 +65,8 @@
 /// A node's clock: any origin, and a rate up to 10% from true time.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Clock {
-    origin: u64,
-    rate: f64,
+    pub(crate) origin: u64,
+    pub(crate) rate: f64,
 }
 
 impl Clock {
@@ -80,11 +80,6 @@
     pub(crate) fn read(&self, at: u64) -> Time {
         Time(self.origin + (at as f64 * self.rate) as u64)
     }
-
-    /// Returns the true time at which the clock shows `time`.
-    pub(crate) fn truth(&self, time: Time) -> u64 {
-        ((time.0 - self.origin) as f64 / self.rate) as u64
-    }
 }
 
 /// What can happen to messages.
