--- a/src/core/member/membership.rs
+++ b/src/core/member/membership.rs
@@ -128,9 +128,12 @@
                 self.send(helper, Probe::PingFor { seq, target }, payload, out);
             }
         }
+        let ended = |probe: &Probing| now >= probe.sent + 2 * self.settings.timeout;
+        if self.probe.as_ref().is_some_and(ended) {
+            self.end_probe(now);
+        }
         if now >= self.next_probe {
             self.next_probe = now + self.settings.period;
-            self.end_probe(now);
             self.start_probe(now, rng, payload, out);
         }
     }
@@ -148,11 +151,16 @@
         if *from == self.me {
             return;
         }
+        // The answer to the probe in progress was sent after the probe.
+        let proven = self.probe.as_ref().is_some_and(|probe| {
+            let (seq, node) = (probe.seq, from.clone());
+            probe.target == *from && message.probe == Probe::Ack { seq, node }
+        });
         let member = self
             .members
             .entry(from.clone())
             .or_insert_with(|| Member::new(now, false));
-        if member.speak(now, message.incarnation, message.refutation) {
+        if member.speak(now, message.incarnation, message.refutation, proven) {
             self.spread(from);
         }
         for rumor in message.rumors.iter().take(self.settings.rumors) {
@@ -260,13 +268,18 @@
             return;
         }
         // Nodes are not learnt from rumors, so that their number stays bounded.
-        if let Some(member) = self.members.get_mut(&rumor.node)
-            && member.rumor(now, rumor)
-        {
+        let Some(member) = self.members.get_mut(&rumor.node) else {
+            return;
+        };
+        if member.rumor(now, rumor) {
             if member.life == Life::Alive {
                 member.heard = Some(now);
             }
             self.spread(&rumor.node);
+        } else if member.is_unknown(rumor.incarnation) {
+            // The node may have restarted: its own answer decides, so it is probed next.
+            self.order.retain(|node| *node != rumor.node);
+            self.order.push(rumor.node.clone());
         }
     }
 
--- a/src/core/member/settings.rs
+++ b/src/core/member/settings.rs
@@ -3,9 +3,10 @@
 /// Times and sizes of the membership protocol.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MemberSettings {
-    /// Time between two probes, in which a probed node has to answer.
+    /// Time between two probes.
     pub period: Duration,
-    /// Time after which a probe without an answer is repeated through other nodes.
+    /// Time after which a probe without an answer is repeated through other nodes. After twice this time the
+    /// node is suspected. At most half the period.
     pub timeout: Duration,
     /// Number of nodes asked to probe on this node's behalf.
     pub relays: usize,
--- a/src/core/member/state.rs
+++ b/src/core/member/state.rs
@@ -39,13 +39,17 @@
     /// Takes what the node says about itself. Returns whether that is news to others.
     ///
     /// A suspected or dead node becomes alive only with a new incarnation or a higher refutation, since the
-    /// message may have been sent before the suspicion arose.
-    pub(crate) fn speak(&mut self, now: Time, incarnation: Incarnation, refutation: u32) -> bool {
-        if self.retired.contains(&incarnation) {
-            return false;
-        }
-        self.heard = Some(now);
+    /// message may have been sent before the suspicion arose. Incarnations have no order and messages may be
+    /// late, so one that is taken for alive is replaced only if the message is `proven` to be recent.
+    pub(crate) fn speak(
+        &mut self,
+        now: Time,
+        incarnation: Incarnation,
+        refutation: u32,
+        proven: bool,
+    ) -> bool {
         if self.incarnation == Some(incarnation) {
+            self.heard = Some(now);
             let news = refutation > self.refutation;
             if news {
                 self.refutation = refutation;
@@ -53,8 +57,14 @@
             }
             return news;
         }
-        self.adopt(now, incarnation, refutation, Life::Alive);
-        true
+        let unknown = !self.retired.contains(&incarnation);
+        let vacant = self.incarnation.is_none() || self.life != Life::Alive;
+        let news = proven || (unknown && vacant);
+        if news {
+            self.heard = Some(now);
+            self.adopt(now, incarnation, refutation, Life::Alive);
+        }
+        news
     }
 
     /// Takes what another node says about the node. Returns whether that is news.
@@ -70,7 +80,6 @@
             }
             return news;
         }
-        // Incarnations are random and have no order. A live one is replaced only by the node's own word.
         let news =
             self.incarnation.is_none() || (rumor.life == Life::Alive && self.life != Life::Alive);
         if news {
@@ -79,6 +88,11 @@
         news
     }
 
+    /// Returns whether an incarnation is neither the one taken for current nor known to be older.
+    pub(crate) fn is_unknown(&self, incarnation: Incarnation) -> bool {
+        self.incarnation != Some(incarnation) && !self.retired.contains(&incarnation)
+    }
+
     pub(crate) fn turn(&mut self, now: Time, life: Life) {
         if self.life != life {
             self.life = life;
@@ -97,6 +111,7 @@
     }
 
     fn adopt(&mut self, now: Time, incarnation: Incarnation, refutation: u32, life: Life) {
+        self.retired.retain(|retired| *retired != incarnation);
         if let Some(previous) = self.incarnation.replace(incarnation) {
             if self.retired.len() == RETIRED {
                 self.retired.remove(0);
