One driver for the randomized tests of leases and membership

Both tests had their own clocks, nodes, network and faults. Pauses of up to 15 s are new for membership.

--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -2,14 +2,16 @@
 
 mod schedules;
 
+use std::time::Duration;
+
 use cranberrychute::core::{
-    Incarnation, NodeId, Outbound, Time,
-    config::{Vm, VmList, VmState},
+    Incarnation, Outbound, Time,
+    config::{VmList, VmState},
     member::{MemberMessage, MemberSettings, Membership, Probe},
 };
-use rand::Rng;
+use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
-use schedules::{Clock, MS, Queue, SECOND, Weather};
+use schedules::{Fleet, Input, SECOND, Scenario, id, vm};
 
 const NODES: usize = 9;
 
@@ -17,258 +19,120 @@
 /// and waits for a refutation, on the slowest clock, after messages of up to 3 s before.
 const SETTLE: u64 = 16 * SECOND;
 
-/// Time from the death of a node until all others know, without other faults.
+/// Time from the death of a node until all others know, without other faults. All others may miss the node
+/// for several periods, because each probes in its own random order.
 const DETECT: u64 = 12 * SECOND;
 
-type Message = MemberMessage<()>;
-
-#[derive(Clone, Debug)]
-enum Event {
-    Tick(usize, u64),
-    Deliver {
-        from: usize,
-        to: usize,
-        message: Box<Message>,
-    },
-    Start(usize),
-    Fault,
-}
-
-#[derive(Debug)]
-struct Node {
-    clock: Clock,
-    run: u64,
-    view: Option<Membership>,
-    paused: u64,
-}
-
-#[derive(Debug)]
-struct Fleet<'a> {
-    rng: &'a mut Pcg64,
-    queue: Queue<Event>,
-    weather: Weather,
-    nodes: Vec<Node>,
-    pings: u64,
-    calm: bool,
-}
-
-fn id(node: usize) -> NodeId {
-    format!("n{node}").into()
-}
+/// Counts the probes sent.
+#[derive(Default)]
+struct Probes(u64);
 
 fn list() -> VmList {
-    let address = "127.0.0.1:1".parse().unwrap();
-    let vm = |node| Vm {
-        id: id(node),
-        domain: "d0".into(),
-        region: None,
-        state: VmState::Live,
-        caller: address,
-        peer: address,
-        control: address,
-    };
-    VmList {
-        vms: (0..NODES).map(vm).collect(),
-    }
+    let vms = (0..NODES).map(|node| vm(node, 1, VmState::Live));
+    VmList { vms: vms.collect() }
 }
 
-impl<'a> Fleet<'a> {
-    fn new(rng: &'a mut Pcg64) -> Self {
-        let nodes = (0..NODES).map(|_| Node {
-            clock: Clock::new(rng),
-            run: 0,
-            view: None,
-            paused: 0,
-        });
-        let mut fleet = Self {
-            nodes: nodes.collect(),
-            queue: Queue::new(),
-            weather: Weather::calm(),
-            pings: 0,
-            calm: false,
-            rng,
-        };
-        for node in 0..NODES {
-            fleet.start(node);
-        }
-        fleet
-    }
+fn view(index: usize, incarnation: u64, now: Time) -> Membership {
+    let settings = MemberSettings::default();
+    let mut view = Membership::new(id(index), Incarnation(incarnation), settings, now);
+    view.set_vms(now, &list());
+    view
+}
 
-    fn start(&mut self, index: usize) {
-        let node = &mut self.nodes[index];
-        if node.view.is_some() {
-            return;
-        }
-        node.run += 1;
-        let now = node.clock.read(self.queue.now);
-        let incarnation = Incarnation(self.rng.random());
-        let mut view = Membership::new(id(index), incarnation, MemberSettings::default(), now);
-        view.set_vms(now, &list());
-        node.view = Some(view);
-        node.paused = 0;
-        let delay = self.rng.random_range(0..100 * MS);
-        self.queue.after(delay, Event::Tick(index, node.run));
-    }
+impl Scenario for Probes {
+    type Core = Membership;
+    type Message = MemberMessage<()>;
+    type Event = ();
 
-    fn kill(&mut self, index: usize) {
-        self.nodes[index].view = None;
-        self.nodes[index].run += 1;
-    }
+    const FAULTS: u32 = 7;
 
-    fn run_until(&mut self, end: u64) -> Result<(), String> {
-        while self.queue.now < end {
-            let event = self.queue.next().ok_or("no events left")?;
-            self.step(event)?;
-        }
-        Ok(())
+    fn start(fleet: &mut Fleet<Self>, index: usize, now: Time) -> Membership {
+        view(index, fleet.rng.random(), now)
     }
 
-    fn step(&mut self, event: Event) -> Result<(), String> {
-        let index = match event {
-            Event::Fault => {
-                self.fault();
-                return Ok(());
-            }
-            Event::Start(node) => {
-                self.start(node);
-                return Ok(());
-            }
-            Event::Tick(node, run) if self.nodes[node].run != run => return Ok(()),
-            Event::Tick(node, _) => node,
-            Event::Deliver { to, .. } => to,
-        };
-        let at = self.queue.now;
-        let node = &mut self.nodes[index];
-        if node.paused > at {
-            if matches!(event, Event::Tick(..)) || self.rng.random_bool(0.5) {
-                self.queue.after(node.paused - at, event);
-            }
-            return Ok(());
-        }
-        let Some(view) = &mut node.view else {
+    fn step(
+        fleet: &mut Fleet<Self>,
+        index: usize,
+        now: Time,
+        input: Input<Self>,
+        out: &mut Vec<Outbound<Self::Message>>,
+    ) -> Result<(), String> {
+        let Some(view) = &mut fleet.nodes[index].core else {
             return Ok(());
         };
-        let now = node.clock.read(at);
-        let mut out = Vec::new();
-        match event {
-            Event::Tick(_, run) => {
-                view.tick(now, self.rng, &(), &mut out);
-                let delay = self.rng.random_range(80 * MS..120 * MS);
-                self.queue.after(delay, Event::Tick(index, run));
+        let limit = match input {
+            Input::Tick => {
+                view.tick(now, &mut fleet.rng, &(), out);
+                4
             }
-            Event::Deliver { from, message, .. } => {
-                view.receive(now, &id(from), *message, &(), &mut out);
-                if out.len() > 1 {
-                    return Err(format!("n{index} sent {} messages for one", out.len()));
-                }
+            Input::Message(from, message) => {
+                view.receive(now, &id(from), message, &(), out);
+                1
             }
-            Event::Start(_) | Event::Fault => {}
+            Input::Own(()) => 0,
+        };
+        let rumors = out.iter().map(|out| out.message.rumors.len()).max();
+        if out.len() > limit || rumors.is_some_and(|rumors| rumors > 8) {
+            return Err(format!(
+                "n{index} sent {} messages, {rumors:?} rumors",
+                out.len()
+            ));
         }
         if !view.is_alive(&id(index)) {
             return Err(format!("n{index} takes itself for dead"));
         }
-        let rumors = MemberSettings::default().rumors;
-        for Outbound { to, message } in out {
-            if message.rumors.len() > rumors {
-                return Err(format!(
-                    "n{index} sent {} rumors in a message",
-                    message.rumors.len()
-                ));
-            }
-            self.pings += u64::from(matches!(message.probe, Probe::Ping { .. }));
-            let to = to.as_str()[1..].parse().unwrap();
-            let event = Event::Deliver {
-                from: index,
-                to,
-                message: Box::new(message),
-            };
-            self.queue.send(self.rng, &self.weather, index, to, event);
-        }
+        let pings = out
+            .iter()
+            .filter(|out| matches!(out.message.probe, Probe::Ping { .. }));
+        fleet.scenario.0 += pings.count() as u64;
         Ok(())
     }
 
-    fn fault(&mut self) {
-        if self.calm {
-            return;
-        }
-        let index = self.rng.random_range(0..NODES);
-        match self.rng.random_range(0..6) {
-            0 | 1 => {
-                self.kill(index);
-                let delay = self.rng.random_range(0..5 * SECOND);
-                self.queue.after(delay, Event::Start(index));
-            }
-            2 | 3 => {
-                let pause = self.rng.random_range(100 * MS..8 * SECOND);
-                self.nodes[index].paused = self.queue.now + pause;
-            }
-            4 => self.weather = Weather::rough(self.rng, NODES),
-            _ => self.weather = Weather::calm(),
-        }
-        let delay = self.rng.random_range(100 * MS..1_500 * MS);
-        self.queue.after(delay, Event::Fault);
-    }
+    fn fault(_: &mut Fleet<Self>, _: usize, _: u32) {}
+}
 
-    /// Compares every view with the truth.
-    fn check(&self) -> Result<(), String> {
-        for (index, node) in self.nodes.iter().enumerate() {
-            let Some(view) = &node.view else {
-                continue;
-            };
-            for (other, truth) in self.nodes.iter().enumerate() {
-                if view.is_alive(&id(other)) != truth.view.is_some() {
-                    let runs = truth.view.is_some();
-                    return Err(format!(
-                        "at {} n{index} is wrong about n{other}, which runs: {runs}",
-                        self.queue.now
-                    ));
-                }
+/// Compares every view with the truth.
+fn check(fleet: &Fleet<Probes>) -> Result<(), String> {
+    for (index, node) in fleet.nodes.iter().enumerate() {
+        for (other, truth) in fleet.nodes.iter().enumerate() {
+            let runs = truth.core.is_some();
+            if node
+                .core
+                .as_ref()
+                .is_some_and(|view| view.is_alive(&id(other)) != runs)
+            {
+                let at = fleet.now;
+                return Err(format!(
+                    "at {at} n{index} is wrong about n{other}, which runs: {runs}"
+                ));
             }
         }
-        Ok(())
     }
+    Ok(())
 }
 
-fn schedule(_: u64, rng: &mut Pcg64) -> Result<u64, String> {
-    let mut fleet = Fleet::new(rng);
-    fleet.queue.after(SECOND, Event::Fault);
-    let faults = fleet.rng.random_range(5 * SECOND..20 * SECOND);
-    fleet.run_until(faults)?;
-    fleet.calm = true;
-    fleet.weather = Weather::calm();
+fn schedule(rng: Pcg64) -> Result<u64, String> {
+    let mut fleet = Fleet::new(rng, NODES, NODES, Probes::default());
+    let end = fleet.rng.random_range(5 * SECOND..20 * SECOND);
+    fleet.faults(SECOND, end)?;
     let dead = fleet.rng.random_range(0..NODES);
-    for index in 0..NODES {
-        fleet.nodes[index].paused = 0;
-        match index == dead {
-            true => fleet.kill(index),
-            false => fleet.start(index),
-        }
-    }
-    // Starts that the faults left behind must not revive the node that stays dead.
-    fleet.nodes[dead].view = None;
-    let settled = fleet.queue.now + SETTLE;
-    while fleet.queue.now < settled {
-        let event = fleet.queue.next().ok_or("no events left")?;
-        if !matches!(event, Event::Start(node) if node == dead) {
-            fleet.step(event)?;
-        }
+    (0..NODES).for_each(|node| fleet.start(node));
+    fleet.kill(dead);
+    fleet.run_until(end + SETTLE)?;
+    check(&fleet)?;
+    let before = fleet.scenario.0;
+    for second in 1..=10 {
+        fleet.run_until(end + SETTLE + second * SECOND)?;
+        check(&fleet)?;
     }
-    fleet.check()?;
-    // Calm: the views stay right while nothing happens, then all learn of one more death.
-    let pings = fleet.pings;
-    for _ in 0..10 {
-        let second = fleet.queue.now + SECOND;
-        fleet.run_until(second)?;
-        fleet.check()?;
-    }
-    let pings = fleet.pings - pings;
-    if pings > 10 * 3 * NODES as u64 {
-        return Err(format!("{pings} pings in 10 s of calm"));
+    let probes = fleet.scenario.0 - before;
+    if probes > 10 * 3 * NODES as u64 {
+        return Err(format!("{probes} probes in 10 s without faults"));
     }
     fleet.kill((dead + 1) % NODES);
-    let detected = fleet.queue.now + DETECT;
-    fleet.run_until(detected)?;
-    fleet.check()?;
+    let killed = fleet.now;
+    fleet.run_until(killed + DETECT)?;
+    check(&fleet)?;
     Ok(1)
 }
 
@@ -282,21 +146,15 @@
 /// Guards against a node that is cut off and does not notice.
 #[test]
 fn heard_since_counts_listed_nodes() {
-    let (a, b, c) = (id(0), id(1), id(2));
-    let settings = MemberSettings::default();
-    let mut view = Membership::new(a, Incarnation(1), settings.clone(), Time(0));
-    view.set_vms(Time(0), &list());
-    let mut other = Membership::new(b.clone(), Incarnation(2), settings, Time(0));
-    other.set_vms(Time(0), &list());
-    let mut out = Vec::new();
-    let mut rng = rand_pcg::Pcg64::new(1, 1);
-    other.tick(Time(0), &mut rng, &(), &mut out);
+    let (mut first, mut second) = (view(0, 1, Time(0)), view(1, 2, Time(0)));
+    let (mut out, mut rng) = (Vec::new(), Pcg64::seed_from_u64(1));
+    second.tick(Time(0), &mut rng, &(), &mut out);
     let message = out.pop().unwrap().message;
-    let (now, within) = (Time::from_millis(500), std::time::Duration::from_secs(4));
-    assert_eq!(view.heard_since(now, within), 0);
-    view.receive(now, &b, message, &(), &mut out);
-    view.heard(now, &c);
-    assert_eq!(view.heard_since(now, within), 2);
-    assert_eq!(view.heard_since(now + within, within), 2);
-    assert_eq!(view.heard_since(Time::from_millis(4_501), within), 0);
+    let (now, within) = (Time::from_millis(500), Duration::from_secs(4));
+    assert_eq!(first.heard_since(now, within), 0);
+    first.receive(now, &id(1), message, &(), &mut out);
+    first.heard(now, &id(2));
+    assert_eq!(first.heard_since(now, within), 2);
+    assert_eq!(first.heard_since(now + within, within), 2);
+    assert_eq!(first.heard_since(Time::from_millis(4_501), within), 0);
 }
--- a/tests/schedules/mod.rs
+++ b/tests/schedules/mod.rs
@@ -1,11 +1,16 @@
-//! Seeded schedules for tests that drive many cores: a faulty network, drifting clocks and true time.
+//! Seeded schedules of faults for tests that drive the cores of many nodes through a faulty network.
+
+#![allow(dead_code, reason = "not every test uses all of it")]
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     env,
 };
 
-use cranberrychute::core::Time;
+use cranberrychute::core::{
+    NodeId, Outbound, Time,
+    config::{Vm, VmState},
+};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -15,168 +20,314 @@
 /// Runs `schedule` for `default` seeds, for as many as `SCHEDULES` says, or for the one in `SEED`.
 ///
 /// Panics with the seeds that failed. Returns the sum of the results.
-pub(crate) fn run(
-    name: &str,
-    default: u64,
-    schedule: impl Fn(u64, &mut Pcg64) -> Result<u64, String> + Sync,
-) -> u64 {
-    let number = |key| env::var(key).ok().map(|text| text.parse::<u64>().unwrap());
+pub(crate) fn run(name: &str, default: u64, schedule: fn(Pcg64) -> Result<u64, String>) -> u64 {
+    let number = |key| env::var(key).ok().map(|text| text.parse().unwrap());
     let seeds: Vec<u64> = match number("SEED") {
         Some(seed) => vec![seed],
         None => (0..number("SCHEDULES").unwrap_or(default)).collect(),
     };
     let threads = std::thread::available_parallelism().map_or(1, |n| n.get().div_ceil(2));
-    let outcomes = std::thread::scope(|scope| {
-        let workers: Vec<_> = (0..threads)
-            .map(|first| {
-                let (seeds, schedule) = (&seeds, &schedule);
-                scope.spawn(move || {
-                    let mine = seeds.iter().skip(first).step_by(threads);
-                    let outcome =
-                        |seed: &u64| (*seed, schedule(*seed, &mut Pcg64::seed_from_u64(*seed)));
-                    mine.map(outcome).collect::<Vec<_>>()
-                })
-            })
-            .collect();
-        let done = workers
-            .into_iter()
-            .flat_map(|worker| worker.join().unwrap());
-        done.collect::<Vec<_>>()
+    let outcomes: Vec<(u64, Result<u64, String>)> = std::thread::scope(|scope| {
+        let work = |first| {
+            let mine = seeds.iter().skip(first).step_by(threads);
+            let outcome = |seed: &u64| (*seed, schedule(Pcg64::seed_from_u64(*seed)));
+            move || mine.map(outcome).collect::<Vec<_>>()
+        };
+        let workers: Vec<_> = (0..threads).map(|first| scope.spawn(work(first))).collect();
+        let done = workers.into_iter();
+        done.flat_map(|worker| worker.join().unwrap()).collect()
     });
-    let failed: Vec<_> = outcomes
-        .iter()
-        .filter_map(|(seed, outcome)| Some((*seed, outcome.as_ref().err()?)))
-        .collect();
-    for (seed, fault) in failed.iter().take(10) {
-        println!("SEED={seed} {name}: {fault}");
-    }
-    let count = failed.len();
-    assert!(
-        failed.is_empty(),
-        "{name}: {count} of {} schedules failed",
-        seeds.len()
+    let (mut sum, mut failed) = (0, 0);
+    for (seed, outcome) in &outcomes {
+        match outcome {
+            Ok(count) => sum += count,
+            Err(fault) => {
+                failed += 1;
+                println!("SEED={seed} {name}: {fault}");
+            }
+        }
+    }
+    assert_eq!(
+        failed,
+        0,
+        "{name}: {failed} of {} schedules failed",
+        outcomes.len()
     );
-    outcomes
-        .into_iter()
-        .filter_map(|(_, outcome)| outcome.ok())
-        .sum()
+    sum
 }
 
-/// A node's clock: any origin, and a rate up to 10% from true time.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Clock {
-    pub(crate) origin: u64,
-    pub(crate) rate: f64,
+pub(crate) fn id(node: usize) -> NodeId {
+    format!("n{node}").into()
 }
 
-impl Clock {
-    pub(crate) fn new(rng: &mut Pcg64) -> Self {
-        Self {
-            origin: rng.random_range(0..1 << 40),
-            rate: rng.random_range(0.9..=1.1),
-        }
+pub(crate) fn index(id: &NodeId) -> usize {
+    id.as_str()[1..].parse().unwrap()
+}
+
+pub(crate) fn vm(node: usize, domains: usize, state: VmState) -> Vm {
+    let address = "127.0.0.1:1".parse().unwrap();
+    Vm {
+        id: id(node),
+        domain: format!("d{}", node % domains).into(),
+        region: None,
+        state,
+        caller: address,
+        peer: address,
+        control: address,
     }
+}
+
+/// What a test adds to the common faults.
+pub(crate) trait Scenario: Sized {
+    type Core;
+    type Message: Clone;
+    type Event: Clone;
+
+    /// Number of kinds of faults, the common 7 included.
+    const FAULTS: u32;
+
+    /// Starts the core of a node.
+    fn start(fleet: &mut Fleet<Self>, index: usize, now: Time) -> Self::Core;
+
+    /// Passes an input to a running node's core.
+    fn step(
+        fleet: &mut Fleet<Self>,
+        index: usize,
+        now: Time,
+        input: Input<Self>,
+        out: &mut Vec<Outbound<Self::Message>>,
+    ) -> Result<(), String>;
+
+    /// Lets one of the faults beyond the common ones happen.
+    fn fault(fleet: &mut Fleet<Self>, index: usize, kind: u32);
+}
 
-    pub(crate) fn read(&self, at: u64) -> Time {
+pub(crate) enum Input<S: Scenario> {
+    Tick,
+    Message(usize, S::Message),
+    Own(S::Event),
+}
+
+enum Event<S: Scenario> {
+    Tick(usize, u64),
+    Message(usize, usize, S::Message),
+    Own(usize, u64, S::Event),
+    Start(usize),
+    Fault,
+}
+
+pub(crate) struct Node<C> {
+    /// The clock: any origin, and a rate up to 10% from true time.
+    origin: u64,
+    rate: f64,
+    /// Counts the runs of the node's process.
+    pub(crate) run: u64,
+    pub(crate) core: Option<C>,
+    paused: u64,
+}
+
+impl<C> Node<C> {
+    pub(crate) fn clock(&self, at: u64) -> Time {
         Time(self.origin + (at as f64 * self.rate) as u64)
     }
+
+    /// Returns the true time at which the clock shows `time`.
+    pub(crate) fn truth(&self, time: Time) -> u64 {
+        ((time.0 - self.origin) as f64 / self.rate) as u64
+    }
 }
 
-/// What can happen to messages.
-#[derive(Clone, Debug)]
-pub(crate) struct Weather {
-    pub(crate) loss: f64,
-    pub(crate) duplicate: f64,
+/// Nodes, the network between them, and what is yet to happen, in true time.
+pub(crate) struct Fleet<S: Scenario> {
+    pub(crate) rng: Pcg64,
+    pub(crate) now: u64,
+    pub(crate) nodes: Vec<Node<S::Core>>,
+    pub(crate) scenario: S,
+    events: BTreeMap<(u64, u64), Event<S>>,
+    serial: u64,
+    calm: bool,
+    loss: f64,
+    duplicate: f64,
     /// Share of messages delayed by up to 3 s, which reorders them.
-    pub(crate) late: f64,
+    late: f64,
     /// Nodes that reach only one another.
     pub(crate) island: BTreeSet<usize>,
 }
 
-impl Weather {
-    pub(crate) fn calm() -> Self {
-        Self {
+impl<S: Scenario> Fleet<S> {
+    /// Starts the first `running` of `size` nodes.
+    pub(crate) fn new(mut rng: Pcg64, size: usize, running: usize, scenario: S) -> Self {
+        let nodes = (0..size).map(|_| Node {
+            origin: rng.random_range(0..1 << 40),
+            rate: rng.random_range(0.9..=1.1),
+            run: 0,
+            core: None,
+            paused: 0,
+        });
+        let mut fleet = Self {
+            nodes: nodes.collect(),
+            rng,
+            now: 0,
+            scenario,
+            events: BTreeMap::new(),
+            serial: 0,
+            calm: false,
             loss: 0.0,
             duplicate: 0.0,
             late: 0.0,
             island: BTreeSet::new(),
+        };
+        (0..running).for_each(|node| fleet.start(node));
+        fleet
+    }
+
+    /// Lets faults happen from `from` until `until`.
+    pub(crate) fn faults(&mut self, from: u64, until: u64) -> Result<(), String> {
+        self.schedule(from, Event::Fault);
+        self.run_until(until)?;
+        self.calm = true;
+        self.calm_network();
+        Ok(())
+    }
+
+    pub(crate) fn run_until(&mut self, end: u64) -> Result<(), String> {
+        while self.now < end {
+            let ((at, _), event) = self.events.pop_first().ok_or("no events left")?;
+            self.now = at;
+            self.step(event)?;
         }
+        Ok(())
     }
 
-    pub(crate) fn rough(rng: &mut Pcg64, nodes: usize) -> Self {
-        let mut share = |most: f64| {
-            if rng.random_bool(0.5) {
-                rng.random_range(0.0..most)
-            } else {
-                0.0
-            }
-        };
-        let (loss, duplicate, late) = (share(0.5), share(0.3), share(0.3));
-        let island = match rng.random_range(0..3) {
-            0 => (0..nodes).filter(|_| rng.random_bool(0.4)).collect(),
-            _ => BTreeSet::new(),
-        };
-        Self {
-            loss,
-            duplicate,
-            late,
-            island,
+    pub(crate) fn start(&mut self, index: usize) {
+        self.nodes[index].paused = 0;
+        if self.nodes[index].core.is_some() {
+            return;
+        }
+        if self.rng.random_bool(0.5) {
+            self.nodes[index].origin = self.rng.random_range(0..1 << 40);
         }
+        self.nodes[index].run += 1;
+        let now = self.nodes[index].clock(self.now);
+        let core = S::start(self, index, now);
+        self.nodes[index].core = Some(core);
+        let run = self.nodes[index].run;
+        self.schedule(100 * MS, Event::Tick(index, run));
     }
 
-    pub(crate) fn connects(&self, a: usize, b: usize) -> bool {
-        self.island.contains(&a) == self.island.contains(&b)
+    pub(crate) fn start_within(&mut self, most: u64, index: usize) {
+        let delay = self.rng.random_range(0..most);
+        self.schedule(delay, Event::Start(index));
     }
-}
 
-/// Events in the order of true time.
-#[derive(Debug)]
-pub(crate) struct Queue<E> {
-    events: BTreeMap<(u64, u64), E>,
-    serial: u64,
-    pub(crate) now: u64,
-}
+    pub(crate) fn kill(&mut self, index: usize) {
+        self.nodes[index].core = None;
+        self.nodes[index].run += 1;
+    }
 
-impl<E: Clone> Queue<E> {
-    pub(crate) fn new() -> Self {
-        Self {
-            events: BTreeMap::new(),
-            serial: 0,
-            now: 0,
-        }
+    /// Passes an event to this run of a node after at most `most`.
+    pub(crate) fn within(&mut self, most: u64, index: usize, event: S::Event) {
+        let delay = self.rng.random_range(MS..most);
+        let run = self.nodes[index].run;
+        self.schedule(delay, Event::Own(index, run, event));
+    }
+
+    /// Returns whether a message between two nodes would pass now.
+    pub(crate) fn passes(&mut self, from: usize, to: usize) -> bool {
+        self.island.contains(&from) == self.island.contains(&to) && !self.rng.random_bool(self.loss)
     }
 
-    pub(crate) fn after(&mut self, delay: u64, event: E) {
+    fn schedule(&mut self, delay: u64, event: Event<S>) {
         self.serial += 1;
         self.events.insert((self.now + delay, self.serial), event);
     }
 
-    /// Passes a message through the network.
-    pub(crate) fn send(
-        &mut self,
-        rng: &mut Pcg64,
-        weather: &Weather,
-        from: usize,
-        to: usize,
-        event: E,
-    ) {
-        if !weather.connects(from, to) {
-            return;
+    fn step(&mut self, event: Event<S>) -> Result<(), String> {
+        let target = match &event {
+            Event::Start(_) | Event::Fault if self.calm => return Ok(()),
+            Event::Start(node) => {
+                self.start(*node);
+                return Ok(());
+            }
+            Event::Fault => {
+                self.fault();
+                return Ok(());
+            }
+            Event::Tick(node, run) | Event::Own(node, run, _) => (*node, Some(*run)),
+            Event::Message(_, node, _) => (*node, None),
+        };
+        let (index, run) = target;
+        let node = &self.nodes[index];
+        if node.core.is_none() || run.is_some_and(|run| run != node.run) {
+            return Ok(());
+        }
+        if node.paused > self.now {
+            // Half of the messages to a paused node wait in its socket.
+            if run.is_some() || self.rng.random_bool(0.5) {
+                self.schedule(self.nodes[index].paused - self.now, event);
+            }
+            return Ok(());
+        }
+        let now = node.clock(self.now);
+        let input = match event {
+            Event::Tick(_, run) => {
+                let delay = self.rng.random_range(80 * MS..120 * MS);
+                self.schedule(delay, Event::Tick(index, run));
+                Input::Tick
+            }
+            Event::Message(from, _, message) => Input::Message(from, message),
+            Event::Own(_, _, event) => Input::Own(event),
+            Event::Start(_) | Event::Fault => return Ok(()),
+        };
+        let mut out = Vec::new();
+        S::step(self, index, now, input, &mut out)?;
+        for Outbound { to, message } in out {
+            self.send(index, self::index(&to), message);
         }
-        let copies = 1 + u32::from(rng.random_bool(weather.duplicate));
-        for _ in 0..copies {
-            if rng.random_bool(weather.loss) {
-                continue;
+        Ok(())
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: S::Message) {
+        for _ in 0..1 + u32::from(self.rng.random_bool(self.duplicate)) {
+            if self.passes(from, to) {
+                let late = self.rng.random_bool(self.late);
+                let most = if late { 3 * SECOND } else { 3 * MS };
+                let delay = self.rng.random_range(MS..=most);
+                self.schedule(delay, Event::Message(from, to, message.clone()));
+            }
+        }
+    }
+
+    fn fault(&mut self) {
+        let index = self.rng.random_range(0..self.nodes.len());
+        match self.rng.random_range(0..S::FAULTS) {
+            0 | 1 => {
+                self.kill(index);
+                self.start_within(5 * SECOND, index);
+            }
+            2 | 3 => {
+                let long = self.rng.random_bool(0.2);
+                let most = if long { 15 * SECOND } else { 4 * SECOND };
+                self.nodes[index].paused = self.now + self.rng.random_range(100 * MS..most);
+            }
+            4 | 5 => {
+                let rng = &mut self.rng;
+                let mut share =
+                    |most| f64::from(rng.random_bool(0.5)) * rng.random_range(0.0..most);
+                (self.loss, self.duplicate, self.late) = (share(0.5), share(0.3), share(0.3));
+                let cut = f64::from(self.rng.random_bool(0.3)) * 0.4;
+                let nodes = 0..self.nodes.len();
+                self.island = nodes.filter(|_| self.rng.random_bool(cut)).collect();
             }
-            let late = rng.random_bool(weather.late);
-            let most = if late { 3 * SECOND } else { 3 * MS };
-            self.after(rng.random_range(MS..=most), event.clone());
+            6 => self.calm_network(),
+            kind => S::fault(self, index, kind),
         }
+        let delay = self.rng.random_range(100 * MS..1_500 * MS);
+        self.schedule(delay, Event::Fault);
     }
 
-    pub(crate) fn next(&mut self) -> Option<E> {
-        let ((at, _), event) = self.events.pop_first()?;
-        self.now = at;
-        Some(event)
+    fn calm_network(&mut self) {
+        (self.loss, self.duplicate, self.late) = (0.0, 0.0, 0.0);
+        self.island.clear();
     }
 }
