Messages that wait in the socket of a paused process are lost with it

The seven red schedules of membership came from the driver: it handed messages to a node up to 15 s after they were sent, although the process that had them in its socket was killed, and it counted the settling time from before the last resume. Nothing in the core changed.

--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -335,7 +335,7 @@
     };
     let mut fleet = Fleet::new(rng, POOL, size, scenario);
     let end = 5 * SECOND + fleet.rng.random_range(5 * SECOND..25 * SECOND);
-    fleet.faults(5 * SECOND, end)?;
+    let end = fleet.faults(5 * SECOND, end)?;
     // Every listed node runs and is reached, every other one is gone.
     fleet.scenario.platform = true;
     let mut list = fleet.scenario.list().clone();
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -114,7 +114,7 @@
 fn schedule(rng: Pcg64) -> Result<u64, String> {
     let mut fleet = Fleet::new(rng, NODES, NODES, Probes::default());
     let end = fleet.rng.random_range(5 * SECOND..20 * SECOND);
-    fleet.faults(SECOND, end)?;
+    let end = fleet.faults(SECOND, end)?;
     let dead = fleet.rng.random_range(0..NODES);
     (0..NODES).for_each(|node| fleet.start(node));
     fleet.kill(dead);
--- a/tests/schedules/mod.rs
+++ b/tests/schedules/mod.rs
@@ -110,7 +110,8 @@
 
 enum Event<S: Scenario> {
     Tick(usize, u64),
-    Message(usize, usize, S::Message),
+    /// A message that waits in the socket of a paused run is lost with that run.
+    Message(usize, usize, Option<u64>, S::Message),
     Own(usize, u64, S::Event),
     Start(usize),
     Fault,
@@ -181,13 +182,15 @@
         fleet
     }
 
-    /// Lets faults happen from `from` until `until`.
-    pub(crate) fn faults(&mut self, from: u64, until: u64) -> Result<(), String> {
+    /// Lets faults happen from `from` until `until`, and returns when the last paused node has resumed.
+    pub(crate) fn faults(&mut self, from: u64, until: u64) -> Result<u64, String> {
         self.schedule(from, Event::Fault);
         self.run_until(until)?;
         self.calm = true;
         self.calm_network();
-        Ok(())
+        let resumed = self.nodes.iter().map(|node| node.paused).max();
+        self.run_until(resumed.unwrap_or_default())?;
+        Ok(self.now)
     }
 
     pub(crate) fn run_until(&mut self, end: u64) -> Result<(), String> {
@@ -200,10 +203,10 @@
     }
 
     pub(crate) fn start(&mut self, index: usize) {
-        self.nodes[index].paused = 0;
         if self.nodes[index].core.is_some() {
             return;
         }
+        self.nodes[index].paused = 0;
         if self.rng.random_bool(0.5) {
             self.nodes[index].origin = self.rng.random_range(0..1 << 40);
         }
@@ -254,7 +257,7 @@
                 return Ok(());
             }
             Event::Tick(node, run) | Event::Own(node, run, _) => (*node, Some(*run)),
-            Event::Message(_, node, _) => (*node, None),
+            Event::Message(_, node, run, _) => (*node, *run),
         };
         let (index, run) = target;
         let node = &self.nodes[index];
@@ -262,9 +265,15 @@
             return Ok(());
         }
         if node.paused > self.now {
-            // Half of the messages to a paused node wait in its socket.
-            if run.is_some() || self.rng.random_bool(0.5) {
-                self.schedule(self.nodes[index].paused - self.now, event);
+            let (delay, current) = (node.paused - self.now, node.run);
+            match event {
+                Event::Message(from, to, _, message) => {
+                    if self.rng.random_bool(0.5) {
+                        let event = Event::Message(from, to, Some(current), message);
+                        self.schedule(delay, event);
+                    }
+                }
+                event => self.schedule(delay, event),
             }
             return Ok(());
         }
@@ -275,7 +284,7 @@
                 self.schedule(delay, Event::Tick(index, run));
                 Input::Tick
             }
-            Event::Message(from, _, message) => Input::Message(from, message),
+            Event::Message(from, _, _, message) => Input::Message(from, message),
             Event::Own(_, _, event) => Input::Own(event),
             Event::Start(_) | Event::Fault => return Ok(()),
         };
@@ -293,7 +302,7 @@
                 let late = self.rng.random_bool(self.late);
                 let most = if late { 3 * SECOND } else { 3 * MS };
                 let delay = self.rng.random_range(MS..=most);
-                self.schedule(delay, Event::Message(from, to, message.clone()));
+                self.schedule(delay, Event::Message(from, to, None, message.clone()));
             }
         }
     }
