--- a/src/core/member/settings.rs
+++ b/src/core/member/settings.rs
@@ -5,7 +5,8 @@
 pub struct MemberSettings {
     /// Time between two probes.
     pub period: Duration,
-    /// Time after which a probe without an answer is repeated through other nodes.
+    /// Time after which a probe without an answer is repeated through other nodes. After twice this time the
+    /// node is suspected. At most half the period.
     pub timeout: Duration,
     /// Number of nodes asked to probe on this node's behalf.
     pub relays: usize,
@@ -13,10 +14,12 @@
     pub suspicion: Duration,
     /// Rumors in one message.
     pub rumors: usize,
-    /// Rumors kept for sending.
+    /// Rumors kept for sending, and probes kept on behalf of others.
     pub queue: usize,
     /// Gap between two ticks above which the node is taken to have been paused.
     pub pause: Duration,
+    /// Time after which a node that is not on the VM list is forgotten unless it was heard.
+    pub forget: Duration,
 }
 
 impl Default for MemberSettings {
@@ -29,6 +32,7 @@
             rumors: 8,
             queue: 256,
             pause: Duration::from_secs(1),
+            forget: Duration::from_secs(30),
         }
     }
 }
