Retry an unsent leaf call on the other connection; cache the stream limit

Cause: a connection that the leaf is closing refuses a new stream before anything is handed over, so the call need not fail. A failure to hand over the body is no longer reported as "not run": the head may have been sent.

--- a/src/adapter/upstream/leaf.rs
+++ b/src/adapter/upstream/leaf.rs
@@ -110,6 +110,8 @@
     silent: bool,
     /// The leaf takes no new calls on it.
     draining: bool,
+    /// Streams that the leaf allows, as of the last pong.
+    streams: usize,
     /// Calls sent and not ended.
     calls: usize,
     /// Since when an answer or a pong is awaited without a break.
@@ -376,6 +378,7 @@
         });
         inner.conns.push(Conn {
             id,
+            streams: send.current_max_send_streams(),
             send,
             progress,
             task,
@@ -410,6 +413,7 @@
             return;
         };
         let sent = conn.ping_at.take();
+        conn.streams = conn.send.current_max_send_streams();
         let mut stopped = SmallVec::<[TicketId; 4]>::new();
         conn.resets.retain(|(ticket, at)| {
             let seen = sent.is_some_and(|sent| sent >= *at + RESET_FLUSH);
@@ -598,33 +602,33 @@
             shard: pending.call.shard,
             bytes: self.settings.answer_bytes,
         };
-        let sent =
-            conn.send
-                .clone()
-                .send_request(head, false)
-                .and_then(|(response, mut stream)| {
-                    stream.send_data(body, true)?;
-                    Ok((response, stream))
-                });
-        match sent {
-            Ok((response, stream)) => {
-                conn.start_waiting(now);
-                conn.calls += 1;
-                pending.phase = Phase::Sent(conn.id, stream);
-                let wake = deadline.min(now + self.ping_after(inner));
-                self.wake_by(inner, wake);
-                let leaf = self.clone();
-                tokio::spawn(async move {
-                    let ended = receive(response, expected).await;
-                    leaf.ended(ticket, ended);
-                });
-            }
+        let (response, mut stream) = match conn.send.clone().send_request(head, false) {
+            Ok(sent) => sent,
             Err(error) => {
+                // Nothing was handed over: another connection may take the call.
                 log::debug!(leaf = self.id.as_str(); "connection takes no call: {error}");
                 conn.draining = true;
-                self.not_sent(inner, now, ticket, NotRun::Unreachable);
+                if pick(inner, now, proven).is_some() {
+                    return self.send(inner, now, ticket);
+                }
+                return self.not_sent(inner, now, ticket, NotRun::Unreachable);
             }
-        }
+        };
+        // The connection may break in between; its supervision reports the call then.
+        if let Err(error) = stream.send_data(body, true) {
+            log::debug!(leaf = self.id.as_str(); "connection takes no body: {error}");
+            conn.draining = true;
+        }
+        conn.start_waiting(now);
+        conn.calls += 1;
+        pending.phase = Phase::Sent(conn.id, stream);
+        let wake = deadline.min(now + self.ping_after(inner));
+        self.wake_by(inner, wake);
+        let leaf = self.clone();
+        tokio::spawn(async move {
+            let ended = receive(response, expected).await;
+            leaf.ended(ticket, ended);
+        });
     }
 
     /// Lets an at-most-once call wait for a pong.
@@ -879,7 +883,7 @@
         .conns
         .iter()
         .enumerate()
-        .filter(|(_, conn)| conn.usable() && conn.calls < conn.send.current_max_send_streams())
+        .filter(|(_, conn)| conn.usable() && conn.calls < conn.streams)
         .filter(|(_, conn)| {
             proven.is_none_or(|within| now.since(conn.progress.last_read()) <= within)
         })
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -495,7 +495,10 @@
 async fn mute_leaves_get_no_call() {
     let bench = Bench::new(Mode::Good).await;
     bench.fake.mute.store(true, SeqCst);
-    assert_eq!(bench.ask(true).await, Outcome::NotRun(NotRun::Unreachable));
+    let unreachable = Outcome::NotRun(NotRun::Unreachable);
+    assert_eq!(bench.ask(false).await, unreachable);
+    sleep(PoolSettings::default().retry_after).await;
+    assert_eq!(bench.ask(true).await, unreachable);
     bench.fake.mute.store(false, SeqCst);
     eventually("the next attempt", || {
         bench.pool.states()[0].connections == 0
