Keep answers that arrive together with the end of a connection

Cause: a leaf that stops in a planned way sends its last answers and closes. The pool failed such calls as Reset, because the end of the connection was handled before the tasks that read the answers, and it refused the next call as Unreachable instead of opening another connection. A new test, planned_stops_lose_nothing, showed both: NotRun(Unreachable) instead of hits, then Failed(Reset) for the call in flight.

An ended connection now stays until each of its calls has ended; the crash report names those without an answer only. A call that a connection refuses before anything is handed over returns to the queue, and so does an at-most-once call that waits for a pong.

pauses_are_no_silence is new as well: a pause of this process must not count as silence of the leaf.

--- a/src/adapter/upstream/connection.rs
+++ b/src/adapter/upstream/connection.rs
@@ -135,11 +135,11 @@
             }
         }
     };
-    let graceful = match &result {
+    let planned = match &result {
         Ok(()) => false,
         Err(error) => error.is_go_away() && error.reason() == Some(h2::Reason::NO_ERROR),
     };
-    leaf.closed(id, graceful);
+    leaf.closed(id, planned);
 }
 
 async fn open<P: Ports>(
--- a/src/adapter/upstream/leaf.rs
+++ b/src/adapter/upstream/leaf.rs
@@ -101,6 +101,9 @@
     phase: Phase,
 }
 
+/// Whether the leaf announced the end of a connection.
+type Planned = bool;
+
 #[derive(Debug)]
 struct Conn {
     id: u64,
@@ -110,6 +113,8 @@
     silent: bool,
     /// The leaf takes no new calls on it.
     draining: bool,
+    /// It has ended, in a planned way or not; answers that came before are still being read.
+    ended: Option<Planned>,
     /// Streams that the leaf allows, as of the last pong.
     streams: usize,
     /// Calls sent and not ended.
@@ -384,6 +389,7 @@
             task,
             silent: false,
             draining: false,
+            ended: None,
             calls: 0,
             waiting_since: now,
             ping_at: None,
@@ -426,32 +432,28 @@
             inner.pending.remove(&ticket);
             inner.control.finish(now, ticket, CallResult::Stopped);
         }
-        let held: SmallVec<[TicketId; 4]> = inner
-            .pending
-            .iter()
-            .filter(|(_, pending)| matches!(pending.phase, Phase::Held(conn) if conn == id))
-            .map(|(ticket, _)| *ticket)
-            .collect();
-        for ticket in held {
+        for ticket in inner.calls_on(id, |phase| matches!(phase, Phase::Held(_))) {
             self.send(&mut inner, now, ticket);
         }
         self.pump(&mut inner, now);
     }
 
-    pub(super) fn closed(self: &Arc<Self>, id: u64, graceful: bool) {
+    pub(super) fn closed(self: &Arc<Self>, id: u64, planned: Planned) {
         let now = self.ports.now();
         let mut inner = self.lock();
-        let Some(at) = inner.conns.iter().position(|conn| conn.id == id) else {
+        let Some(conn) = inner.conns.iter_mut().find(|conn| conn.id == id) else {
             return;
         };
-        let conn = inner.conns.swap_remove(at);
+        conn.draining = true;
+        conn.ended = Some(planned);
         if !conn.silent {
-            if !graceful {
-                self.report_crash(&inner, now, id);
-            }
             inner.control.connection_lost(now);
         }
-        self.abandon(&mut inner, now, id, Failure::Reset);
+        let held = inner.calls_on(id, |phase| matches!(phase, Phase::Held(_)));
+        for ticket in held {
+            self.requeue(&mut inner, now, ticket);
+        }
+        self.settle(&mut inner, now, id);
         self.pump(&mut inner, now);
     }
 
@@ -467,7 +469,11 @@
         };
         let conn = *conn;
         match ended {
-            Ended::Connection => return,
+            Ended::Connection => {
+                inner.control.connection_lost(now);
+                self.lose(&mut inner, now, ticket, Failure::Reset);
+                self.settle(&mut inner, now, conn);
+            }
             Ended::Cut(failure) => self.stop(&mut inner, now, ticket, failure),
             Ended::Done(result, outcome) => {
                 if let Some(conn) = inner.conns.iter_mut().find(|c| c.id == conn) {
@@ -481,6 +487,7 @@
                     }
                     pending.batch.reply(pending.index, outcome, status);
                 }
+                self.settle(&mut inner, now, conn);
             }
         }
         self.pump(&mut inner, now);
@@ -605,13 +612,13 @@
         let (response, mut stream) = match conn.send.clone().send_request(head, false) {
             Ok(sent) => sent,
             Err(error) => {
-                // Nothing was handed over: another connection may take the call.
+                // Nothing was handed over: another connection takes the call, or a new one.
                 log::debug!(leaf = self.id.as_str(); "connection takes no call: {error}");
                 conn.draining = true;
                 if pick(inner, now, proven).is_some() {
                     return self.send(inner, now, ticket);
                 }
-                return self.not_sent(inner, now, ticket, NotRun::Unreachable);
+                return self.requeue(inner, now, ticket);
             }
         };
         // The connection may break in between; its supervision reports the call then.
@@ -631,6 +638,24 @@
         });
     }
 
+    /// Puts a call back into the queue of which nothing was sent.
+    fn requeue(&self, inner: &mut Inner, now: Time, id: TicketId) {
+        inner.control.finish(now, id, CallResult::NotSent);
+        let Some(pending) = inner.pending.get_mut(&id) else {
+            return;
+        };
+        pending.phase = Phase::Queued;
+        pending.deadline = pending.batch.deadline;
+        let ticket = Ticket {
+            id,
+            deadline: pending.deadline,
+            alone: pending.alone,
+        };
+        if let Err(reason) = inner.control.offer(now, ticket) {
+            self.refuse(inner, id, reason);
+        }
+    }
+
     /// Lets an at-most-once call wait for a pong.
     fn hold(&self, inner: &mut Inner, now: Time, ticket: TicketId) {
         let Some(at) = pick(inner, now, None) else {
@@ -684,52 +709,53 @@
             conn.calls -= 1;
             conn.resets.push((ticket, now));
             self.wake_by(inner, now + RESET_FLUSH);
+            self.settle(inner, now, id);
         }
     }
 
-    /// Gives up all calls of a connection that broke or went silent.
-    fn abandon(&self, inner: &mut Inner, now: Time, conn: u64, failure: Failure) {
-        let calls: SmallVec<[TicketId; 8]> = inner
-            .pending
-            .iter()
-            .filter(|(_, pending)| pending.conn() == Some(conn))
-            .map(|(ticket, _)| *ticket)
-            .collect();
-        for ticket in calls {
-            let Some(pending) = inner.pending.get_mut(&ticket) else {
-                continue;
-            };
-            match &mut pending.phase {
-                Phase::Held(_) => self.not_sent(inner, now, ticket, NotRun::Unreachable),
-                Phase::Sent(_, stream) => {
-                    stream.send_reset(Reason::CANCEL);
-                    pending.phase = Phase::Stopping(conn);
-                    inner.control.finish(now, ticket, CallResult::Lost);
-                    let status = inner.control.status();
-                    let outcome = Outcome::Failed(failure);
-                    pending.batch.reply(pending.index, outcome, status);
-                }
-                Phase::Queued | Phase::Stopping(_) => {}
-            }
+    /// Gives up a call whose connection broke or went silent.
+    fn lose(&self, inner: &mut Inner, now: Time, ticket: TicketId, failure: Failure) {
+        inner.control.finish(now, ticket, CallResult::Lost);
+        let status = inner.control.status();
+        let Some(pending) = inner.pending.get_mut(&ticket) else {
+            return;
+        };
+        let Phase::Sent(id, stream) = &mut pending.phase else {
+            return;
+        };
+        stream.send_reset(Reason::CANCEL);
+        let id = *id;
+        pending.phase = Phase::Stopping(id);
+        let outcome = Outcome::Failed(failure);
+        pending.batch.reply(pending.index, outcome, status);
+        if let Some(conn) = inner.conns.iter_mut().find(|conn| conn.id == id) {
+            conn.calls -= 1;
         }
     }
 
-    /// Reports the queries that were in flight on a connection that broke. A call whose time was over has been
-    /// stopped by the leaf and cannot be the cause.
-    fn report_crash(&self, inner: &Inner, now: Time, conn: u64) {
-        let flights: SmallVec<[&Pending; 8]> = inner
-            .pending
-            .values()
-            .filter(|pending| pending.deadline > now && pending.conn() == Some(conn))
-            .filter(|pending| !matches!(pending.phase, Phase::Held(_)))
-            .collect();
-        if flights.is_empty() {
+    /// Drops a connection that has ended once all its calls have, and reports the queries that were in flight.
+    ///
+    /// Calls whose answer arrived before the end are not among them, nor those whose time was over: the leaf had
+    /// stopped them and they cannot be the cause.
+    fn settle(&self, inner: &mut Inner, now: Time, id: u64) {
+        let ended = |conn: &Conn| conn.id == id && conn.ended.is_some() && conn.calls == 0;
+        let Some(at) = inner.conns.iter().position(ended) else {
+            return;
+        };
+        let conn = inner.conns.swap_remove(at);
+        if conn.silent || conn.ended == Some(true) {
+            return;
+        }
+        let lost = |pending: &&Pending| pending.deadline > now && pending.conn() == Some(id);
+        let lost: SmallVec<[&Pending; 8]> = inner.pending.values().filter(lost).collect();
+        if lost.is_empty() {
             return;
         }
-        let alone = inner.control.in_flight() == 1 && flights.iter().all(|call| call.alone);
-        let prints = flights.iter().map(|call| call.batch.print);
+        let alone = inner.control.in_flight() == 1 && lost.iter().all(|call| call.alone);
+        let prints = lost.iter().map(|call| call.batch.print);
         let event = CrashEvent::new(CrashId(rand::random()), prints, alone);
-        log::warn!(leaf = self.id.as_str(), queries = event.prints.len(); "leaf reset a connection with calls in flight");
+        let queries = event.prints.len();
+        log::warn!(leaf = self.id.as_str(), queries; "leaf reset a connection with calls in flight");
         self.ports.crashed(event);
     }
 
@@ -815,7 +841,8 @@
         let silent_after = self.silent_after(inner);
         let ping_after = self.ping_after(inner);
         let mut silent = SmallVec::<[u64; 2]>::new();
-        for conn in inner.conns.iter_mut().filter(|conn| !conn.silent) {
+        let open = |conn: &&mut Conn| !conn.silent && conn.ended.is_none();
+        for conn in inner.conns.iter_mut().filter(open) {
             if paused {
                 conn.waiting_since = now;
             }
@@ -847,7 +874,12 @@
         for id in silent {
             log::warn!(leaf = self.id.as_str(); "connection is silent, opening another one");
             metrics::counter!("cranberrychute_silent_connections_total").increment(1);
-            self.abandon(inner, now, id, Failure::Silent);
+            for ticket in inner.calls_on(id, |phase| matches!(phase, Phase::Held(_))) {
+                self.not_sent(inner, now, ticket, NotRun::Unreachable);
+            }
+            for ticket in inner.calls_on(id, |phase| matches!(phase, Phase::Sent(..))) {
+                self.lose(inner, now, ticket, Failure::Silent);
+            }
             self.connect(inner);
         }
     }
@@ -860,6 +892,15 @@
         Some(self.opening.swap_remove(at).1)
     }
 
+    /// Returns the calls on a connection that are in the given phase.
+    fn calls_on(&self, conn: u64, phase: impl Fn(&Phase) -> bool) -> SmallVec<[TicketId; 8]> {
+        self.pending
+            .iter()
+            .filter(|(_, pending)| pending.conn() == Some(conn) && phase(&pending.phase))
+            .map(|(ticket, _)| *ticket)
+            .collect()
+    }
+
     fn close(&mut self) {
         self.removed = true;
         let open = self.conns.drain(..).map(|conn| conn.task);
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -8,7 +8,7 @@
     pin::Pin,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::SeqCst},
     },
     task::{Context, Poll},
     time::Duration,
@@ -48,9 +48,12 @@
 const SNAPSHOT: u64 = 7;
 
 /// How the leaf answers.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 enum Mode {
+    #[default]
     Good,
+    /// Answers after `release`.
+    Held,
     Hang,
     Endless,
     Rubbish,
@@ -62,7 +65,7 @@
     Crash,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Fake {
     mode: Mutex<Mode>,
     instance: AtomicUsize,
@@ -72,6 +75,9 @@
     /// Connections opened so far go silent.
     silent: Mutex<Vec<Arc<AtomicBool>>>,
     crash: Notify,
+    /// Ends connections as a planned stop would.
+    stop: Notify,
+    release: Notify,
     seen: Mutex<Vec<(http::HeaderMap, serde_json::Value)>>,
     running: AtomicUsize,
     peak: AtomicUsize,
@@ -144,16 +150,7 @@
         let address = listener.local_addr().expect("address");
         let fake = Arc::new(Self {
             mode: Mutex::new(mode),
-            instance: AtomicUsize::new(1),
-            mute: AtomicBool::new(false),
-            connections: AtomicUsize::new(0),
-            silent: Mutex::default(),
-            crash: Notify::new(),
-            seen: Mutex::default(),
-            running: AtomicUsize::new(0),
-            peak: AtomicUsize::new(0),
-            cancelled: AtomicUsize::new(0),
-            streamed: AtomicUsize::new(0),
+            ..Self::default()
         });
         let accepting = fake.clone();
         tokio::spawn(async move {
@@ -176,9 +173,14 @@
         let service = service_fn(move |request| fake.clone().answer(request));
         let connection = http2::Builder::new(TokioExecutor::new())
             .serve_connection(TokioIo::new(Gate(stream, gate)), service);
+        let mut connection = std::pin::pin!(connection);
         tokio::select! {
-            _ = connection => {}
+            _ = connection.as_mut() => {}
             () = self.crash.notified() => {}
+            () = self.stop.notified() => {
+                connection.as_mut().graceful_shutdown();
+                let _ = connection.await;
+            }
         }
     }
 
@@ -199,7 +201,7 @@
         let snapshot = snapshot.as_u64().unwrap_or_default();
         let response = Response::builder();
         let (response, text) = match mode {
-            Mode::Good => (response, answer(snapshot)),
+            Mode::Good | Mode::Held => (response, answer(snapshot)),
             Mode::OtherSnapshot => (response, answer(snapshot + 1)),
             Mode::Rubbish => (response, "\u{0}{\"hits\":".to_owned()),
             Mode::Conflict => (response.status(409), r#"{"snapshot":8}"#.to_owned()),
@@ -213,6 +215,7 @@
         self.seen.lock().unwrap().push((head.headers, call));
         match mode {
             Mode::Hang => pending::<()>().await,
+            Mode::Held => self.release.notified().await,
             Mode::Crash => {
                 self.crash.notify_waiters();
                 pending::<()>().await;
@@ -247,6 +250,8 @@
 
 #[derive(Debug)]
 struct TestPorts {
+    /// Microseconds by which the clock has jumped ahead.
+    jump: AtomicU64,
     lease: Mutex<Option<Time>>,
     verdict: Mutex<Verdict>,
     crashes: Mutex<Vec<CrashEvent>>,
@@ -257,7 +262,7 @@
     type Io = TcpStream;
 
     fn now(&self) -> Time {
-        Clock.now()
+        Clock.now() + Duration::from_micros(self.jump.load(SeqCst))
     }
 
     fn lease_end(&self, _partition: &PartitionId) -> Option<Time> {
@@ -307,6 +312,7 @@
         let (fake, address) = Fake::start(mode).await;
         let leaf = LeafId::from(address.to_string());
         let ports = Arc::new(TestPorts {
+            jump: AtomicU64::new(0),
             lease: Mutex::new(Some(Clock.now() + Duration::from_secs(600))),
             verdict: Mutex::new(Verdict::Known),
             crashes: Mutex::default(),
@@ -490,6 +496,39 @@
     bench.settled().await;
 }
 
+/// Guards against a pause of this process being taken for silence of the leaf.
+#[tokio::test]
+async fn pauses_are_no_silence() {
+    let bench = Bench::new(Mode::Hang).await;
+    let (_handle, mut replies) = bench.start(bench.batch("paused", 1, false));
+    eventually("the call", || bench.fake.calls() == 1).await;
+    bench.ports.jump.store(10_000_000, SeqCst);
+    assert_eq!(
+        replies.next().await.outcome,
+        Outcome::Failed(Failure::Deadline)
+    );
+    bench.settled().await;
+    bench.fake.set(Mode::Good);
+    assert_matches!(bench.ask(true).await, Outcome::Hits { .. });
+    assert_eq!(bench.fake.connections.load(SeqCst), 1);
+}
+
+/// Guards against a planned stop of a leaf that loses the calls in flight, fails the next one or counts as a crash.
+#[tokio::test]
+async fn planned_stops_lose_nothing() {
+    let bench = Bench::new(Mode::Held).await;
+    let (_handle, mut replies) = bench.start(bench.batch("held", 1, false));
+    eventually("the call", || bench.fake.calls() == 1).await;
+    bench.fake.stop.notify_waiters();
+    bench.fake.set(Mode::Good);
+    sleep(Duration::from_millis(50)).await;
+    assert_matches!(bench.ask(true).await, Outcome::Hits { .. });
+    bench.fake.release.notify_waiters();
+    assert_matches!(replies.next().await.outcome, Outcome::Hits { .. });
+    bench.settled().await;
+    assert!(bench.ports.crashes.lock().unwrap().is_empty(), "no crash");
+}
+
 /// Guards against calls handed to a leaf that accepts connections and never answers on them.
 #[tokio::test]
 async fn mute_leaves_get_no_call() {
