Query plan: randomized schedules against a model

tests/query_plan.rs drives plans through lost, late, duplicated and reordered replies, crashes, index rolls, repartition, owner changes, domains taken out, leaving and cold leaves, and checks each action against a model that knows what ran where. A default run must reach every kind of action.

--- a/src/core/query/merge.rs
+++ b/src/core/query/merge.rs
@@ -9,7 +9,7 @@
 const SELECTED: usize = 4;
 
 /// Orders hits by score descending, then by id ascending; hits whose score is not a number come last.
-pub(super) fn order(a: &Hit, b: &Hit) -> Ordering {
+fn order(a: &Hit, b: &Hit) -> Ordering {
     let by_score = match (a.score.is_nan(), b.score.is_nan()) {
         (false, false) => b.score.partial_cmp(&a.score).unwrap_or(Ordering::Equal),
         (a, b) => a.cmp(&b),
--- a/src/core/query/plan.rs
+++ b/src/core/query/plan.rs
@@ -8,7 +8,7 @@
 use super::{
     Answer, Coverage, CrashView, HedgeBudget, LeafHealth, Missing, MissingReason, Query,
     QueryError, RunOutcome, Verdict,
-    merge::{merge, order},
+    merge::merge,
     replica::{Purpose, candidates, choose, in_service, replicas},
     shard::{After, Call, Phase, ShardState, Why},
 };
@@ -120,7 +120,7 @@
     suspect: bool,
     suspicions: u8,
     cleared: Option<Time>,
-    /// The one call in flight of a suspect query.
+    /// The one call in flight that runs alone on its leaf.
     alone: Option<CallId>,
     /// Shards that wait for the end of the call sent alone.
     held: Vec<usize>,
@@ -218,7 +218,8 @@
             ran_before: false,
             finished: false,
         };
-        plan.round(now, verdict != Verdict::Known, context, out);
+        let canary = (verdict != Verdict::Known).then_some(0);
+        plan.round(now, canary, context, out);
         plan.settle(now, out);
         Ok(plan)
     }
@@ -324,11 +325,13 @@
         self.finished
     }
 
-    /// Starts the calls for the pinned snapshot, with a canary request first if `canary` is set.
+    /// Starts the calls for the pinned snapshot, with a canary request first unless `canary` is `None`.
+    ///
+    /// `canary` gives the canary requests of an earlier round that may have run.
     fn round<C: CrashView>(
         &mut self,
         now: Time,
-        canary: bool,
+        canary: Option<u8>,
         context: &mut Context<'_, C>,
         out: &mut Vec<QueryAction>,
     ) {
@@ -350,11 +353,11 @@
         if self.shards.is_empty() {
             return;
         }
-        if canary {
+        if let Some(tries) = canary {
             let index = context.rng.random_range(0..self.shards.len());
             self.canary = Some(Canary {
                 index,
-                tries: 0,
+                tries,
                 shards: 1,
             });
             context.budget.earn(1, self.policy.hedge.percent);
@@ -475,19 +478,16 @@
         if !untried && !shard.may_run && self.move_canary(now, index, context, out) {
             return;
         }
-        let shard = &self.shards[index];
-        let truncated = shard.reason == MissingReason::Truncated;
-        if !untried && (self.once || truncated) {
-            return self.close(index);
-        }
         if !untried {
-            if !self.has_replica(now, index, &[], context) {
-                if self.shards[index].sends == 0 {
-                    self.shards[index].reason = MissingReason::NoReplica;
-                }
+            let none = !self.has_replica(now, index, &[], context);
+            let shard = &mut self.shards[index];
+            if none && shard.sends == 0 {
+                shard.reason = MissingReason::NoReplica;
+            }
+            if none || self.once || shard.reason == MissingReason::Truncated {
                 return self.close(index);
             }
-            self.shards[index].tried.clear();
+            shard.tried.clear();
         }
         self.retry_later(now, index);
     }
@@ -622,7 +622,7 @@
                 canary.tries += 1;
             }
         }
-        if alone && self.suspect {
+        if alone {
             self.alone = Some(call);
         }
         context.health.sent(&leaf);
@@ -686,7 +686,7 @@
         // A second canary runs alone on its leaf: if both crash, the ledger can tell the query from chance.
         let alone = canary.is_some();
         let busy = queued || context.health.busy(now) > BUSY_SHARE;
-        if !busy && !self.suspect {
+        if !busy && !self.suspect && self.alone.is_none() {
             let target = self.pick(now, index, Purpose::Extra, context);
             if let Some((leaf, domain)) = target
                 && context.budget.spend()
@@ -779,8 +779,7 @@
             return;
         }
         if hits.len() > top {
-            hits.sort_unstable_by(order);
-            hits.truncate(top);
+            hits = merge(hits, top);
         }
         state.ran = true;
         if !complete {
@@ -823,7 +822,9 @@
         if let After::Redirect(holder) = &after {
             let info = context.map.leaves.get(&record.leaf);
             let stays = info.is_some_and(|info| in_service(info, context.domains));
-            if stays && !self.stopped && now < self.deadline && shard.redirects < MOST_REDIRECTS {
+            let only = shard.in_flight.is_empty() && shard.redirects < MOST_REDIRECTS;
+            let fit = !self.stopped && now < self.deadline && (record.alone || !self.suspect);
+            if stays && only && fit {
                 shard.redirects += 1;
                 let (leaf, domain) = (record.leaf.clone(), record.domain.clone());
                 let (why, alone) = (record.why, record.alone);
@@ -875,10 +876,18 @@
     /// Undoes the counts of a call that did not run; `refund` returns its token too.
     fn give_back<C>(&mut self, call: CallId, refund: bool, context: &mut Context<'_, C>) {
         let record = &self.calls[call.0 as usize];
-        if refund && record.why != Why::Normal {
-            context.budget.refund();
+        let (index, why) = (record.index, record.why);
+        if why != Why::Normal {
+            if refund {
+                context.budget.refund();
+            }
+        } else if let Some(copy) = self.shards[index].in_flight.first() {
+            // The first call did not run, so its copy is the only one and takes its place.
+            let copy = &mut self.calls[copy.0 as usize];
+            if mem::replace(&mut copy.why, Why::Normal) != Why::Normal {
+                context.budget.refund();
+            }
         }
-        let index = record.index;
         if let Some(canary) = self.canary.as_mut().filter(|c| c.index == index) {
             canary.tries = canary.tries.saturating_sub(1);
         }
@@ -918,6 +927,9 @@
         }
         shard.phase = Phase::Closed;
         self.pending -= 1;
+        if self.stopped && shard.sends == 0 {
+            shard.reason = MissingReason::NotRun(NotRun::Quarantined);
+        }
         if self.canary.as_ref().is_some_and(|c| c.index == index) {
             for shard in &mut self.shards {
                 if shard.phase == Phase::Waiting {
@@ -949,6 +961,15 @@
         let Some(newer) = newer.filter(|_| self.may_restart(now)) else {
             return false;
         };
+        // A snapshot whose leaves are not in service would lose the answers that have arrived.
+        if reachable(context.map, newer, context.domains) <= self.answered as usize {
+            return false;
+        }
+        let canary = match &self.canary {
+            Some(canary) if canary.tries >= CANARY_TRIES => return false,
+            Some(canary) => Some(canary.tries),
+            None => self.suspect.then_some(0),
+        };
         let ran = |shard: &&ShardState| shard.may_run || !shard.in_flight.is_empty();
         let repeats = self.shards.iter().filter(ran).count() as u32;
         if !context.budget.borrow(repeats) {
@@ -961,7 +982,6 @@
         self.ran_before = repeats > 0;
         self.map = context.map.clone();
         self.snapshot = newer;
-        let canary = self.suspect || self.canary.is_some();
         self.round(now, canary, context, out);
         true
     }
@@ -1103,3 +1123,15 @@
     };
     newest(SnapshotState::Serving).or_else(|| newest(SnapshotState::Retiring))
 }
+
+/// Returns the number of shards of a snapshot that have a replica in service.
+fn reachable(map: &ServiceMap, snapshot: SnapshotId, domains: &DomainList) -> usize {
+    let serves = |leaf: &LeafId| {
+        let info = map.leaves.get(leaf);
+        info.is_some_and(|info| in_service(info, domains))
+    };
+    let found = map.snapshots.iter().find(|s| s.id == snapshot);
+    let shards = found.map_or(&[][..], |found| &found.shards);
+    let reachable = shards.iter().filter(|s| s.leaves.iter().any(serves));
+    reachable.count()
+}
--- /dev/null
+++ b/tests/query_plan.rs
@@ -0,0 +1,987 @@
+//! Randomized schedules of queries against a small model that knows what ran where.
+//!
+//! `SCHEDULES=n` runs n schedules, `SEED=s` runs only the schedule with that seed.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    env, mem, panic,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use assert_matches::assert_matches;
+use cranberrychute::core::{
+    LeafId, NodeId, ServiceName, ShardId, SnapshotId, Time,
+    call::{Failure, Hit, LeafCall, LeafStatus, NotRun, Outcome},
+    config::*,
+    invariant,
+    query::*,
+};
+use proptest::prelude::*;
+use rand::{Rng, SeedableRng, seq::IndexedRandom};
+use rand_pcg::Pcg64;
+
+/// Held by tests that count invariant violations, which are global to the process.
+static VIOLATIONS: Mutex<()> = Mutex::new(());
+
+const DEFAULT_SCHEDULES: u64 = 2_000;
+const QUERIES: usize = 6;
+const DOMAINS: usize = 4;
+const OWNERS: u32 = 4;
+const TOP: u16 = 5;
+const NOT_RUN: [NotRun; 6] = [
+    NotRun::QueueFull,
+    NotRun::TooLate,
+    NotRun::Cold,
+    NotRun::Shed,
+    NotRun::Unreachable,
+    NotRun::UnknownLeaf,
+];
+const FAILURES: [Failure; 4] = [
+    Failure::Reset,
+    Failure::Silent,
+    Failure::BadAnswer,
+    Failure::Deadline,
+];
+/// Tokens of a new budget, and what accumulates at most apart from debt.
+const START_TOKENS: f64 = 5.0;
+
+struct Ledger(Verdict);
+
+impl CrashView for Ledger {
+    fn verdict(&self, _: Time, _: &ServiceName, _: &str) -> Verdict {
+        self.0
+    }
+}
+
+fn policy() -> ServicePolicy {
+    let text = r#"{"deadline_ms": 400, "max_deadline_ms": 2000, "max_top": 100}"#;
+    serde_json::from_str(text).expect("policy")
+}
+
+fn map(id: u64, shards: u32, replicas: usize, leaves: usize) -> ServiceMap {
+    let name = |leaf: usize| LeafId::from(format!("10.0.0.{leaf}:80"));
+    let info = |leaf: usize| LeafInfo {
+        domain: format!("d{}", leaf % DOMAINS).into(),
+        slots: 4,
+        connections: 8,
+        cold_capacity: 1,
+        leaving: false,
+    };
+    let shard = |shard: u32| Shard {
+        shard: ShardId(shard),
+        leaves: (0..replicas)
+            .map(|replica| name((shard as usize * 3 + replica) % leaves))
+            .collect(),
+    };
+    ServiceMap {
+        snapshots: vec![Snapshot {
+            id: SnapshotId(id),
+            state: SnapshotState::Serving,
+            shards: (0..shards).map(shard).collect(),
+        }],
+        leaves: (0..leaves).map(|leaf| (name(leaf), info(leaf))).collect(),
+    }
+}
+
+fn query(number: usize) -> Query {
+    Query {
+        request: format!("r{number}").into(),
+        service: "parts".into(),
+        text: "jet 0.7".into(),
+        top: TOP,
+        deadline: None,
+    }
+}
+
+/// Hits of a shard, the same at each replica: shared ids, equal scores and one score that is no number.
+fn hits(snapshot: SnapshotId, shard: ShardId) -> Vec<Hit> {
+    let hit = |(id, score): (String, f64)| Hit {
+        id: id.into(),
+        score,
+        text: format!("{snapshot}").into(),
+    };
+    let own = |rank: u32| {
+        let score = f64::from((shard.0 * 7 + rank * 3) % 11);
+        (format!("{snapshot}/{shard}/{rank}"), score)
+    };
+    let shared = (format!("{snapshot}/shared"), f64::from(shard.0 % 5));
+    let odd = (format!("{snapshot}/{shard}/odd"), f64::NAN);
+    (0..4).map(own).chain([shared, odd]).map(hit).collect()
+}
+
+/// Merges by sorting everything.
+fn naive_merge(all: impl IntoIterator<Item = Hit>, top: usize) -> Vec<Hit> {
+    let mut all: Vec<Hit> = all.into_iter().collect();
+    all.sort_by(|a, b| match (a.score.is_nan(), b.score.is_nan()) {
+        (false, false) if a.score != b.score => b.score.total_cmp(&a.score),
+        (a_odd, b_odd) => (a_odd, &a.id).cmp(&(b_odd, &b.id)),
+    });
+    let mut seen = BTreeSet::new();
+    all.retain(|hit| seen.insert(hit.id.clone()));
+    all.truncate(top);
+    all
+}
+
+/// Returns ids and scores in a form in which equal scores are equal: there are many NaN and two zeros.
+fn bits(hits: &[Hit]) -> Vec<(&str, u64)> {
+    let bits = |score: f64| {
+        if score.is_nan() {
+            1
+        } else {
+            (score + 0.0).to_bits()
+        }
+    };
+    hits.iter().map(|hit| (&*hit.id, bits(hit.score))).collect()
+}
+
+/// The shared state of one entry node.
+struct Node {
+    policy: Arc<ServicePolicy>,
+    map: Arc<ServiceMap>,
+    domains: DomainList,
+    health: LeafHealth,
+    budget: HedgeBudget,
+    ledger: Ledger,
+    rng: Pcg64,
+}
+
+impl Node {
+    fn new(shards: u32, replicas: usize) -> Self {
+        Self {
+            policy: Arc::new(policy()),
+            map: Arc::new(map(1, shards, replicas, 12)),
+            domains: DomainList::default(),
+            health: LeafHealth::default(),
+            budget: HedgeBudget::new(),
+            ledger: Ledger(Verdict::Known),
+            rng: Pcg64::seed_from_u64(7),
+        }
+    }
+
+    fn context(&mut self) -> Context<'_, Ledger> {
+        Context {
+            policy: &self.policy,
+            map: &self.map,
+            domains: &self.domains,
+            health: &mut self.health,
+            budget: &mut self.budget,
+            crash: &self.ledger,
+            rng: &mut self.rng,
+        }
+    }
+
+    fn start(&mut self, top: u16) -> (Result<QueryPlan, QueryError>, Vec<QueryAction>) {
+        let mut out = Vec::new();
+        let query = Query { top, ..query(0) };
+        let plan = QueryPlan::start(Time(0), query, &mut self.context(), &mut out);
+        (plan, out)
+    }
+
+    /// Counts which leaves get the call of a query for one shard.
+    fn spread(&mut self, statuses: &[(&LeafId, LeafStatus)]) -> BTreeMap<LeafId, u32> {
+        let mut counts = BTreeMap::new();
+        for _ in 0..1_600 {
+            for (leaf, status) in statuses {
+                self.health.status(Time(0), leaf, *status);
+            }
+            for action in self.start(1).1 {
+                if let QueryAction::Send { leaf_call, .. } = action {
+                    *counts.entry(leaf_call.leaf).or_default() += 1;
+                }
+            }
+        }
+        counts
+    }
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Begin(usize),
+    Arrive(usize, CallId),
+    Reply(usize, CallId, usize),
+    Wake(usize, Time),
+    Change,
+}
+
+/// What the model knows about one leaf call.
+struct Sent {
+    call: LeafCall,
+    at: Time,
+    owner: u32,
+    ran: bool,
+    /// Neither answered nor cancelled.
+    open: bool,
+}
+
+/// What the model knows about one query.
+#[derive(Default)]
+struct Run {
+    plan: Option<QueryPlan>,
+    once: bool,
+    fresh: bool,
+    poison: bool,
+    snapshot: SnapshotId,
+    shards: u32,
+    sent: BTreeMap<CallId, Sent>,
+    /// Shards answered completely, and the hits of truncated answers, by the pinned snapshot.
+    complete: BTreeSet<ShardId>,
+    partial: BTreeMap<ShardId, usize>,
+    /// A leaf has answered: the canary succeeded.
+    proven: bool,
+    suspect: bool,
+    cleared: Option<Time>,
+    crashes: u32,
+    restarted: bool,
+    wake: Option<Time>,
+    answer: Option<Answer>,
+}
+
+impl Run {
+    fn open(&self) -> impl Iterator<Item = &LeafCall> {
+        self.sent.values().filter(|s| s.open).map(|s| &s.call)
+    }
+
+    fn copies(&self, shard: ShardId) -> usize {
+        self.open().filter(|call| call.shard == shard).count()
+    }
+}
+
+struct World {
+    rng: Pcg64,
+    now: Time,
+    events: BinaryHeap<Reverse<(Time, u64, Event)>>,
+    order: u64,
+    outcomes: Vec<(Outcome, Option<LeafStatus>)>,
+    node: Node,
+    /// Snapshots that the leaves serve, which may differ from the map.
+    serving: BTreeSet<SnapshotId>,
+    owners: BTreeMap<LeafId, u32>,
+    /// Owners as the entry node believes; lags.
+    hints: BTreeMap<LeafId, u32>,
+    status: BTreeMap<LeafId, LeafStatus>,
+    /// Calls beyond the first that ran, and normal calls.
+    extra: u32,
+    normal: u32,
+    /// Chance of each fault in this schedule, percent.
+    faults: u32,
+    runs: Vec<Run>,
+    /// What the schedule reached, so that a run in which nothing happened can't pass.
+    reached: BTreeSet<&'static str>,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut rng = Pcg64::seed_from_u64(seed);
+        let (shards, replicas) = (rng.random_range(1..9), rng.random_range(1..4));
+        let mut node = Node::new(shards, replicas);
+        node.rng = Pcg64::seed_from_u64(seed ^ 1);
+        let policy = Arc::make_mut(&mut node.policy);
+        policy.hedge.percent = if rng.random_bool(0.5) { 10.0 } else { 2.0 };
+        policy.partial_after_ms = rng.random_bool(0.3).then_some(100);
+        policy.min_coverage = if rng.random_bool(0.5) { 0.5 } else { 1.0 };
+        if rng.random_bool(0.8) {
+            (0..200).for_each(|_| node.health.latency(Time(0), Duration::from_millis(8)));
+        }
+        let leaves = node.map.leaves.keys().cloned();
+        let owners: BTreeMap<_, _> = leaves
+            .map(|leaf| (leaf, rng.random_range(0..OWNERS)))
+            .collect();
+        let mut world = Self {
+            node,
+            now: Time::from_millis(1),
+            events: BinaryHeap::new(),
+            order: 0,
+            outcomes: Vec::new(),
+            serving: BTreeSet::from([SnapshotId(1)]),
+            hints: owners.clone(),
+            owners,
+            status: BTreeMap::new(),
+            extra: 0,
+            normal: 0,
+            faults: rng.random_range(0..25),
+            runs: (0..QUERIES).map(|_| Run::default()).collect(),
+            reached: BTreeSet::new(),
+            rng,
+        };
+        for number in 0..QUERIES {
+            let at = world.rng.random_range(0..600);
+            world.at(at * 1_000, Event::Begin(number));
+        }
+        for _ in 0..world.rng.random_range(0..8) {
+            let at = world.rng.random_range(0..800);
+            world.at(at * 1_000, Event::Change);
+        }
+        world
+    }
+
+    fn at(&mut self, micros: u64, event: Event) {
+        self.order += 1;
+        let at = self.now + Duration::from_micros(micros);
+        self.events.push(Reverse((at, self.order, event)));
+    }
+
+    fn fault(&mut self) -> bool {
+        self.rng.random_range(0..100) < self.faults
+    }
+
+    fn run(mut self) -> BTreeSet<&'static str> {
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            self.now = at;
+            match event {
+                Event::Begin(number) => self.begin(number),
+                Event::Arrive(number, call) => self.arrive(number, call),
+                Event::Reply(number, call, outcome) => self.reply(number, call, outcome),
+                Event::Wake(number, wake) if self.runs[number].wake == Some(wake) => {
+                    self.step(number, |plan, now, context, out| {
+                        plan.wake(now, context, out)
+                    });
+                }
+                Event::Wake(..) => {}
+                Event::Change => self.change(),
+            }
+        }
+        for run in &self.runs {
+            self.check_end(run);
+        }
+        let debt = 9.0;
+        let earned = f64::from(self.normal) * self.node.policy.hedge.percent / 100.0;
+        let most = START_TOKENS + earned + debt;
+        assert!(
+            f64::from(self.extra) <= most,
+            "{} extra, {most} allowed",
+            self.extra
+        );
+        self.reached
+    }
+
+    /// Gives the plan one input and checks everything it does.
+    fn step(
+        &mut self,
+        number: usize,
+        input: impl FnOnce(&mut QueryPlan, Time, &mut Context<'_, Ledger>, &mut Vec<QueryAction>),
+    ) {
+        let Some(mut plan) = self.runs[number].plan.take() else {
+            return;
+        };
+        let mut out = Vec::new();
+        self.node.ledger = Ledger(Verdict::Fresh);
+        let mut context = self.node.context();
+        input(&mut plan, self.now, &mut context, &mut out);
+        self.runs[number].plan = Some(plan);
+        self.apply(number, out);
+    }
+
+    fn begin(&mut self, number: usize) {
+        let verdict = match self.rng.random_range(0..4) {
+            0 => Verdict::Known,
+            1 => Verdict::Suspect,
+            _ => Verdict::Fresh,
+        };
+        let once = self.rng.random_bool(0.3);
+        let mut out = Vec::new();
+        self.node.ledger = Ledger(verdict);
+        let mut context = self.node.context();
+        let create = if once {
+            QueryPlan::once
+        } else {
+            QueryPlan::start
+        };
+        let plan = match create(self.now, query(number), &mut context, &mut out) {
+            Ok(plan) => plan,
+            Err(error) => {
+                assert_eq!(error, QueryError::NoSnapshot("parts".into()));
+                assert!(out.is_empty());
+                return;
+            }
+        };
+        let poison = verdict != Verdict::Known && self.rng.random_bool(0.1);
+        let run = &mut self.runs[number];
+        (run.once, run.poison, run.snapshot) = (once, poison, plan.snapshot());
+        run.fresh = verdict != Verdict::Known;
+        run.suspect = verdict == Verdict::Suspect;
+        run.plan = Some(plan);
+        self.pin(number);
+        self.apply(number, out);
+    }
+
+    fn pin(&mut self, number: usize) {
+        let run = &mut self.runs[number];
+        run.snapshot = run.plan.as_ref().expect("plan").snapshot();
+        let snapshots = &self.node.map.snapshots;
+        let pinned = snapshots.iter().find(|s| s.id == run.snapshot);
+        run.shards = pinned.expect("pinned from this map").shards.len() as u32;
+        run.complete.clear();
+        run.partial.clear();
+    }
+
+    fn apply(&mut self, number: usize, out: Vec<QueryAction>) {
+        for action in out {
+            let run = &mut self.runs[number];
+            assert!(run.answer.is_none(), "{action:?} after the end");
+            match action {
+                QueryAction::Send {
+                    call: id,
+                    leaf_call: call,
+                    owner,
+                } => {
+                    self.check_send(number, &call);
+                    let run = &mut self.runs[number];
+                    let copies = run.copies(call.shard);
+                    self.reached.insert(match (&owner, call.alone, call.extra) {
+                        (Some(_), ..) => "redirect",
+                        (_, true, _) => "alone",
+                        (.., true) if copies > 0 => "hedge",
+                        (.., true) => "retry",
+                        _ => "normal",
+                    });
+                    let hint = self.hints[&call.leaf];
+                    let sent = Sent {
+                        call,
+                        at: self.now,
+                        owner: owner.map_or(hint, |id| id.as_str().parse().expect("owner")),
+                        ran: false,
+                        open: true,
+                    };
+                    assert!(run.sent.insert(id, sent).is_none(), "call id reused");
+                    let delay = self.rng.random_range(100..3_000);
+                    self.at(delay, Event::Arrive(number, id));
+                }
+                QueryAction::Cancel(call) => {
+                    let sent = run.sent.get_mut(&call).expect("sent before");
+                    assert!(sent.open, "cancelled twice or after its reply");
+                    sent.open = false;
+                }
+                QueryAction::WakeAt(at) => {
+                    assert!(at >= self.now, "wake-up in the past");
+                    run.wake = Some(at);
+                    let delay = at.since(self.now).as_micros() as u64;
+                    self.at(delay, Event::Wake(number, at));
+                }
+                QueryAction::Finish(answer) => self.check_answer(number, answer),
+            }
+        }
+    }
+
+    /// Follows a restart on a newer snapshot.
+    fn follow(&mut self, number: usize, snapshot: SnapshotId) {
+        let run = &self.runs[number];
+        if snapshot == run.snapshot {
+            return;
+        }
+        assert!(!run.once, "an at-most-once request restarted");
+        assert!(snapshot > run.snapshot, "restart on an older snapshot");
+        assert!(!run.restarted, "second restart");
+        self.runs[number].restarted = true;
+        self.reached.insert("restart");
+        self.pin(number);
+        assert_eq!(snapshot, self.runs[number].snapshot, "not pinned");
+    }
+
+    fn check_send(&mut self, number: usize, call: &LeafCall) {
+        self.follow(number, call.snapshot);
+        let (run, shard) = (&self.runs[number], call.shard);
+        let plan = run.plan.as_ref().expect("plan");
+        assert!(self.now < plan.deadline(), "call after the deadline");
+        let info = &self.node.map.leaves[&call.leaf];
+        let out = &self.node.domains.out;
+        assert!(!info.leaving, "call to a leaving leaf");
+        assert!(!out.contains(&info.domain), "domain is out");
+        assert!(!run.complete.contains(&shard), "call for a covered shard");
+        let copies = run.copies(shard);
+        assert!(copies < 3, "more than three copies in flight");
+        if run.once {
+            let ran = |sent: &Sent| sent.call.shard == shard && sent.ran;
+            assert_eq!(copies, 0, "at-most-once call hedged");
+            assert!(!run.sent.values().any(ran), "at-most-once call ran");
+            assert!(call.once && !call.extra);
+        }
+        if copies > 0 {
+            let status = self.status.get(&call.leaf);
+            assert!(call.extra, "a hedge is extra load");
+            assert!(status.is_none_or(|s| s.queued == 0), "hedge into a queue");
+            assert!(!run.suspect, "hedge of a suspect query");
+        }
+        if run.suspect && !run.once {
+            assert!(call.alone, "a suspect query is not alone");
+            assert!(!run.open().any(|c| c.alone), "two suspect calls");
+        }
+        if run.fresh && !run.proven {
+            let ran = run.sent.values().filter(|sent| sent.ran).count();
+            assert!(run.open().all(|c| c.shard == shard), "no canary");
+            assert!(ran < 2, "third canary request");
+        }
+    }
+
+    /// The owner or the leaf gets a call.
+    fn arrive(&mut self, number: usize, id: CallId) {
+        let sent = &self.runs[number].sent[&id];
+        let (call, asked) = (sent.call.clone(), sent.owner);
+        if !sent.open && self.rng.random_bool(0.5) {
+            return;
+        }
+        let owner = self.owners[&call.leaf];
+        let mut status = LeafStatus {
+            cold: self.rng.random_bool(0.1),
+            spare: self.rng.random_range(0..4),
+            queued: 0,
+            median: 4_000,
+        };
+        if status.spare == 0 && self.rng.random_bool(0.3) {
+            status.queued = 2;
+        }
+        let mut delay = self.rng.random_range(1_000..9_000);
+        let mut ran = false;
+        let outcome = if asked != owner {
+            let holder = match self.rng.random_range(0..4) {
+                0 => None,
+                1 => Some(self.rng.random_range(0..OWNERS)),
+                _ => Some(owner),
+            };
+            let holder = holder.map(|owner| NodeId::from(owner.to_string()));
+            Outcome::NotRun(NotRun::NotOwner { holder })
+        } else if self.fault() {
+            let reason = NOT_RUN.choose(&mut self.rng).expect("reasons");
+            Outcome::NotRun(reason.clone())
+        } else if !self.serving.contains(&call.snapshot) {
+            let serving = self.serving.last().copied();
+            Outcome::WrongSnapshot { serving }
+        } else {
+            ran = true;
+            self.execute(number, &call, &mut delay)
+        };
+        if ran {
+            let run = &mut self.runs[number];
+            run.sent.get_mut(&id).expect("sent").ran = true;
+            let same = |s: &&Sent| s.ran && s.call.shard == call.shard;
+            let copies = run.sent.values().filter(same).count();
+            assert!(copies == 1 || !run.once, "at-most-once call ran twice");
+            match copies {
+                1 => self.normal += 1,
+                _ => self.extra += 1,
+            }
+        }
+        // A reply that is lost together with its connection turns into a failure, or never comes.
+        let lost = self.fault();
+        let (outcome, status) = match lost {
+            true => (Outcome::Failed(Failure::OwnerLost), None),
+            false => (outcome, Some(status)),
+        };
+        if lost && self.rng.random_bool(0.3) {
+            return;
+        }
+        self.outcomes.push((outcome, status));
+        let reply = self.outcomes.len() - 1;
+        self.at(delay, Event::Reply(number, id, reply));
+        if self.fault() {
+            let delay = delay + self.rng.random_range(0..500_000);
+            self.at(delay, Event::Reply(number, id, reply));
+        }
+    }
+
+    /// A leaf runs a call.
+    fn execute(&mut self, number: usize, call: &LeafCall, delay: &mut u64) -> Outcome {
+        if self.fault() {
+            *delay = self.rng.random_range(20_000..700_000);
+        }
+        if self.runs[number].poison {
+            self.runs[number].crashes += 1;
+            return Outcome::Failed(Failure::Reset);
+        }
+        if self.fault() {
+            let failure = FAILURES.choose(&mut self.rng).expect("failures");
+            return Outcome::Failed(*failure);
+        }
+        let (mut snapshot, mut shard) = (call.snapshot, call.shard);
+        if self.fault() && self.rng.random_bool(0.3) {
+            snapshot.0 += 1;
+        } else if self.fault() && self.rng.random_bool(0.3) {
+            shard.0 += 1;
+        }
+        let complete = !self.fault();
+        let mut hits = hits(snapshot, shard);
+        if !complete {
+            hits.truncate(2);
+        }
+        Outcome::Hits {
+            snapshot,
+            shard,
+            complete,
+            hits,
+        }
+    }
+
+    fn reply(&mut self, number: usize, id: CallId, reply: usize) {
+        let (outcome, status) = self.outcomes[reply].clone();
+        let now = self.now;
+        let run = &mut self.runs[number];
+        let sent = run.sent.get_mut(&id).expect("sent");
+        if let Some(status) = status {
+            self.status.insert(sent.call.leaf.clone(), status);
+        }
+        if mem::take(&mut sent.open) {
+            let (at, alone, wanted) = (sent.at, sent.call.alone, sent.call.shard);
+            match &outcome {
+                Outcome::Hits {
+                    snapshot,
+                    shard,
+                    complete,
+                    hits,
+                } if *snapshot == run.snapshot && *shard == wanted => {
+                    run.proven = true;
+                    if alone && run.suspect {
+                        (run.suspect, run.cleared) = (false, Some(now));
+                    }
+                    match complete {
+                        true => drop(run.complete.insert(wanted)),
+                        false => drop(run.partial.insert(wanted, hits.len())),
+                    }
+                }
+                Outcome::Failed(Failure::Reset) if run.cleared.is_none_or(|c| at > c) => {
+                    run.suspect = true;
+                }
+                _ => {}
+            }
+        }
+        self.step(number, |plan, now, context, out| {
+            plan.reply(now, id, outcome, status, context, out);
+        });
+    }
+
+    /// Index roll, repartition, owner change, a domain out or back, a leaf leaving.
+    fn change(&mut self) {
+        let mut changed = (*self.node.map).clone();
+        let leaf = LeafId::from(format!("10.0.0.{}:80", self.rng.random_range(0..12)));
+        match self.rng.random_range(0..6) {
+            0 => {
+                let newest = changed.snapshots.iter().map(|s| s.id.0).max().unwrap_or(0);
+                let shards = self.rng.random_range(1..9);
+                let next = map(newest + 1, shards, self.rng.random_range(1..4), 12);
+                let old = changed.snapshots.iter_mut();
+                old.for_each(|s| s.state = SnapshotState::Retiring);
+                changed.snapshots.extend(next.snapshots);
+                self.serving.insert(SnapshotId(newest + 1));
+            }
+            1 => {
+                let oldest = self.serving.pop_first();
+                let listed = self.rng.random_bool(0.5);
+                changed.snapshots.retain(|s| listed || Some(s.id) != oldest);
+            }
+            2 => {
+                let shards = changed.snapshots.iter_mut().flat_map(|s| &mut s.shards);
+                shards.for_each(|shard| shard.leaves.rotate_left(1));
+                changed.leaves.remove(&leaf);
+            }
+            3 => {
+                let owner = self.rng.random_range(0..OWNERS);
+                self.owners.insert(leaf.clone(), owner);
+                if self.rng.random_bool(0.5) {
+                    self.hints.insert(leaf, owner);
+                }
+            }
+            4 => {
+                let domain = format!("d{}", self.rng.random_range(0..DOMAINS)).into();
+                if !self.node.domains.out.remove(&domain) {
+                    self.node.domains.out.insert(domain);
+                }
+            }
+            _ => {
+                if let Some(info) = changed.leaves.get_mut(&leaf) {
+                    info.leaving = !info.leaving;
+                }
+            }
+        }
+        self.node.map = Arc::new(changed);
+    }
+
+    fn check_answer(&mut self, number: usize, answer: Answer) {
+        self.follow(number, answer.snapshot);
+        let run = &self.runs[number];
+        let plan = run.plan.as_ref().expect("plan");
+        let policy = &self.node.policy;
+        assert!(plan.is_finished());
+        assert!(self.now <= plan.deadline(), "answer after the deadline");
+        assert_eq!(answer.request, plan.query().request);
+        let answered = run.complete.len() as u32;
+        let true_coverage = Coverage {
+            answered,
+            shards: run.shards,
+        };
+        assert_eq!(answer.coverage, true_coverage);
+        let missing = answer.missing.iter().map(|m| m.shard);
+        let all = (0..run.shards).map(ShardId);
+        assert!(missing.eq(all.filter(|s| !run.complete.contains(s))));
+        let shards = run.complete.iter().map(|shard| (shard, usize::MAX));
+        let part = run.partial.iter().map(|(shard, count)| (shard, *count));
+        let part = part.filter(|(shard, _)| !run.complete.contains(shard));
+        let hits = shards
+            .chain(part)
+            .flat_map(|(shard, count)| hits(run.snapshot, *shard).into_iter().take(count));
+        assert_eq!(bits(&answer.hits), bits(&naive_merge(hits, TOP.into())));
+        let late = |m: &Missing| m.reason == MissingReason::Late;
+        let early = self.now < plan.deadline() && answer.missing.iter().any(late);
+        if early {
+            assert!(policy.partial_after_ms.is_some() && !run.once, "{answer:?}");
+            assert!(answer.coverage.share() >= policy.min_coverage);
+        }
+        self.reached.insert(match (run.once, answer.outcome) {
+            (false, _) if early => "early",
+            (false, _) => "repeatable",
+            (true, RunOutcome::Done) => "done",
+            (true, RunOutcome::NotRun) => "not run",
+            (true, RunOutcome::Unknown) => "unknown",
+        });
+        self.runs[number].answer = Some(answer);
+    }
+
+    fn check_end(&self, run: &Run) {
+        assert!(run.plan.is_none() || run.answer.is_some(), "no answer");
+        let Some(answer) = &run.answer else { return };
+        let ran = run.sent.values().filter(|sent| sent.ran).count();
+        match answer.outcome {
+            RunOutcome::NotRun => assert_eq!(ran, 0, "\"not run\" but {ran} calls ran"),
+            RunOutcome::Done if run.once => {
+                let answered: BTreeSet<_> = run.complete.iter().chain(run.partial.keys()).collect();
+                assert_eq!(ran, answered.len(), "ran without answer");
+                assert!(ran > 0, "\"done\" but nothing ran");
+            }
+            _ => {}
+        }
+        if run.poison {
+            assert!(run.crashes <= 2, "one query crashed {} leaves", run.crashes);
+        }
+    }
+}
+
+/// Guards against hits of two snapshots in one answer, untrue coverage, "not run" that ran, hedges beyond the
+/// budget, repeated at-most-once calls, calls to leaves that must get none, and queries that never end.
+#[test]
+fn schedules_keep_the_invariants() {
+    let _alone = VIOLATIONS.lock().expect("no failed test before");
+    let number = |name| env::var(name).ok()?.parse::<u64>().ok();
+    let seeds = match (number("SEED"), number("SCHEDULES")) {
+        (Some(seed), _) => seed..seed + 1,
+        (None, count) => 0..count.unwrap_or(DEFAULT_SCHEDULES),
+    };
+    let all = seeds.end - seeds.start >= 100;
+    let before = invariant::violations();
+    let mut reached = BTreeSet::new();
+    for seed in seeds {
+        let run = || World::new(seed).run();
+        reached.append(&mut panic::catch_unwind(run).unwrap_or_else(|panic| {
+            println!("failed: SEED={seed} cargo test --test query_plan schedules");
+            panic::resume_unwind(panic)
+        }));
+        assert_eq!(invariant::violations(), before, "seed {seed}");
+    }
+    let kinds = [
+        "alone",
+        "done",
+        "early",
+        "hedge",
+        "normal",
+        "not run",
+        "redirect",
+        "repeatable",
+        "restart",
+        "retry",
+        "unknown",
+    ];
+    assert!(
+        !all || reached == BTreeSet::from(kinds),
+        "only {reached:?} reached"
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against a merge that loses, repeats or misorders hits, with scores that are no numbers too.
+    #[test]
+    fn merge_keeps_the_best(
+        shards in prop::collection::vec(
+            prop::collection::vec((0_u8..40, prop_oneof![Just(f64::NAN), Just(-0.0), any::<f64>()]), 0..30),
+            1..5,
+        ),
+        top in 1_u16..12,
+    ) {
+        let mut node = Node::new(shards.len() as u32, 1);
+        let (plan, mut out) = node.start(top);
+        let mut plan = plan.expect("plan");
+        let hit = |(id, score): (u8, f64)| Hit { id: id.to_string().into(), score, text: "".into() };
+        let shards: Vec<Vec<Hit>> =
+            shards.into_iter().map(|hits| hits.into_iter().map(hit).collect()).collect();
+        for (number, hits) in shards.iter().enumerate() {
+            let outcome = Outcome::Hits {
+                snapshot: SnapshotId(1),
+                shard: ShardId(number as u32),
+                complete: true,
+                hits: hits.clone(),
+            };
+            let call = CallId(number as u32);
+            plan.reply(Time(1), call, outcome, None, &mut node.context(), &mut out);
+        }
+        let Some(QueryAction::Finish(answer)) = out.pop() else { panic!("no answer") };
+        let expected = naive_merge(shards.concat(), top.into());
+        prop_assert_eq!(bits(&answer.hits), bits(&expected));
+    }
+}
+
+/// Guards against a reply of another plan that is merged, and against one that goes unnoticed.
+#[test]
+fn foreign_reply_is_refused_and_counted() {
+    let _alone = VIOLATIONS.lock().expect("no failed test before");
+    let mut node = Node::new(1, 1);
+    let (plan, _) = node.start(TOP);
+    let (mut plan, mut out, before) = (plan.expect("plan"), Vec::new(), invariant::violations());
+    let outcome = Outcome::NotRun(NotRun::Shed);
+    plan.reply(
+        Time(1),
+        CallId(9),
+        outcome,
+        None,
+        &mut node.context(),
+        &mut out,
+    );
+    assert_eq!((out.len(), invariant::violations()), (0, before + 1));
+}
+
+/// Guards against a quarantined or invalid query that reaches a leaf, and a refusal that is not true.
+#[test]
+fn refused_queries_send_nothing() {
+    let mut node = Node::new(1, 1);
+    let (plan, out) = node.start(101);
+    let error = plan.expect_err("too many hits");
+    assert!(error.not_run() && out.is_empty(), "{error}");
+    node.ledger = Ledger(Verdict::Quarantined);
+    let (plan, out) = node.start(1);
+    let error = plan.expect_err("quarantined");
+    assert!(
+        !error.not_run() && out.is_empty(),
+        "an earlier copy may have run: {error}"
+    );
+}
+
+/// Guards against a cold leaf that gets more than trial calls or none at all, and against load that ignores
+/// the owners' queues.
+#[test]
+fn choice_prefers_warm_and_idle_leaves() {
+    let mut node = Node::new(1, 2);
+    let leaves = node.map.snapshots[0].shards[0].leaves.clone();
+    let idle = LeafStatus {
+        cold: false,
+        spare: 4,
+        queued: 0,
+        median: 4_000,
+    };
+    let cold = LeafStatus {
+        cold: true,
+        spare: 1,
+        ..idle
+    };
+    let counts = node.spread(&[(&leaves[0], idle), (&leaves[1], cold)]);
+    assert!(
+        (50..200).contains(&counts[&leaves[1]]),
+        "trial calls: {counts:?}"
+    );
+    let busy = LeafStatus {
+        spare: 0,
+        queued: 8,
+        ..idle
+    };
+    let counts = node.spread(&[(&leaves[0], idle), (&leaves[1], busy)]);
+    assert_eq!(counts[&leaves[0]], 1_600, "{counts:?}");
+    let full = LeafStatus { spare: 0, ..cold };
+    let counts = node.spread(&[(&leaves[0], full), (&leaves[1], busy)]);
+    assert_eq!(
+        counts[&leaves[1]], 1_600,
+        "a cold leaf without room is the last choice: {counts:?}"
+    );
+}
+
+/// Guards against hedges into a queue, a hedge that is never sent, and a slower copy that keeps running.
+#[test]
+fn hedge_waits_for_the_queue_and_cancels_the_loser() {
+    let mut node = Node::new(1, 2);
+    (0..100).for_each(|_| node.health.latency(Time(0), Duration::from_millis(8)));
+    node.budget.earn(1_000, 2.0);
+    let (plan, out) = node.start(TOP);
+    let mut plan = plan.expect("plan");
+    let Some(QueryAction::Send { leaf_call, .. }) = out.first() else {
+        panic!("{out:?}")
+    };
+    let status = |queued| LeafStatus {
+        queued,
+        spare: 4,
+        ..LeafStatus::default()
+    };
+    let mut wake = |queued, millis, out: &mut Vec<_>| {
+        let now = Time::from_millis(millis);
+        node.health.status(now, &leaf_call.leaf, status(queued));
+        plan.wake(now, &mut node.context(), out);
+    };
+    let mut out = Vec::new();
+    wake(1, 10, &mut out);
+    assert_matches!(
+        out[..],
+        [QueryAction::WakeAt(_)],
+        "the owner reports a queue"
+    );
+    out.clear();
+    wake(0, 20, &mut out);
+    assert_matches!(&out[..], [QueryAction::Send { leaf_call: hedge, .. }, ..]
+        if hedge.extra && hedge.leaf != leaf_call.leaf);
+    let outcome = Outcome::Hits {
+        snapshot: SnapshotId(1),
+        shard: ShardId(0),
+        complete: true,
+        hits: Vec::new(),
+    };
+    out.clear();
+    let now = Time::from_millis(21);
+    plan.reply(now, CallId(1), outcome, None, &mut node.context(), &mut out);
+    assert_matches!(&out[..], [QueryAction::Cancel(CallId(0)), QueryAction::Finish(answer)]
+        if answer.coverage == Coverage { answered: 1, shards: 1 });
+}
+
+/// Guards against unbounded or outdated knowledge of leaves, and against wrong quantiles.
+#[test]
+fn health_is_bounded_in_memory_and_age() {
+    let mut health = LeafHealth::new(HealthSettings {
+        leaves: 100,
+        ..HealthSettings::default()
+    });
+    for number in 0..1_000 {
+        health.status(
+            Time(0),
+            &LeafId::from(format!("l{number}")),
+            LeafStatus::default(),
+        );
+        health.latency(Time(0), Duration::from_millis(number));
+    }
+    let (last, age) = (LeafId::from("l999"), HealthSettings::default().status_age);
+    assert!(health.len() <= 100, "{} leaves", health.len());
+    assert!(health.leaf(Time(1), &last).is_some() && health.leaf(Time(0) + age, &last).is_none());
+    let p99 = health
+        .quantile(Time(1), 0.99)
+        .expect("enough samples")
+        .as_millis();
+    assert!((989..=1_055).contains(&p99), "p99 is {p99} ms");
+}
+
+/// Guards against extra calls beyond the budget in the long run, debt included.
+#[test]
+fn budget_pays_for_two_percent() {
+    let mut budget = HedgeBudget::new();
+    let mut paid = 0;
+    for _ in 0..10_000 {
+        budget.earn(10, 2.0);
+        paid += u32::from(budget.spend());
+        paid += if budget.borrow(7) { 7 } else { 0 };
+    }
+    assert!(
+        (1_950..=2_015).contains(&paid),
+        "{paid} extra of 100,000 calls"
+    );
+}
