At-most-once keys: randomized schedules that count real executions

tests/at_most_once.rs runs three nodes with their own clocks; callers resend to any node, nodes are killed, restarted with a new incarnation and paused, copies arrive up to 45 s late (keys live 30 s), with another body, or while the table is full. After every event: no leaf call of a key ran twice, no "not run" was told about a key that ran, and all copies got the same answer.

--- /dev/null
+++ b/tests/at_most_once.rs
@@ -0,0 +1,535 @@
+//! Randomized schedules of callers that resend at-most-once requests to any node, counting what really ran.
+//!
+//! `SCHEDULES=n` runs n schedules, `SEED=s` runs only the schedule with that seed.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    env, panic,
+    sync::{Arc, Mutex},
+    time::{Duration, UNIX_EPOCH},
+};
+
+use assert_matches::assert_matches;
+use cranberrychute::core::{
+    Incarnation, NodeId, ServiceName, ShardId, SnapshotId, Time,
+    call::{Failure, NotRun, Outcome},
+    config::{DomainList, ServiceMap, ServicePolicy},
+    invariant,
+    once::*,
+    query::*,
+};
+use proptest::prelude::*;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+/// Held by tests that count invariant violations, which are global to the process.
+static VIOLATIONS: Mutex<()> = Mutex::new(());
+
+const DEFAULT_SCHEDULES: u64 = 2_000;
+const NODES: usize = 3;
+const REQUESTS: usize = 6;
+const COPIES: u32 = 5;
+const SECOND: u64 = 1_000_000;
+/// Keys of one node's table; small, so that schedules reach the bound.
+const MOST_KEYS: usize = 4;
+const POLICY: &str = r#"{"deadline_ms": 2000, "max_deadline_ms": 9000, "max_top": 100}"#;
+const MAP: &str = r#"{
+    "snapshots": [{"id": 1, "state": "serving", "shards": [
+        {"shard": 0, "leaves": ["a:1", "b:1"]}, {"shard": 1, "leaves": ["a:2", "b:2"]}]}],
+    "leaves": {
+        "a:1": {"domain": "a", "slots": 2, "connections": 4},
+        "a:2": {"domain": "a", "slots": 2, "connections": 4},
+        "b:1": {"domain": "b", "slots": 2, "connections": 4},
+        "b:2": {"domain": "b", "slots": 2, "connections": 4}}}"#;
+
+struct Ledger(Verdict);
+
+impl CrashView for Ledger {
+    fn verdict(&self, _: Time, _: &ServiceName, _: &str) -> Verdict {
+        self.0
+    }
+}
+
+fn fleet() -> FleetKey {
+    FleetKey::new(b"secret of the fleet")
+}
+
+fn table(node: usize, incarnation: u64, keys: usize) -> KeyTable {
+    let settings = KeySettings {
+        keys,
+        ..KeySettings::default()
+    };
+    let id = NodeId::from(node.to_string());
+    KeyTable::new(id, Incarnation(incarnation), fleet(), settings)
+}
+
+/// A node: its table, and the plans and waiting copies of the requests that run.
+struct Node {
+    table: KeyTable,
+    incarnation: u64,
+    /// Offset of its clock.
+    offset: Duration,
+    paused: Time,
+    running: BTreeMap<u64, (usize, QueryPlan)>,
+    waiting: BTreeMap<u64, Vec<usize>>,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Issue(usize),
+    /// A copy of a request, with its body.
+    Copy(usize, u8),
+    /// A leaf gets a call of a request from an incarnation of a node.
+    Execute(usize, u64, u64, CallId, ShardId),
+    Reply(u64, u64, CallId, ShardId, Option<bool>),
+    Wake(u64, u64),
+    Kill,
+    Pause(u64),
+}
+
+#[derive(Default)]
+struct Request {
+    key: Option<String>,
+    issuer: usize,
+    ran: BTreeMap<ShardId, u32>,
+    bodies: BTreeSet<u8>,
+    told: Vec<OnceOutcome>,
+}
+
+struct World {
+    rng: Pcg64,
+    now: Time,
+    events: BinaryHeap<Reverse<(Time, u64, usize, Event)>>,
+    order: u64,
+    nodes: Vec<Node>,
+    requests: Vec<Request>,
+    policy: Arc<ServicePolicy>,
+    map: Arc<ServiceMap>,
+    health: LeafHealth,
+    budget: HedgeBudget,
+    reached: BTreeSet<&'static str>,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut rng = Pcg64::seed_from_u64(seed);
+        let node = |number| Node {
+            table: table(number, 0, MOST_KEYS),
+            incarnation: 0,
+            offset: Duration::from_secs(number as u64 * 1_000),
+            paused: Time(0),
+            running: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+        };
+        let mut world = Self {
+            now: Time(0),
+            events: BinaryHeap::new(),
+            order: 0,
+            nodes: (0..NODES).map(node).collect(),
+            requests: (0..REQUESTS).map(|_| Request::default()).collect(),
+            policy: Arc::new(serde_json::from_str(POLICY).expect("policy")),
+            map: Arc::new(serde_json::from_str(MAP).expect("map")),
+            health: LeafHealth::default(),
+            budget: HedgeBudget::new(),
+            reached: BTreeSet::new(),
+            rng: Pcg64::seed_from_u64(seed ^ 1),
+        };
+        for request in 0..REQUESTS {
+            let node = rng.random_range(0..NODES);
+            world.at(
+                rng.random_range(0..40 * SECOND),
+                node,
+                Event::Issue(request),
+            );
+        }
+        for _ in 0..rng.random_range(0..4) {
+            let (at, node) = (rng.random_range(0..60 * SECOND), rng.random_range(0..NODES));
+            let event = match rng.random_bool(0.5) {
+                true => Event::Kill,
+                false => Event::Pause(rng.random_range(0..40 * SECOND)),
+            };
+            world.at(at, node, event);
+        }
+        world
+    }
+
+    fn at(&mut self, micros: u64, node: usize, event: Event) {
+        self.order += 1;
+        let at = self.now + Duration::from_micros(micros);
+        self.events.push(Reverse((at, self.order, node, event)));
+    }
+
+    fn run(mut self) -> BTreeSet<&'static str> {
+        while let Some(Reverse((at, _, node, event))) = self.events.pop() {
+            self.now = at;
+            let paused = self.nodes[node].paused;
+            let on_leaf = matches!(event, Event::Execute(..));
+            if paused > at && !on_leaf && event != Event::Kill {
+                self.at(paused.since(at).as_micros() as u64, node, event);
+                continue;
+            }
+            let incarnation = self.nodes[node].incarnation;
+            match event {
+                Event::Issue(request) => self.issue(node, request),
+                Event::Copy(request, body) => self.copy(node, request, body),
+                Event::Execute(request, from, serial, call, shard) => {
+                    self.execute(node, request, (from, serial, call), shard);
+                }
+                Event::Reply(from, serial, call, shard, answer) if from == incarnation => {
+                    self.reply(node, serial, (call, shard), answer);
+                }
+                Event::Wake(from, serial) if from == incarnation => {
+                    self.step(node, serial, |plan, now, context, out| {
+                        plan.wake(now, context, out)
+                    });
+                }
+                Event::Reply(..) | Event::Wake(..) => {}
+                Event::Kill => self.kill(node),
+                Event::Pause(micros) => {
+                    self.nodes[node].paused = at + Duration::from_micros(micros)
+                }
+            }
+            self.check();
+        }
+        self.reached
+    }
+
+    /// Checks what the callers were told against what ran so far.
+    fn check(&self) {
+        for request in &self.requests {
+            assert!(
+                request.ran.values().all(|count| *count == 1),
+                "ran more than once"
+            );
+            assert!(request.bodies.len() <= 1, "one key ran two bodies");
+            let not_run = request
+                .told
+                .iter()
+                .any(|told| told.run == RunOutcome::NotRun);
+            assert!(!not_run || request.ran.is_empty(), "\"not run\" but it ran");
+            assert!(
+                request.told.windows(2).all(|told| told[0] == told[1]),
+                "answers differ"
+            );
+        }
+        assert!(self.nodes.iter().all(|node| node.table.len() <= MOST_KEYS));
+    }
+
+    fn kill(&mut self, node: usize) {
+        let (killed, incarnation) = (&mut self.nodes[node], self.rng.random());
+        killed.table = table(node, incarnation, MOST_KEYS);
+        (killed.incarnation, killed.paused) = (incarnation, Time(0));
+        killed.running.clear();
+        killed.waiting.clear();
+    }
+
+    fn issue(&mut self, node: usize, request: usize) {
+        let issuer = &mut self.nodes[node];
+        let Ok(key) = issuer.table.issue(self.now + issuer.offset, UNIX_EPOCH) else {
+            self.reached.insert("full");
+            return;
+        };
+        self.requests[request].key = Some(issuer.table.encode(&key));
+        self.requests[request].issuer = node;
+        for copy in 0..self.rng.random_range(1..=COPIES) {
+            let body = u8::from(copy > 0 && self.rng.random_bool(0.1));
+            let late = if self.rng.random_bool(0.2) { 45 } else { 4 };
+            let (delay, to) = (
+                self.rng.random_range(0..late * SECOND),
+                self.rng.random_range(0..NODES),
+            );
+            self.at(delay, to, Event::Copy(request, body));
+        }
+    }
+
+    fn copy(&mut self, node: usize, request: usize, body: u8) {
+        let key = self.requests[request].key.clone().expect("issued");
+        let here = &mut self.nodes[node];
+        match here.table.begin(self.now + here.offset, &key, [body; 32]) {
+            Begin::Run { serial } => self.start(node, serial, request, body),
+            Begin::Attach { serial } => {
+                self.reached.insert("attach");
+                let waiting = here.waiting.get_mut(&serial);
+                waiting.expect("a copy runs").push(request);
+            }
+            Begin::Replay(outcome) => {
+                self.reached.insert("replay");
+                self.requests[request].told.push(outcome);
+            }
+            Begin::Forward { node: issuer, .. } => {
+                assert_eq!(issuer.as_str(), self.requests[request].issuer.to_string());
+                let (to, delay) = (
+                    self.requests[request].issuer,
+                    self.rng.random_range(0..SECOND),
+                );
+                self.at(delay, to, Event::Copy(request, body));
+            }
+            Begin::Unknown => drop(self.reached.insert("restarted")),
+            Begin::Error(error) => {
+                assert!(!error.not_run(), "{error} says \"not run\"");
+                assert_matches!(error, OnceError::Expired | OnceError::BodyMismatch);
+                self.reached.insert("refused");
+            }
+        }
+    }
+
+    fn start(&mut self, node: usize, serial: u64, request: usize, body: u8) {
+        self.nodes[node].waiting.insert(serial, vec![request]);
+        if self.rng.random_bool(0.1) {
+            return self.finish(node, serial, OnceOutcome::not_run("the node is isolated"));
+        }
+        let query = Query {
+            request: format!("{request}").into(),
+            service: "orders".into(),
+            text: format!("order {body}").into(),
+            top: 1,
+            deadline: None,
+        };
+        let mut out = Vec::new();
+        let verdict = [Verdict::Known, Verdict::Fresh][self.rng.random_range(0..2)];
+        let now = self.now + self.nodes[node].offset;
+        let mut context = Context {
+            policy: &self.policy,
+            map: &self.map,
+            domains: &DomainList::default(),
+            health: &mut self.health,
+            budget: &mut self.budget,
+            crash: &Ledger(verdict),
+            rng: &mut self.rng,
+        };
+        let plan = QueryPlan::once(now, query, &mut context, &mut out).expect("plan");
+        self.nodes[node].running.insert(serial, (request, plan));
+        self.requests[request].bodies.insert(body);
+        self.apply(node, serial, out);
+    }
+
+    fn step(
+        &mut self,
+        node: usize,
+        serial: u64,
+        input: impl FnOnce(&mut QueryPlan, Time, &mut Context<'_, Ledger>, &mut Vec<QueryAction>),
+    ) {
+        let here = &mut self.nodes[node];
+        let Some((_, plan)) = here.running.get_mut(&serial) else {
+            return;
+        };
+        let mut out = Vec::new();
+        let mut context = Context {
+            policy: &self.policy,
+            map: &self.map,
+            domains: &DomainList::default(),
+            health: &mut self.health,
+            budget: &mut self.budget,
+            crash: &Ledger(Verdict::Fresh),
+            rng: &mut self.rng,
+        };
+        input(plan, self.now + here.offset, &mut context, &mut out);
+        self.apply(node, serial, out);
+    }
+
+    fn apply(&mut self, node: usize, serial: u64, out: Vec<QueryAction>) {
+        let (now, incarnation) = (
+            self.now + self.nodes[node].offset,
+            self.nodes[node].incarnation,
+        );
+        let request = self.nodes[node].running[&serial].0;
+        for action in out {
+            match action {
+                QueryAction::Send {
+                    call, leaf_call, ..
+                } => {
+                    let delay = self.rng.random_range(0..SECOND);
+                    let event = Event::Execute(request, incarnation, serial, call, leaf_call.shard);
+                    self.at(delay, node, event);
+                }
+                QueryAction::Cancel(_) => {}
+                QueryAction::WakeAt(at) => {
+                    let delay = at.since(now).as_micros() as u64;
+                    self.at(delay, node, Event::Wake(incarnation, serial));
+                }
+                QueryAction::Finish(answer) => {
+                    self.finish(node, serial, OnceOutcome::answered(Arc::new(answer)));
+                }
+            }
+        }
+    }
+
+    fn finish(&mut self, node: usize, serial: u64, outcome: OnceOutcome) {
+        let here = &mut self.nodes[node];
+        here.running.remove(&serial);
+        let outcome = here.table.finish(self.now + here.offset, serial, outcome);
+        self.reached.insert(match outcome.run {
+            RunOutcome::Done => "done",
+            RunOutcome::NotRun => "not run",
+            RunOutcome::Unknown => "unknown",
+        });
+        for request in here.waiting.remove(&serial).expect("waiting copies") {
+            self.requests[request].told.push(outcome.clone());
+        }
+    }
+
+    /// A leaf runs a call or refuses it; its reply may be lost.
+    fn execute(&mut self, node: usize, request: usize, from: (u64, u64, CallId), shard: ShardId) {
+        let (incarnation, serial, call) = from;
+        let answer = match self.rng.random_range(0..4) {
+            0 => Some(false),
+            other => {
+                *self.requests[request].ran.entry(shard).or_default() += 1;
+                (other > 1).then_some(true)
+            }
+        };
+        for _ in 0..self.rng.random_range(0..3) {
+            let delay = self.rng.random_range(0..3 * SECOND);
+            self.at(
+                delay,
+                node,
+                Event::Reply(incarnation, serial, call, shard, answer),
+            );
+        }
+    }
+
+    /// `answer` is true for hits, false for "not run" and absent for a failure.
+    fn reply(&mut self, node: usize, serial: u64, from: (CallId, ShardId), answer: Option<bool>) {
+        let (call, shard) = from;
+        let outcome = match answer {
+            Some(true) => Outcome::Hits {
+                snapshot: SnapshotId(1),
+                shard,
+                complete: true,
+                hits: Vec::new(),
+            },
+            Some(false) => Outcome::NotRun(NotRun::Unreachable),
+            None => Outcome::Failed(Failure::OwnerLost),
+        };
+        self.step(node, serial, |plan, now, context, out| {
+            plan.reply(now, call, outcome, None, context, out);
+        });
+    }
+}
+
+/// Guards against a request that runs twice, "not run" that ran or runs later, and copies that get different
+/// answers, while nodes are killed, restarted and paused and copies arrive anywhere and late.
+#[test]
+fn schedules_run_each_key_at_most_once() {
+    let _alone = VIOLATIONS.lock().expect("no failed test before");
+    let number = |name| env::var(name).ok()?.parse::<u64>().ok();
+    let seeds = match (number("SEED"), number("SCHEDULES")) {
+        (Some(seed), _) => seed..seed + 1,
+        (None, count) => 0..count.unwrap_or(DEFAULT_SCHEDULES),
+    };
+    let all = seeds.end - seeds.start >= 100;
+    let before = invariant::violations();
+    let mut reached = BTreeSet::new();
+    for seed in seeds {
+        let run = || World::new(seed).run();
+        reached.append(&mut panic::catch_unwind(run).unwrap_or_else(|panic| {
+            println!("failed: SEED={seed} cargo test --test at_most_once schedules");
+            panic::resume_unwind(panic)
+        }));
+        assert_eq!(invariant::violations(), before, "seed {seed}");
+    }
+    let kinds = [
+        "attach",
+        "done",
+        "full",
+        "not run",
+        "refused",
+        "replay",
+        "restarted",
+        "unknown",
+    ];
+    assert!(
+        !all || reached == BTreeSet::from(kinds),
+        "only {reached:?} reached"
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against a forged, foreign or damaged key that is accepted.
+    #[test]
+    fn changed_keys_are_detected(
+        node in "[a-z0-9-]{1,40}",
+        numbers in any::<[u64; 3]>(),
+        flip in any::<prop::sample::Index>(),
+        by in 1_u8..=255,
+        noise in "\\PC{0,80}",
+    ) {
+        let [incarnation, serial, expiry_ms] = numbers;
+        let incarnation = Incarnation(incarnation);
+        let key = Key { node: node.as_str().into(), incarnation, serial, expiry_ms };
+        let text = key.encode(&fleet());
+        prop_assert_eq!(Key::decode(&text, &fleet()), Ok(key));
+        prop_assert_eq!(Key::decode(&text, &FleetKey::new(b"other")), Err(OnceError::Forged));
+        let mut bytes = text.into_bytes();
+        let place = flip.index(bytes.len());
+        bytes[place] ^= by;
+        let changed = String::from_utf8_lossy(&bytes);
+        prop_assert!(Key::decode(&changed, &fleet()).is_err(), "{}", changed);
+        prop_assert!(Key::decode(&noise, &fleet()).is_err());
+    }
+}
+
+/// Guards against a key that runs after its expiry, or after a refusal, and against a refusal taken back.
+#[test]
+fn expiry_and_refusal_are_final() {
+    let _alone = VIOLATIONS.lock().expect("no failed test before");
+    let mut table = table(0, 7, 10);
+    let mut key = |now| {
+        let key = table.issue(now, UNIX_EPOCH).expect("room");
+        table.encode(&key)
+    };
+    let (first, second) = (key(Time(0)), key(Time(SECOND)));
+    assert_matches!(
+        table.begin(Time(30 * SECOND), &first, [0; 32]),
+        Begin::Error(OnceError::Expired)
+    );
+    let now = Time(31 * SECOND - 1);
+    assert_matches!(table.begin(now, &second, [0; 32]), Begin::Run { serial: 1 });
+    let refusal = table.finish(now, 1, OnceOutcome::not_run("shed"));
+    let before = invariant::violations();
+    assert_eq!(table.finish(now, 1, OnceOutcome::unknown("late")), refusal);
+    assert_eq!(
+        invariant::violations(),
+        before + 1,
+        "a second end is counted"
+    );
+    assert_eq!(table.begin(now, &second, [0; 32]), Begin::Replay(refusal));
+    let later = Time(31 * SECOND);
+    assert_matches!(
+        table.begin(later, &second, [0; 32]),
+        Begin::Error(OnceError::Expired)
+    );
+    assert_eq!((table.len(), table.bytes()), (0, 0));
+}
+
+/// Guards against memory that grows with keys or answers, and against a key that is evicted early.
+#[test]
+fn table_is_bounded_and_refuses_new_keys() {
+    let mut table = table(0, 7, 100_000);
+    let keys: Vec<_> = std::iter::from_fn(|| table.issue(Time(0), UNIX_EPOCH).ok()).collect();
+    assert!(
+        table.bytes() <= KeySettings::default().bytes && keys.len() > 5_000,
+        "{}",
+        keys.len()
+    );
+    assert_eq!(table.issue(Time(0), UNIX_EPOCH), Err(OnceError::Full));
+    let first = table.encode(&keys[0]);
+    assert_matches!(table.begin(Time(1), &first, [0; 32]), Begin::Run { .. });
+    table.finish(Time(1), 0, OnceOutcome::unknown(&"x".repeat(64 << 10)));
+    let second = table.encode(&keys[1]);
+    let refused = table.begin(Time(2), &second, [0; 32]);
+    assert_matches!(&refused, Begin::Replay(outcome) if outcome.run == RunOutcome::NotRun);
+    assert_eq!(
+        table.begin(Time(3), &second, [0; 32]),
+        refused,
+        "a refusal consumes the key"
+    );
+    table.leave();
+    assert_eq!(
+        table.issue(Time(40 * SECOND), UNIX_EPOCH),
+        Err(OnceError::Leaving)
+    );
+}
