--- a/src/core/config/parse.rs
+++ b/src/core/config/parse.rs
@@ -28,6 +28,7 @@
 const MAX_DOMAINS: usize = 256;
 const NAME_RULE: &str = "name of 1 to 64 letters, digits, '.', '_' or '-'";
 const ADDRESS_RULE: &str = "ip:port in canonical form, such as 10.0.0.7:7100 or [fd00::7]:7100";
+const VMS_RULE: &str = "at least one VM; a node that reads the list runs on one";
 const KEY_RULE: &str = "the keys service/<name>, map/<name>, map/<name>/<part>, domains and vms";
 
 /// A valid value of one of the four kinds of documents.
@@ -108,6 +109,19 @@
     }
 }
 
+/// Checks whether the document `key` may be deleted.
+///
+/// # Errors
+///
+/// Fails when there is no such kind of document, or its deletion would stop the fleet.
+pub(super) fn check_deletion(key: &str) -> Result<(), Vec<Fault>> {
+    match document_kind(key) {
+        Ok((DocumentKind::Vms, _)) => Err(vec![Fault::new("", "was deleted", VMS_RULE)]),
+        Ok(_) => Ok(()),
+        Err(fault) => Err(vec![fault]),
+    }
+}
+
 impl ServicePolicy {
     /// Parses and checks the policy of a service.
     ///
@@ -380,6 +394,9 @@
                     vm
                 }))
             });
+            if vms.is_empty() && t.faults.is_empty() {
+                t.fault("vms", "is empty", VMS_RULE);
+            }
             Self { vms }
         });
         faults.verdict(list)?.ok_or_else(Vec::new)
--- a/src/core/config/store.rs
+++ b/src/core/config/store.rs
@@ -8,8 +8,8 @@
 
 use super::{
     Digest, Document, DocumentKind, DomainList, Fault, LeafInfo, MapPart, Parsed, Rejection,
-    ServiceMap, Shard, Snapshot, SnapshotState, Stamp, Versions, View, VmList, document_kind,
-    parse_document, table::cut,
+    ServiceMap, Shard, Snapshot, SnapshotState, Stamp, Versions, View, document_kind,
+    parse::check_deletion, parse_document, table::cut,
 };
 use crate::core::{
     LeafId, ServiceName, ShardId, SnapshotId, Time,
@@ -216,9 +216,7 @@
         }
         let parsed = match &document.value {
             Some(text) => parse_document(&document.key, text).map(Some),
-            None => document_kind(&document.key)
-                .map(|_| None)
-                .map_err(|fault| vec![fault]),
+            None => check_deletion(&document.key).map(|()| None),
         };
         let parsed = parsed.map_err(Refusal::Invalid)?;
         let old = self.entries.get(&document.key);
@@ -417,11 +415,7 @@
         }
         (Some(Parsed::Map(..)), _) => debug_assert!(false, "maps are combined from their parts"),
         (None, Some(name)) => drop(view.services.remove(&name)),
-        (None, None) if &*document.key == "domains" => view.domains = DomainList::default(),
-        (None, None) => {
-            view.vms = VmList::default();
-            view.vms_version = document.version;
-        }
+        (None, None) => view.domains = DomainList::default(),
     }
 }
 
--- a/src/core/config/table.rs
+++ b/src/core/config/table.rs
@@ -1,4 +1,7 @@
-use std::{fmt::Display, ops::RangeInclusive};
+use std::{
+    fmt::{Display, from_fn},
+    ops::RangeInclusive,
+};
 
 use serde_json::{Map, Value};
 
@@ -47,9 +50,13 @@
         }
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        self.listed.is_empty()
+    }
+
     /// Returns `value` if there is no fault.
     pub(crate) fn verdict<T>(mut self, value: T) -> Result<T, Vec<Fault>> {
-        if self.listed.is_empty() {
+        if self.is_empty() {
             return Ok(value);
         }
         if self.omitted > 0 {
@@ -153,7 +160,13 @@
     {
         let of = if unit.is_empty() { "" } else { " of " };
         let (low, high) = range.clone().into_inner();
-        let allowed = format!("whole number{of}{unit} from {low} to {high}, without a unit");
+        // Formatted only for a fault: a map has tens of thousands of numbers.
+        let allowed = from_fn(|f| {
+            write!(
+                f,
+                "whole number{of}{unit} from {low} to {high}, without a unit"
+            )
+        });
         let parse = |value: &Value| {
             let number = value.as_i64().filter(|number| range.contains(number))?;
             T::try_from(number).ok()
@@ -172,7 +185,8 @@
         range: RangeInclusive<f64>,
         unit: &str,
     ) -> f64 {
-        let allowed = format!("number{unit} from {} to {}", range.start(), range.end());
+        let allowed =
+            from_fn(|f| write!(f, "number{unit} from {} to {}", range.start(), range.end()));
         let parse = |value: &Value| value.as_f64().filter(|number| range.contains(number));
         match default {
             Some(default) => self.optional(key, allowed, parse).unwrap_or(default),
@@ -219,14 +233,14 @@
         of: &str,
         mut read: impl FnMut(String, &Value, &mut Faults) -> Option<T>,
     ) -> Vec<T> {
-        let allowed = format!("list of at most {max} {of}");
+        let allowed = || format!("list of at most {max} {of}");
         let value = self.raw(key);
         let list = value
             .and_then(Value::as_array)
             .filter(|list| list.len() <= max);
         match value {
-            None if needed && self.fields.is_some() => self.fault(key, "missing", allowed),
-            Some(value) if list.is_none() => self.fault(key, excerpt(value), allowed),
+            None if needed && self.fields.is_some() => self.fault(key, "missing", allowed()),
+            Some(value) if list.is_none() => self.fault(key, excerpt(value), allowed()),
             _ => {}
         }
         let path = self.field(key);
