Ask another node for a document once an earlier pull has expired

Cause: a node that doesn't call Relay::tick, or calls it late, kept waiting for a pull that was lost, and ignored later offers of the same document. An offer that comes after the time-out is now pulled at once; tick still finds other sources when no offer comes.

Conclusion: a lost pull costs at most the time to the next digest.

--- a/src/core/config/relay/mod.rs
+++ b/src/core/config/relay/mod.rs
@@ -433,7 +433,11 @@
                         wanted.others.clear();
                         wanted.stamp = stamp;
                     }
-                    if stamp == wanted.stamp && wanted.others.len() < MAX_SOURCES {
+                    if now.since(wanted.asked) >= PULL_TIMEOUT {
+                        wanted.asked = now;
+                        wanted.from = from.clone();
+                        ask.0.insert(entry.key().clone(), known(entry.key()));
+                    } else if stamp == wanted.stamp && wanted.others.len() < MAX_SOURCES {
                         wanted.others.push(from.clone());
                     }
                 }
