Notice a planned stop of a leaf when it is announced

Cause: a leaf that announced its stop and then cut a call in flight was reported as crashed, because the end of the connection alone does not show the announcement. Seen with the extended test planned_stops_lose_nothing: one crash event for the cut call.

The task of a connection now asks it on every event whether it still takes calls, and the pool stops using it at once. pauses_are_no_silence and silent_connections_are_replaced are stricter: in their first form they stayed green without the pause rule and without the exemption of silent connections from crash reports.

--- a/src/adapter/upstream/connection.rs
+++ b/src/adapter/upstream/connection.rs
@@ -118,12 +118,18 @@
             return leaf.connect_failed(id, &error);
         }
     };
+    let mut ready = send.clone();
     leaf.opened(id, send, progress.clone());
-    let mut waiting = false;
-    let result = loop {
+    let (mut waiting, mut draining, mut planned) = (false, false, false);
+    loop {
         tokio::select! {
             biased;
-            result = &mut connection => break result,
+            _ = &mut connection => break,
+            error = poll_fn(|cx| refusal(&mut ready, cx)), if !draining => {
+                draining = true;
+                planned = error.is_go_away() && error.reason() == Some(h2::Reason::NO_ERROR);
+                leaf.draining(id);
+            }
             pong = poll_fn(|cx| pings.poll_pong(cx)), if waiting => {
                 waiting = false;
                 if pong.is_ok() {
@@ -134,14 +140,18 @@
                 waiting = pings.send_ping(Ping::opaque()).is_ok();
             }
         }
-    };
-    let planned = match &result {
-        Ok(()) => false,
-        Err(error) => error.is_go_away() && error.reason() == Some(h2::Reason::NO_ERROR),
-    };
+    }
     leaf.closed(id, planned);
 }
 
+/// Resolves once the connection takes no more calls. Polled with the connection, whose events lead there.
+fn refusal(send: &mut SendRequest<Bytes>, cx: &mut Context<'_>) -> Poll<h2::Error> {
+    match send.poll_ready(cx) {
+        Poll::Ready(Err(error)) => Poll::Ready(error),
+        _ => Poll::Pending,
+    }
+}
+
 async fn open<P: Ports>(
     leaf: &Leaf<P>,
     progress: Arc<Progress>,
--- a/src/adapter/upstream/leaf.rs
+++ b/src/adapter/upstream/leaf.rs
@@ -438,6 +438,14 @@
         self.pump(&mut inner, now);
     }
 
+    /// The leaf announced that it ends a connection.
+    pub(super) fn draining(&self, id: u64) {
+        let mut inner = self.lock();
+        if let Some(conn) = inner.conns.iter_mut().find(|conn| conn.id == id) {
+            conn.draining = true;
+        }
+    }
+
     pub(super) fn closed(self: &Arc<Self>, id: u64, planned: Planned) {
         let now = self.ports.now();
         let mut inner = self.lock();
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -179,7 +179,10 @@
             () = self.crash.notified() => {}
             () = self.stop.notified() => {
                 connection.as_mut().graceful_shutdown();
-                let _ = connection.await;
+                tokio::select! {
+                    _ = connection => {}
+                    () = self.crash.notified() => {}
+                }
             }
         }
     }
@@ -492,6 +495,14 @@
         bench.pool.states()[0].connections == 1
     })
     .await;
+    bench.fake.silence();
+    bench.fake.mute.store(true, SeqCst);
+    assert_eq!(bench.ask(false).await, Outcome::Failed(Failure::Silent));
+    bench.fake.crash.notify_waiters();
+    eventually("the end of all connections", || {
+        bench.pool.states()[0].connections == 0
+    })
+    .await;
     assert!(bench.ports.crashes.lock().unwrap().is_empty(), "no crash");
     bench.settled().await;
 }
@@ -502,7 +513,7 @@
     let bench = Bench::new(Mode::Hang).await;
     let (_handle, mut replies) = bench.start(bench.batch("paused", 1, false));
     eventually("the call", || bench.fake.calls() == 1).await;
-    bench.ports.jump.store(10_000_000, SeqCst);
+    bench.ports.jump.store(600_000, SeqCst);
     assert_eq!(
         replies.next().await.outcome,
         Outcome::Failed(Failure::Deadline)
@@ -525,6 +536,18 @@
     assert_matches!(bench.ask(true).await, Outcome::Hits { .. });
     bench.fake.release.notify_waiters();
     assert_matches!(replies.next().await.outcome, Outcome::Hits { .. });
+    // The leaf gives up waiting for a call.
+    bench.fake.set(Mode::Hang);
+    let calls = bench.fake.calls();
+    let (_handle, mut replies) = bench.start(bench.batch("cut", 1, false));
+    eventually("the call", || bench.fake.calls() == calls + 1).await;
+    bench.fake.stop.notify_waiters();
+    sleep(Duration::from_millis(50)).await;
+    bench.fake.crash.notify_waiters();
+    assert_eq!(
+        replies.next().await.outcome,
+        Outcome::Failed(Failure::Reset)
+    );
     bench.settled().await;
     assert!(bench.ports.crashes.lock().unwrap().is_empty(), "no crash");
 }
