Demo: name the leaf that was asked for more than it can bear

Conclusion: the report now prints the counters of such a leaf, so that the next occurrence can be traced.

--- a/examples/demo.rs
+++ b/examples/demo.rs
@@ -510,8 +510,11 @@
 
     let mut runs: HashMap<(String, u32), u32> = HashMap::new();
     let mut above = 0;
-    for (_, leaf) in world.leaves() {
+    for (address, leaf) in world.leaves() {
         above += leaf.above_limit;
+        if leaf.above_limit > 0 {
+            println!("leaf {address} was asked for more than it can bear: {leaf:?}");
+        }
     }
     for (.., upstream) in &world.upstreams {
         for run in upstream.executions().into_iter().filter(|run| run.once) {
