Exclude two holders in partitions longer than the joint period

- A replaced voter set stopped to count as soon as enough of its voters were heard on the new list, but their promises under the old one had not ended.
The set now counts for the length of a promise longer.
- Voters that started during the partition did not know the replaced set.
They now ask the other voters for their sets during the joint period, and repeat it as long as one names a replaced set.
A settled voter is one that has followed the partition, not only the list, for that long.

Ruled out: counting a refusal by one voter as a veto for a while, since grants may arrive before the refusal.

--- a/src/core/lease/message.rs
+++ b/src/core/lease/message.rs
@@ -41,7 +41,7 @@
 pub struct Claim {
     pub partition: PartitionId,
     /// Hashes of the voter sets of which the requester needs a majority each, and of those of which it knows
-    /// that they no longer count.
+    /// that they no longer count. Empty to ask only for the voter's own sets.
     pub sets: SmallVec<[u32; 2]>,
 }
 
@@ -68,10 +68,12 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Verdict {
     Granted {
-        /// The voter has followed the VM list for at least the joint period, so it knows which replaced voter
-        /// sets still count.
+        /// The voter has followed the partition for at least the joint period, so it knows which replaced
+        /// voter sets still count.
         settled: bool,
     },
+    /// The hashes of the sets that the voter considers in force, for a claim without sets.
+    Sets(SmallVec<[u32; 2]>),
     /// The partition is promised to another node, or to an earlier incarnation of the requester.
     Held { by: NodeId },
     /// The voter started or was paused a short time ago, or has no VM list yet.
--- a/src/core/lease/table.rs
+++ b/src/core/lease/table.rs
@@ -3,6 +3,8 @@
     time::Duration,
 };
 
+use smallvec::SmallVec;
+
 use crate::core::{
     Incarnation, NodeId, Outbound, PartitionId, Time,
     config::VmList,
@@ -363,6 +365,13 @@
                     .push(request.clone());
             }
         }
+        for (partition, node) in self.voters.inquiries(now) {
+            let sets = SmallVec::new();
+            batches
+                .entry(node)
+                .or_default()
+                .push(Claim { partition, sets });
+        }
         let own = batches.remove(&self.me);
         let request = |claims| VoteRequest {
             incarnation: self.incarnation,
@@ -403,19 +412,21 @@
         let run = (request.incarnation, request.round);
         let votes = request.claims.into_iter().map(|claim| {
             let partition = claim.partition;
-            let verdict = refusal.clone().unwrap_or_else(|| {
+            let verdict = if claim.sets.is_empty() && self.voters.list().is_some() {
                 let sets = self.voters.in_force(now, &partition);
-                if !sets.iter().all(|set| claim.sets.contains(&set.hash)) {
-                    return Verdict::SetsUnknown;
-                }
+                Verdict::Sets(sets.iter().map(|set| set.hash).collect())
+            } else if let Some(refusal) = refusal.clone() {
+                refusal
+            } else if !self.voters.are_known(now, &partition, &claim.sets) {
+                Verdict::SetsUnknown
+            } else {
+                let settled = self.voters.is_settled(now, &partition);
                 let length = self.settings.promise;
                 match self.promises.promise(now, &partition, from, run, length) {
-                    Ok(()) => Verdict::Granted {
-                        settled: self.voters.is_settled(now),
-                    },
+                    Ok(()) => Verdict::Granted { settled },
                     Err(by) => Verdict::Held { by },
                 }
-            });
+            };
             Vote { partition, verdict }
         });
         let votes = votes.collect();
@@ -443,6 +454,10 @@
         };
         let latest = self.sent.back().map_or(sent, |(_, latest)| *latest);
         for Vote { partition, verdict } in votes {
+            if let Verdict::Sets(sets) = verdict {
+                self.voters.tell(now, &partition, from, sets);
+                continue;
+            }
             let Some(claim) = self.claims.get_mut(&partition) else {
                 continue;
             };
@@ -463,7 +478,8 @@
                         && list.is_some_and(|list| list.outranks(&partition, &by, &self.me));
                     self.learn_holder(now, &partition, &by);
                 }
-                Verdict::Muted
+                Verdict::Sets(_)
+                | Verdict::Muted
                 | Verdict::ConfigBehind
                 | Verdict::ListBehind
                 | Verdict::SetsUnknown => {}
--- a/src/core/lease/voters.rs
+++ b/src/core/lease/voters.rs
@@ -21,6 +21,10 @@
 /// at other times and may count it for a few seconds longer.
 const NAMED: Duration = Duration::from_secs(20);
 
+/// Time for which the word of a voter about sets in force counts unless it is repeated. A voter that is gone for
+/// good must not block a partition for good.
+const TOLD: Duration = Duration::from_secs(60);
+
 /// Replaced lists kept at most. They serve partitions first asked for within the joint period.
 const MAX_LISTS: usize = 32;
 
@@ -30,9 +34,8 @@
     me: NodeId,
     count: usize,
     joint: Duration,
+    promise: Duration,
     list: Option<Arc<Roster>>,
-    /// When the first list was learnt.
-    first: Option<Time>,
     replaced: Vec<ReplacedList>,
     zones: BTreeMap<PartitionId, Zone>,
     /// The list version last heard from each node.
@@ -52,6 +55,10 @@
     old: Vec<OldSet>,
     /// Hashes of sets that no longer count, and until when they are named.
     over: Vec<(u32, Time)>,
+    /// Hashes of replaced sets that other voters consider in force, and until when their word counts. A node
+    /// that started after a replacement knows of it only from them.
+    told: BTreeMap<NodeId, (SmallVec<[u32; 2]>, Time)>,
+    created: Time,
     used: Time,
 }
 
@@ -61,6 +68,8 @@
     set: VoterSet,
     replaced: Time,
     successor: u64,
+    /// Since when no majority of the set can promise under the replaced list.
+    powerless: Option<Time>,
 }
 
 impl VoterSets {
@@ -69,8 +78,8 @@
             me,
             count: settings.voters,
             joint: settings.joint,
+            promise: settings.promise,
             list: None,
-            first: None,
             replaced: Vec::new(),
             zones: BTreeMap::new(),
             epochs: BTreeMap::new(),
@@ -86,15 +95,65 @@
         self.list.as_ref().map_or(0, |list| list.version)
     }
 
-    /// Returns whether this node has followed the list for at least the joint period.
-    pub(crate) fn is_settled(&self, now: Time) -> bool {
-        self.first.is_some_and(|first| first + self.joint <= now)
+    /// Returns whether this node has followed a partition for at least the joint period. Before that it may not
+    /// know of a replaced set that still counts.
+    pub(crate) fn is_settled(&self, now: Time, partition: &PartitionId) -> bool {
+        let zone = self.zones.get(partition);
+        zone.is_some_and(|zone| zone.created + self.joint <= now)
+    }
+
+    /// Returns whether a requester names all sets that this node or the voters it asked consider in force.
+    pub(crate) fn are_known(&mut self, now: Time, partition: &PartitionId, named: &[u32]) -> bool {
+        let own = self.in_force(now, partition);
+        let zone = self.zones.get(partition);
+        let told = zone.into_iter().flat_map(|zone| zone.told.values());
+        own.iter().all(|set| named.contains(&set.hash))
+            && told
+                .flat_map(|(sets, _)| sets)
+                .all(|hash| named.contains(hash))
+    }
+
+    /// Records which sets another voter considers in force.
+    pub(crate) fn tell(
+        &mut self,
+        now: Time,
+        partition: &PartitionId,
+        voter: &NodeId,
+        mut sets: SmallVec<[u32; 2]>,
+    ) {
+        if let Some(zone) = self.zones.get_mut(partition) {
+            sets.retain(|hash| *hash != zone.current.hash);
+            if sets.is_empty() {
+                zone.told.remove(voter);
+            } else {
+                zone.told.insert(voter.clone(), (sets, now + TOLD));
+            }
+        }
+    }
+
+    /// Returns the voters to ask for their sets: those of partitions followed for less than the joint period,
+    /// and those that named a replaced set.
+    pub(crate) fn inquiries(&self, now: Time) -> Vec<(PartitionId, NodeId)> {
+        let mut inquiries = Vec::new();
+        for (partition, zone) in &self.zones {
+            let settled = self.is_settled(now, partition);
+            let members = zone.current.members.iter();
+            let asked: BTreeSet<&NodeId> = members
+                .filter(|node| !settled && **node != self.me)
+                .chain(zone.told.keys())
+                .collect();
+            inquiries.extend(
+                asked
+                    .into_iter()
+                    .map(|node| (partition.clone(), node.clone())),
+            );
+        }
+        inquiries
     }
 
     pub(crate) fn set_list(&mut self, now: Time, list: Roster) {
         let list = Arc::new(list);
         let successor = list.version;
-        self.first.get_or_insert(now);
         for (partition, zone) in &mut self.zones {
             let next = list.voters(partition, self.count);
             if next != zone.current {
@@ -102,6 +161,7 @@
                     set: std::mem::replace(&mut zone.current, next),
                     replaced: now,
                     successor,
+                    powerless: None,
                 });
             }
         }
@@ -137,16 +197,19 @@
                 set: replaced.list.voters(partition, self.count),
                 replaced: replaced.at,
                 successor: replaced.successor,
+                powerless: None,
             });
             Zone {
                 old: old.filter(|old| old.set != current).collect(),
                 current,
                 over: Vec::new(),
+                told: BTreeMap::new(),
+                created: now,
                 used: now,
             }
         });
         zone.used = now;
-        zone.expire(now, self.joint, &list, &self.epochs);
+        zone.expire(now, (self.joint, self.promise), &list, &self.epochs);
         let mut sets = SmallVec::from_iter([zone.current.clone()]);
         for old in &zone.old {
             if !sets.contains(&old.set) {
@@ -190,7 +253,7 @@
             return;
         };
         for zone in self.zones.values_mut() {
-            zone.expire(now, self.joint, list, &self.epochs);
+            zone.expire(now, (self.joint, self.promise), list, &self.epochs);
         }
         self.zones
             .retain(|_, zone| !zone.old.is_empty() || now < zone.used + IDLE);
@@ -211,14 +274,16 @@
     fn expire(
         &mut self,
         now: Time,
-        joint: Duration,
+        times: (Duration, Duration),
         list: &Roster,
         epochs: &BTreeMap<NodeId, u64>,
     ) {
         self.over.retain(|(_, until)| now < *until);
+        self.told
+            .retain(|node, (_, until)| now < *until && list.contains(node));
         let over = &mut self.over;
-        self.old.retain(|old| {
-            let is_over = old.is_over(now, joint, list, epochs);
+        self.old.retain_mut(|old| {
+            let is_over = old.is_over(now, times, list, epochs);
             if is_over {
                 over.push((old.set.hash, now + NAMED));
             }
@@ -228,22 +293,20 @@
 }
 
 impl OldSet {
-    /// Returns whether the set no longer counts: the joint period has passed, and either so many of its
-    /// voters are on a newer list that the rest is no majority, or most of them were declared gone.
+    /// Returns whether the set no longer counts: the joint period has passed, and for the length of a promise
+    /// either so many of its voters have been on a newer list that the rest is no majority, or most of them
+    /// have been declared gone.
     ///
-    /// The period alone is not enough. In a network partition that lasts longer, a majority of this set may
+    /// The joint period alone is not enough. In a network partition that lasts longer, a majority of this set may
     /// renew a lease under the old list although a single VM was replaced, because half of the old voters plus
     /// one and half of the new voters plus one need not overlap.
     fn is_over(
-        &self,
+        &mut self,
         now: Time,
-        joint: Duration,
+        (joint, promise): (Duration, Duration),
         list: &Roster,
         epochs: &BTreeMap<NodeId, u64>,
     ) -> bool {
-        if now < self.replaced + joint {
-            return false;
-        }
         let members = &self.set.members;
         let moved = members
             .iter()
@@ -254,6 +317,12 @@
             })
             .count();
         let gone = members.iter().filter(|node| !list.contains(node)).count();
-        moved > members.len() - self.set.majority() || 2 * gone > members.len()
+        if moved > members.len() - self.set.majority() || 2 * gone > members.len() {
+            let since = *self.powerless.get_or_insert(now);
+            now >= self.replaced + joint && now >= since + promise
+        } else {
+            self.powerless = None;
+            false
+        }
     }
 }
