Traces with a span per leaf call, bounded metric labels, caller limits from the settings

Cause: made-up service names became metric labels without bound, the owner's hop had no span, and the settings limits.connections and limits.body_bytes had no effect. Ruled out: sampling every request, which would spend CPU on each leaf call; one in 64 is traced unless the caller sends a traceparent. Before: a query to service nope added a label; a trace ended at the entry node. Conclusion: labels are bounded by the configuration in force.

--- a/src/adapter/caller/mod.rs
+++ b/src/adapter/caller/mod.rs
@@ -1,9 +1,10 @@
 //! HTTP for callers and operators.
 
+mod listener;
 mod port;
 mod server;
 
 pub use self::{
     port::{ApiError, CallerPort, ErrorCode, QueryRequest, Reply},
-    server::CallerServer,
+    server::{CallerServer, ServerLimits},
 };
--- a/src/adapter/caller/server.rs
+++ b/src/adapter/caller/server.rs
@@ -2,6 +2,7 @@
 
 use anyhow::Context;
 use bytes::Bytes;
+use futures::{FutureExt, future::BoxFuture};
 use http::{HeaderMap, HeaderValue, StatusCode, header::CONTENT_TYPE};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper_util::{
@@ -11,11 +12,9 @@
 use tokio::net::TcpListener;
 use viz::{Body, IntoResponse, Request, RequestExt, Response, Router};
 
-use super::{ApiError, CallerPort, ErrorCode, QueryRequest, Reply};
+use super::{ApiError, CallerPort, ErrorCode, QueryRequest, Reply, listener::LimitedListener};
 use crate::core::{RequestId, ServiceName};
 
-/// Largest request body, bytes.
-const MAX_BODY_BYTES: usize = 64 << 10;
 /// Largest block of request headers, bytes.
 const MAX_HEADER_BYTES: usize = 32 << 10;
 /// Time a caller has to send its request headers.
@@ -27,10 +26,20 @@
 /// Largest value of `x-deadline-ms`; the policy of the service lowers it further.
 const MAX_DEADLINE_MS: u64 = 600_000;
 
+/// Bounds of the server.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLimits {
+    /// Connections open at the same time; further ones wait until one closes.
+    pub connections: usize,
+    /// Longest request body, bytes.
+    pub body: usize,
+}
+
 /// The HTTP server for callers and operators.
 #[derive(Debug)]
 pub struct CallerServer {
-    listener: TcpListener,
+    listener: LimitedListener,
+    body: usize,
 }
 
 impl CallerServer {
@@ -39,11 +48,15 @@
     /// # Errors
     ///
     /// Fails when the address is in use or not local.
-    pub async fn bind(addr: SocketAddr) -> anyhow::Result<Self> {
+    pub async fn bind(addr: SocketAddr, limits: ServerLimits) -> anyhow::Result<Self> {
         let listener = TcpListener::bind(addr)
             .await
             .with_context(|| format!("bind caller_address {addr} (TCP, HTTP)"))?;
-        Ok(Self { listener })
+        let listener = LimitedListener::new(listener, limits.connections);
+        Ok(Self {
+            listener,
+            body: limits.body,
+        })
     }
 
     /// Serves until `stop` completes, then finishes the requests that run.
@@ -66,70 +79,79 @@
             .http2()
             .timer(TokioTimer::new())
             .max_header_list_size(MAX_HEADER_BYTES as u32);
-        viz::Server::with_builder(self.listener, routes(port), builder)
+        viz::Server::with_builder(self.listener, routes(port, self.body), builder)
             .signal(stop)
             .await?;
         Ok(())
     }
 }
 
-fn routes<P: CallerPort>(port: Arc<P>) -> Router {
-    let addresses = port.clone();
-    let key = port.clone();
-    let query = port.clone();
-    let once = port.clone();
-    let state = port.clone();
-    let ready = port.clone();
+fn routes<P: CallerPort>(port: Arc<P>, body: usize) -> Router {
     Router::new()
-        .get("/v1/addresses", move |request: Request| {
-            let port = addresses.clone();
-            async move { Ok::<_, viz::Error>(answer(find_addresses(&*port, &request))) }
-        })
-        .post("/v1/keys", move |_: Request| {
-            let port = key.clone();
-            async move { Ok::<_, viz::Error>(answer(port.issue_key())) }
-        })
-        .post("/v1/services/:service/query", move |request: Request| {
-            let port = query.clone();
-            async move {
-                let reply = match parse(request).await {
+        .get(
+            "/v1/addresses",
+            handler(&port, |port: Arc<P>, request| async move {
+                find_addresses(&*port, &request)
+            }),
+        )
+        .post(
+            "/v1/keys",
+            handler(&port, |port: Arc<P>, _| async move { port.issue_key() }),
+        )
+        .post(
+            "/v1/services/:service/query",
+            handler(&port, move |port: Arc<P>, request| async move {
+                match parse(request, body).await {
                     Ok(request) => port.query(request).await,
                     Err(error) => error.into(),
-                };
-                Ok::<_, viz::Error>(answer(reply))
-            }
-        })
-        .post("/v1/services/:service/once", move |request: Request| {
-            let port = once.clone();
-            async move {
-                let reply = match parse(request).await {
+                }
+            }),
+        )
+        .post(
+            "/v1/services/:service/once",
+            handler(&port, move |port: Arc<P>, request| async move {
+                match parse(request, body).await {
                     Ok(request) => port.once(request).await,
                     Err(error) => error.into(),
-                };
-                Ok::<_, viz::Error>(answer(reply))
-            }
-        })
-        .get("/v1/state", move |_: Request| {
-            let port = state.clone();
-            async move { Ok::<_, viz::Error>(answer(port.state())) }
-        })
-        .get("/v1/ready", move |_: Request| {
-            let port = ready.clone();
-            async move { Ok::<_, viz::Error>(answer(port.ready())) }
-        })
+                }
+            }),
+        )
+        .get(
+            "/v1/state",
+            handler(&port, |port: Arc<P>, _| async move { port.state() }),
+        )
+        .get(
+            "/v1/ready",
+            handler(&port, |port: Arc<P>, _| async move { port.ready() }),
+        )
         .get("/metrics", move |_: Request| {
             let port = port.clone();
             async move { Ok::<_, viz::Error>(port.metrics().into_response()) }
         })
         .any("/*", |_: Request| async move {
-            let error = ApiError::not_run(
-                ErrorCode::NotFound,
-                "no such route; see docs/api.md for the routes of a node",
-            );
+            let message = "no such route; see docs/api.md for the routes of a node";
+            let error = ApiError::not_run(ErrorCode::NotFound, message);
             Ok::<_, viz::Error>(answer(error.into()))
         })
 }
 
+/// Turns a function of the port and the request into a route handler.
+fn handler<P, F, R>(
+    port: &Arc<P>,
+    serve: F,
+) -> impl Fn(Request) -> BoxFuture<'static, viz::Result<Response>> + Clone + use<P, F, R>
+where
+    P: CallerPort,
+    F: Fn(Arc<P>, Request) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Reply> + Send + 'static,
+{
+    let port = port.clone();
+    move |request| {
+        let reply = serve(port.clone(), request);
+        async move { Ok(answer(reply.await)) }.boxed()
+    }
+}
+
 fn answer(reply: Reply) -> Response {
     let mut response = Response::new(Body::Full(reply.body.into()));
     *response.status_mut() = reply.status;
@@ -164,7 +186,7 @@
     port.addresses(caller.as_deref().unwrap_or(""), with_key)
 }
 
-async fn parse(mut request: Request) -> Result<QueryRequest, ApiError> {
+async fn parse(mut request: Request, limit: usize) -> Result<QueryRequest, ApiError> {
     let service: String = request
         .param("service")
         .map_err(|_| bad("the service name in the path is not valid UTF-8"))?;
@@ -173,7 +195,7 @@
     let deadline = deadline_header(&headers)?;
     let trace = text_header(&headers, "traceparent")?;
     let key = text_header(&headers, "idempotency-key")?;
-    let body = read_body(std::mem::take(request.body_mut())).await?;
+    let body = read_body(std::mem::take(request.body_mut()), limit).await?;
     Ok(QueryRequest {
         request: RequestId::from(&*id),
         service: ServiceName::from(service),
@@ -184,13 +206,13 @@
     })
 }
 
-async fn read_body(body: Body) -> Result<Bytes, ApiError> {
-    let limited = Limited::new(body, MAX_BODY_BYTES).collect();
+async fn read_body(body: Body, limit: usize) -> Result<Bytes, ApiError> {
+    let limited = Limited::new(body, limit).collect();
     match tokio::time::timeout(BODY_TIMEOUT, limited).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ApiError::not_run(
             ErrorCode::TooLarge,
-            format!("the body exceeds {MAX_BODY_BYTES} bytes"),
+            format!("the body exceeds {limit} bytes"),
         )),
         Ok(Err(error)) => Err(bad(format!("the body could not be read: {error}"))),
         Err(_) => Err(bad(format!(
--- a/src/core/call/text.rs
+++ b/src/core/call/text.rs
@@ -1,6 +1,6 @@
 use std::fmt;
 
-use super::{Failure, NotRun};
+use super::{Failure, NotRun, Outcome};
 
 impl fmt::Display for NotRun {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -38,3 +38,18 @@
         })
     }
 }
+
+impl Outcome {
+    /// Returns the kind of the outcome, as used in traces and metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Outcome::Hits { complete: true, .. } => "hits",
+            Outcome::Hits {
+                complete: false, ..
+            } => "truncated",
+            Outcome::WrongSnapshot { .. } => "wrong_snapshot",
+            Outcome::NotRun(_) => "not_run",
+            Outcome::Failed(_) => "failed",
+        }
+    }
+}
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -8,7 +8,7 @@
     adapter::caller::{QueryRequest, Reply},
     core::{
         RequestId, ShardId, SnapshotId,
-        call::Hit,
+        call::{Hit, LeafBatch, LeafCall},
         once::OnceOutcome,
         query::{Answer, Coverage, Missing, MissingReason, RunOutcome},
     },
@@ -21,6 +21,9 @@
 /// Time added for the way there and back, so that the issuer's own deadline ends first.
 pub(super) const FORWARD_GRACE: Duration = Duration::from_millis(500);
 
+/// One in this many requests without a `traceparent` is traced.
+const SAMPLE_EVERY: u32 = 64;
+
 /// The body of a query.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -141,12 +144,15 @@
 }
 
 /// Starts the span of a request, below the caller's span if it sent one.
+///
+/// Requests without a `traceparent` are traced one in [`SAMPLE_EVERY`].
 pub(super) fn root_span(name: &'static str, request: &QueryRequest) -> Span {
     let parent = request
         .trace
         .as_deref()
         .and_then(SpanContext::decode_w3c_traceparent);
-    let span = Span::root(name, parent.unwrap_or_else(SpanContext::random));
+    let sampled = || SpanContext::random().sampled(rand::random_ratio(1, SAMPLE_EVERY));
+    let span = Span::root(name, parent.unwrap_or_else(sampled));
     span.with_properties(|| {
         [
             ("request", request.request.to_string()),
@@ -154,3 +160,26 @@
         ]
     })
 }
+
+/// Starts the owner's span of a batch with one span below it for each leaf call, and lets the leaves continue it.
+pub(super) fn call_spans(batch: &mut LeafBatch) -> Vec<Span> {
+    let parent = batch
+        .trace
+        .as_deref()
+        .and_then(SpanContext::decode_w3c_traceparent);
+    let Some(parent) = parent else {
+        return batch.calls.iter().map(|_| Span::noop()).collect();
+    };
+    let owner =
+        Span::root("owner", parent).with_property(|| ("request", batch.request.to_string()));
+    batch.trace = SpanContext::from_span(&owner).map(|span| span.encode_w3c_traceparent().into());
+    let start = |call: &LeafCall| {
+        Span::enter_with_parent("leaf_call", &owner).with_properties(|| {
+            [
+                ("leaf", call.leaf.to_string()),
+                ("shard", call.shard.to_string()),
+            ]
+        })
+    };
+    batch.calls.iter().map(start).collect()
+}
--- a/src/node/caller.rs
+++ b/src/node/caller.rs
@@ -70,7 +70,13 @@
             Ok(query) => self.answer(&request, query).await,
             Err(error) => error.into(),
         };
-        let service = request.service.to_string();
+        // Names that callers made up must not become label values, whose number is not bounded.
+        let known = node.view().services.contains_key(&request.service);
+        let service = if known {
+            request.service.to_string()
+        } else {
+            "unknown".to_owned()
+        };
         let status = reply.status.as_str().to_owned();
         metrics::counter!("cranberrychute_queries_total", "service" => service.clone(), "status" => status)
             .increment(1);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -33,6 +33,7 @@
 };
 
 use anyhow::Context as _;
+use fastrace::Span;
 use metrics_exporter_prometheus::PrometheusHandle;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
@@ -43,7 +44,7 @@
 use crate::{
     adapter::{
         Clock,
-        caller::CallerServer,
+        caller::{CallerServer, ServerLimits},
         peer::{ControlSocket, FleetKey as ControlKey, Identity, PeerTransport},
         upstream::{LeafPool, PoolSettings},
     },
@@ -119,7 +120,11 @@
 ///
 /// Fails when an address cannot be bound.
 pub async fn run(settings: Settings, shutdown: impl Future<Output = ()>) -> anyhow::Result<()> {
-    let server = CallerServer::bind(settings.caller).await?;
+    let limits = ServerLimits {
+        connections: settings.limits.connections as usize,
+        body: settings.limits.body_bytes as usize,
+    };
+    let server = CallerServer::bind(settings.caller, limits).await?;
     let (node, crashes) = Node::bind(settings).await?;
     log::info!(node = node.me.as_str(), caller = node.settings.caller.to_string().as_str();
         "node started");
@@ -309,17 +314,24 @@
         mut cancels: mpsc::Receiver<u32>,
     ) {
         let _work = self.work.token();
-        let count = batch.calls.len();
+        let mut batch = batch;
+        let spans = api::call_spans(&mut batch);
+        let mut open: Vec<Option<Span>> = spans.into_iter().map(Some).collect();
+        let mut left = open.len();
         let (sender, mut inbox) = mpsc::unbounded_channel();
         // Dropping the handle cancels the calls that are left.
         let handle = self.pool.start(batch, sender);
-        let mut open = count;
         let mut cancelling = true;
-        while open > 0 {
+        while left > 0 {
             tokio::select! {
                 reply = inbox.recv() => {
                     let Some(reply) = reply else { break };
-                    open -= 1;
+                    left -= 1;
+                    metrics::counter!("cranberrychute_leaf_calls_total", "outcome" => reply.outcome.label())
+                        .increment(1);
+                    if let Some(span) = open.get_mut(reply.index as usize).and_then(Option::take) {
+                        span.add_property(|| ("outcome", reply.outcome.label()));
+                    }
                     if replies.send(reply).await.is_err() {
                         break;
                     }
