--- a/emulator/src/upstream/leaf.rs
+++ b/emulator/src/upstream/leaf.rs
@@ -41,6 +41,8 @@
 const RESET_TURNS: usize = 64;
 /// Exit code of a process that crashed on purpose.
 const CRASH_EXIT: i32 = 70;
+/// Time of a call that names no deadline.
+const MAX_BUDGET: Duration = Duration::from_secs(60);
 const HEADER_NOT_RUN: &str = "x-not-run";
 const HEADER_DEADLINE: &str = "x-deadline-ms";
 
@@ -78,8 +80,6 @@
     start: u64,
     calls_left: u32,
     until: Option<Instant>,
-    /// Calls that run and began in this cold start.
-    running: u32,
     /// Whether a new instance is the reason.
     instance: bool,
 }
@@ -90,7 +90,7 @@
     behaviour: Behaviour,
     instance: u64,
     cold: Cold,
-    running: u32,
+    calls: HashMap<u64, Call>,
     open: u32,
     counters: LeafCounters,
     /// How often each call ran; the count inside the key is zero.
@@ -109,11 +109,20 @@
             start,
             calls_left: calls,
             until,
-            running: 0,
             instance,
         };
     }
 
+    /// Counts the calls that run, or those of them that began in the present cold start.
+    ///
+    /// A call whose deadline has passed has stopped, even if a busy machine lets its timer fire late.
+    fn running(&self, cold: bool) -> u32 {
+        let now = Instant::now();
+        let counts =
+            |call: &&Call| call.ends > now && (!cold || call.cold_start == Some(self.cold.start));
+        self.calls.values().filter(counts).count() as u32
+    }
+
     fn record(&mut self, call: Execution) {
         let limit = match call.once {
             true => MAX_ONCE_EXECUTIONS,
@@ -148,24 +157,28 @@
     crashes: watch::Sender<u64>,
 }
 
+/// What counts of a running call.
+#[derive(Debug)]
+struct Call {
+    cold_start: Option<u64>,
+    /// The deadline told by the caller.
+    ends: Instant,
+}
+
 /// A running call; dropping it ends the call.
 struct Running {
     leaf: Arc<Leaf>,
-    instance: u64,
-    cold_start: Option<u64>,
+    id: u64,
     finished: bool,
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
         let mut state = self.leaf.lock();
-        if state.instance != self.instance {
+        // A crash has ended all calls of its instance.
+        if state.calls.remove(&self.id).is_none() {
             return;
         }
-        state.running -= 1;
-        if self.cold_start == Some(state.cold.start) {
-            state.cold.running -= 1;
-        }
         if self.finished {
             state.cold.calls_left = state.cold.calls_left.saturating_sub(1);
         } else {
@@ -218,7 +231,7 @@
                 ..Behaviour::default()
             },
             cold: Cold::default(),
-            running: 0,
+            calls: HashMap::new(),
             open: 0,
             counters: LeafCounters {
                 address,
@@ -344,7 +357,7 @@
         }
         state.counters.crashes += 1;
         state.instance = state.rng.random();
-        state.running = 0;
+        state.calls.clear();
         state.open = 0;
         // Connections of the old instance must not be counted when they end.
         self.silences.fetch_add(1, Ordering::Relaxed);
@@ -462,7 +475,7 @@
         let running = if state.behaviour.lying {
             0
         } else {
-            state.running
+            state.running(false)
         };
         json_reply(
             StatusCode::OK,
@@ -473,8 +486,8 @@
     fn is_full(&self) -> bool {
         let state = self.lock();
         match state.is_cold() {
-            true => state.cold.running >= self.spec.cold_capacity,
-            false => state.running >= self.spec.slots,
+            true => state.running(true) >= self.spec.cold_capacity,
+            false => state.running(false) >= self.spec.slots,
         }
     }
 
@@ -508,8 +521,8 @@
         }
         let cold = state.is_cold();
         let (asked, limit) = match cold {
-            true => (state.cold.running + 1, self.spec.cold_capacity),
-            false => (state.running + 1, self.spec.slots),
+            true => (state.running(true) + 1, self.spec.cold_capacity),
+            false => (state.running(false) + 1, self.spec.slots),
         };
         let most = match cold {
             true => &mut state.counters.max_cold,
@@ -528,9 +541,13 @@
             state.counters.shed += 1;
             return Err(not_run("shed", "the leaf sheds load").into());
         }
-        state.running += 1;
-        state.cold.running += u32::from(cold);
         state.counters.executed += 1;
+        let id = state.counters.executed;
+        let call = Call {
+            cold_start: cold.then_some(state.cold.start),
+            ends: Instant::now() + budget(headers),
+        };
+        state.calls.insert(id, call);
         state.record(Execution {
             request: request_id(headers),
             text: search.text.clone(),
@@ -546,8 +563,7 @@
         Ok(Admitted {
             running: Running {
                 leaf: self.clone(),
-                instance: state.instance,
-                cold_start: cold.then_some(state.cold.start),
+                id,
                 finished: false,
             },
             time: behaviour.service.mul_f64(factor)
@@ -576,15 +592,12 @@
             let mut state = self.lock();
             let crash = state.behaviour.crash_text.as_ref();
             if crash.is_some_and(|crash| search.text.contains(crash))
-                && state.instance == running.instance
+                && state.calls.contains_key(&running.id)
             {
                 self.crash(&mut state);
             }
         }
-        let budget = headers
-            .get(HEADER_DEADLINE)
-            .and_then(|value| value.to_str().ok()?.parse().ok())
-            .map_or(Duration::MAX, Duration::from_millis);
+        let budget = budget(headers);
         if budget < admitted.time {
             sleep(budget).await;
             return Ok(error(
@@ -642,6 +655,15 @@
     response
 }
 
+/// Returns the time a caller allows, at most a minute.
+fn budget(headers: &HeaderMap) -> Duration {
+    headers
+        .get(HEADER_DEADLINE)
+        .and_then(|value| value.to_str().ok()?.parse().ok())
+        .map_or(MAX_BUDGET, Duration::from_millis)
+        .min(MAX_BUDGET)
+}
+
 /// Returns the id under which executions of the request are counted.
 fn request_id(headers: &HeaderMap) -> String {
     let text = |name| {
