End a handover whose lease was never granted

After leave(), a partition that was asked for but not held stayed in draining() until the caller reported it as drained. It is now given up at the next tick, like one whose lease has ended. Found while preparing a mutation of this code; the randomized tests had not shown it, since their driver always reports.

--- a/src/core/lease/table.rs
+++ b/src/core/lease/table.rs
@@ -113,14 +113,13 @@
         self.hints.retain(|_, (_, until)| now < *until);
         let (mut ended, mut lost) = (Vec::new(), Vec::new());
         for (partition, claim) in &mut self.claims {
-            if claim.until.is_some_and(|until| until <= now) {
-                claim.until = None;
-                let list = if claim.draining {
-                    &mut ended
-                } else {
-                    &mut lost
-                };
-                list.push(partition.clone());
+            if claim.is_held(now) {
+                continue;
+            }
+            if claim.draining {
+                ended.push(partition.clone());
+            } else if claim.until.take().is_some() {
+                lost.push(partition.clone());
             }
         }
         for partition in lost {
