--- a/tests/query_plan.rs
+++ b/tests/query_plan.rs
@@ -959,6 +959,31 @@
         if answer.coverage == Coverage { answered: 1, shards: 1 });
 }
 
+/// Guards against a second restart, and against one when half the time has passed.
+#[test]
+fn lost_snapshot_restarts_once_in_the_first_half() {
+    let lost = |millis: u64| {
+        let mut node = Node::new(1, 1);
+        let (plan, mut out) = node.start(TOP);
+        let mut plan = plan.expect("plan");
+        for newer in 2..4 {
+            node.map = Arc::new(map(newer, 1, 1, 12));
+            let sends = out.iter().filter(|a| matches!(a, QueryAction::Send { .. }));
+            let call = CallId(sends.count() as u32 - 1);
+            let outcome = Outcome::WrongSnapshot { serving: None };
+            let now = Time::from_millis(millis);
+            plan.reply(now, call, outcome, None, &mut node.context(), &mut out);
+        }
+        let Some(QueryAction::Finish(answer)) = out.pop() else {
+            panic!("no answer: {out:?}")
+        };
+        assert_eq!(answer.missing[0].reason, MissingReason::SnapshotLost);
+        answer.snapshot
+    };
+    assert_eq!(lost(199), SnapshotId(2), "one restart");
+    assert_eq!(lost(200), SnapshotId(1), "no restart after half of 400 ms");
+}
+
 /// Guards against unbounded or outdated knowledge of leaves, and against wrong quantiles.
 #[test]
 fn health_is_bounded_in_memory_and_age() {
