Generate a service's policy from a questionnaire

Cause: a ServicePolicy asks for quantiles, objectives and percentages, while operators know who calls and what a late, lost or doubled answer does.

Answers are text by key, so the answers file and the terminal share one check: each answer alone, then all against each other. Each value of the generated TOML follows a comment naming its answers.

Ruled out: a serializer for the output, because it drops the comments; free-text answers without a level, because nothing reproducible follows from them.

Conclusion: both example files give valid policies, the first with an early partial answer and the whole 2% hedging allowance, the second with full coverage and a longer deadline.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -6,9 +6,13 @@
 mod check;
 mod key;
 mod node;
+mod questionnaire;
 mod state;
 
-pub use self::check::Check;
+pub use self::{
+    check::Check,
+    questionnaire::{Questionnaire, ask},
+};
 
 use std::{
     env,
@@ -27,6 +31,7 @@
 /// Check settings:    cranberrychute check settings node.toml
 /// Ask a query:       cranberrychute ask --seed 127.0.0.1:8001 --service parts wok burner jet
 /// Look at a node:    cranberrychute state 127.0.0.1:8001
+/// Create a service:  cranberrychute questionnaire --out parts.toml
 #[derive(Debug, FromArgs)]
 struct Cranberrychute {
     #[argh(subcommand)]
@@ -41,6 +46,7 @@
     Ask(ask::Ask),
     State(state::State),
     Key(key::Key),
+    Questionnaire(questionnaire::Questionnaire),
 }
 
 /// Runs the command line of the process and returns its exit code.
@@ -81,6 +87,7 @@
             Command::Ask(command) => command.run(),
             Command::State(command) => command.run(),
             Command::Key(command) => command.run(),
+            Command::Questionnaire(command) => command.run(),
         }
     }
 }
--- /dev/null
+++ b/src/questionnaire/answers.rs
@@ -0,0 +1,342 @@
+use std::{collections::BTreeMap, fmt, ops::RangeInclusive};
+
+use url::Url;
+
+use super::{QUESTIONS, Question};
+use crate::core::{ServiceName, config::parse::is_name};
+
+/// Longest answer, characters.
+const MAX_CHARS: usize = 200;
+
+/// Answers as given, by key of the question.
+pub type Raw = BTreeMap<String, String>;
+
+/// Why answers cannot be turned into a configuration, in words for the person who answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// Keys of the questions to answer again.
+    pub keys: Vec<String>,
+    pub text: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.keys.join(", "), self.text)
+    }
+}
+
+/// How bad something is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Level {
+    None,
+    Some,
+    Severe,
+}
+
+/// A harm and the words in which it was described.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Harm {
+    pub level: Level,
+    pub text: String,
+}
+
+/// What takes precedence when an answer cannot be both in time and complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum First {
+    Time,
+    Completeness,
+}
+
+/// Answers that were checked and do not contradict each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answers {
+    pub service: ServiceName,
+    pub callers: String,
+    pub late: Harm,
+    pub lost: Harm,
+    pub doubled: Harm,
+    pub first: First,
+    pub partial_useful: bool,
+    pub never_repeat: Vec<String>,
+    pub wait_ms: u32,
+    pub slowest_ms: u32,
+    pub max_hits: u16,
+    pub woken_at_night: bool,
+    pub urgent_at_night: bool,
+    pub day_from: u8,
+    pub day_to: u8,
+    /// Minutes.
+    pub utc_offset: i16,
+    pub webhook: Option<String>,
+}
+
+/// Reads single answers and collects what is wrong with them.
+struct Reader<'a> {
+    raw: &'a Raw,
+    problems: Vec<Problem>,
+}
+
+impl Answers {
+    /// Reads the answers file, which holds one TOML value per question.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text is not TOML or holds a value that is not text, a whole number or a list of texts.
+    pub fn read_file(text: &str) -> Result<Raw, Vec<Problem>> {
+        let problem = |key: &str, text: String| Problem {
+            keys: vec![key.to_owned()],
+            text,
+        };
+        let table: toml::Table = text
+            .parse()
+            .map_err(|fault| vec![problem("file", format!("is not TOML: {fault}"))])?;
+        let (mut raw, mut problems) = (Raw::new(), Vec::new());
+        for (key, value) in table {
+            let text = match &value {
+                toml::Value::String(text) => Some(text.clone()),
+                toml::Value::Integer(number) => Some(number.to_string()),
+                toml::Value::Array(list) => list
+                    .iter()
+                    .map(toml::Value::as_str)
+                    .collect::<Option<Vec<_>>>()
+                    .map(|names| names.join(", ")),
+                _ => None,
+            };
+            match text {
+                Some(text) => drop(raw.insert(key, text)),
+                None => problems.push(problem(
+                    &key,
+                    "must be text, a whole number or a list of texts".to_owned(),
+                )),
+            }
+        }
+        match problems[..] {
+            [] => Ok(raw),
+            _ => Err(problems),
+        }
+    }
+
+    /// Checks answers, each for itself and all against each other.
+    ///
+    /// # Errors
+    ///
+    /// Returns every invalid answer; when there is none, every contradiction.
+    pub fn check(raw: &Raw) -> Result<Self, Vec<Problem>> {
+        let mut reader = Reader {
+            raw,
+            problems: Vec::new(),
+        };
+        let answers = Self::read(&mut reader);
+        for key in raw.keys() {
+            if !QUESTIONS.iter().any(|question| question.key == key) {
+                let known: Vec<_> = QUESTIONS.iter().map(|question| question.key).collect();
+                let text = format!("is no question; the questions are {}", known.join(", "));
+                reader.problems.push(Problem {
+                    keys: vec![key.clone()],
+                    text,
+                });
+            }
+        }
+        match (answers, &reader.problems[..]) {
+            (Some(answers), []) => match answers.contradictions() {
+                found if found.is_empty() => Ok(answers),
+                found => Err(found),
+            },
+            _ => Err(reader.problems),
+        }
+    }
+
+    fn read(r: &mut Reader<'_>) -> Option<Self> {
+        let service = r.read("service", |text| is_name(text).then(|| text.into()));
+        let callers = r.read("callers", |text| Some(text.to_owned()));
+        let late = r.read("late", harm);
+        let lost = r.read("lost", harm);
+        let doubled = r.read("doubled", harm);
+        let first = r.read("first", |text| match text {
+            "time" => Some(First::Time),
+            "completeness" => Some(First::Completeness),
+            _ => None,
+        });
+        let partial_useful = r.choice("partial", "useful", "harmful");
+        let never_repeat = r.read("never_repeat", |text| Some(names(text)));
+        let wait_ms = r.number("wait_ms", 20..=10_000);
+        let slowest_ms = r.number("slowest_ms", 1..=10_000);
+        let max_hits = r.number("max_hits", 1..=1_000);
+        let woken_at_night = r.choice("night", "someone", "nobody");
+        let urgent_at_night = r.choice("urgent_at_night", "everything", "nothing");
+        let day_from = r.number("day_from", 0..=23);
+        let day_to = r.number("day_to", 0..=23);
+        let utc_offset = r.read("utc_offset", offset);
+        let webhook = r.read("webhook", webhook);
+        Some(Self {
+            service: service?,
+            callers: callers?,
+            late: late?,
+            lost: lost?,
+            doubled: doubled?,
+            first: first?,
+            partial_useful: partial_useful?,
+            never_repeat: never_repeat?,
+            wait_ms: wait_ms?,
+            slowest_ms: slowest_ms?,
+            max_hits: max_hits? as u16,
+            woken_at_night: woken_at_night?,
+            urgent_at_night: urgent_at_night?,
+            day_from: day_from? as u8,
+            day_to: day_to? as u8,
+            utc_offset: utc_offset?,
+            webhook: webhook?,
+        })
+    }
+
+    fn contradictions(&self) -> Vec<Problem> {
+        let mut found = Vec::new();
+        let mut add = |holds: bool, keys: &[&str], text: String| {
+            if holds {
+                let keys = keys.iter().map(|&key| key.to_owned()).collect();
+                found.push(Problem { keys, text });
+            }
+        };
+        let Self {
+            wait_ms,
+            slowest_ms,
+            ..
+        } = self;
+        add(
+            !self.partial_useful && self.late.level > Level::None && wait_ms < slowest_ms,
+            &["partial", "late", "wait_ms", "slowest_ms"],
+            format!(
+                "you say that partial answers are harmful and late ones too, but the caller waits {wait_ms} ms and \
+                 the slowest call takes {slowest_ms} ms; an answer would be either late or partial. Can the caller \
+                 wait longer, or is a partial answer better than none?"
+            ),
+        );
+        add(
+            self.first == First::Time && !self.partial_useful,
+            &["first", "partial"],
+            "you say that an answer must above all be in time, but that a partial one is harmful; when time runs \
+             out there is only a partial one. Which of the two matters more?"
+                .to_owned(),
+        );
+        add(
+            self.first == First::Completeness && self.lost.level == Level::None,
+            &["first", "lost"],
+            "you say that an answer must above all be complete, but that a missing part does no harm. What does a \
+             missing part cause?"
+                .to_owned(),
+        );
+        add(
+            !self.woken_at_night && self.urgent_at_night,
+            &["night", "urgent_at_night"],
+            "you say that nobody may be woken at night, but that everything is urgent then. Who acts at night, or \
+             can it wait until the morning?"
+                .to_owned(),
+        );
+        add(
+            !self.woken_at_night && self.day_from == self.day_to,
+            &["day_from", "day_to"],
+            "the day starts and ends at the same hour, so there is no night in which nobody may be woken. When \
+             may people be reached?"
+                .to_owned(),
+        );
+        add(
+            self.doubled.level == Level::Severe && self.never_repeat.is_empty(),
+            &["doubled", "never_repeat"],
+            "you say that a doubled request does severe harm, but that nothing must not be repeated. Which \
+             requests cause the harm?"
+                .to_owned(),
+        );
+        add(
+            self.doubled.level == Level::None && !self.never_repeat.is_empty(),
+            &["doubled", "never_repeat"],
+            "you say that a doubled request does no harm, but name requests that must not be repeated. What \
+             happens if they are?"
+                .to_owned(),
+        );
+        found
+    }
+}
+
+impl Reader<'_> {
+    fn read<T>(&mut self, key: &str, parse: impl FnOnce(&str) -> Option<T>) -> Option<T> {
+        let question: &Question = QUESTIONS.iter().find(|question| question.key == key)?;
+        let given = self.raw.get(key).map(|text| text.trim());
+        let given = given.filter(|text| !text.is_empty());
+        let Some(text) = given.or(question.default) else {
+            let text = format!("is not answered; allowed: {}", question.allowed);
+            return self.problem(key, text);
+        };
+        if text.chars().count() > MAX_CHARS || text.chars().any(char::is_control) {
+            let text = format!("must be one line of at most {MAX_CHARS} characters");
+            return self.problem(key, text);
+        }
+        match parse(text) {
+            Some(value) => Some(value),
+            None => {
+                let text = format!("is \"{text}\"; allowed: {}", question.allowed);
+                self.problem(key, text)
+            }
+        }
+    }
+
+    fn problem<T>(&mut self, key: &str, text: String) -> Option<T> {
+        let keys = vec![key.to_owned()];
+        self.problems.push(Problem { keys, text });
+        None
+    }
+
+    fn choice(&mut self, key: &str, yes: &str, no: &str) -> Option<bool> {
+        self.read(key, |text| {
+            (text == yes)
+                .then_some(true)
+                .or((text == no).then_some(false))
+        })
+    }
+
+    fn number(&mut self, key: &str, range: RangeInclusive<u32>) -> Option<u32> {
+        self.read(key, |text| {
+            text.parse().ok().filter(|number| range.contains(number))
+        })
+    }
+}
+
+fn harm(text: &str) -> Option<Harm> {
+    let level = match text.split(':').next()?.trim() {
+        "none" => Level::None,
+        "some" => Level::Some,
+        "severe" => Level::Severe,
+        _ => return None,
+    };
+    let text = text.to_owned();
+    Some(Harm { level, text })
+}
+
+fn names(text: &str) -> Vec<String> {
+    let names = text.split(',').map(str::trim);
+    let names = names.filter(|name| !name.is_empty() && *name != "nothing");
+    names.map(str::to_owned).collect()
+}
+
+fn offset(text: &str) -> Option<i16> {
+    let (sign, rest) = match text.split_at_checked(1)? {
+        ("+", rest) => (1, rest),
+        ("-", rest) => (-1, rest),
+        _ => return None,
+    };
+    let (hours, minutes) = rest.split_once(':')?;
+    let digits = |part: &str| -> Option<i16> {
+        let valid = part.len() == 2 && part.bytes().all(|byte| byte.is_ascii_digit());
+        valid.then(|| part.parse().ok())?
+    };
+    let minutes = digits(minutes).filter(|minutes| *minutes < 60)?;
+    let total = sign * (digits(hours)? * 60 + minutes);
+    (-720..=840).contains(&total).then_some(total)
+}
+
+fn webhook(text: &str) -> Option<Option<String>> {
+    if text == "none" {
+        return Some(None);
+    }
+    let url = Url::parse(text).ok()?;
+    (url.scheme() == "http").then(|| Some(url.as_str().to_owned()))
+}
--- /dev/null
+++ b/tests/questionnaire.rs
@@ -0,0 +1,196 @@
+//! Answers to plain questions become a policy: reproducibly, always valid, and never from a contradiction.
+
+use std::{fs, io::Cursor, process::ExitCode};
+
+use argh::FromArgs;
+use cranberrychute::{
+    cli::{Questionnaire, ask},
+    core::config::ServicePolicy,
+    questionnaire::{Answers, Problem, QUESTIONS, Raw, generate},
+};
+use proptest::prelude::*;
+
+const PLAMENIK: &str = include_str!("../examples/questionnaire/plamenik.toml");
+const HALLOWAY: &str = include_str!("../examples/questionnaire/halloway.toml");
+
+fn raw(text: &str) -> Raw {
+    Answers::read_file(text).expect("TOML")
+}
+
+fn policy(text: &str) -> ServicePolicy {
+    let answers = Answers::check(&raw(text)).expect("no contradiction");
+    ServicePolicy::parse(&answers.service, &generate(&answers)).expect("valid policy")
+}
+
+fn changed(text: &str, changes: &[(&str, &str)]) -> Result<Answers, Vec<Problem>> {
+    let mut raw = raw(text);
+    for (key, value) in changes {
+        raw.insert((*key).to_owned(), (*value).to_owned());
+    }
+    Answers::check(&raw)
+}
+
+fn run(arguments: &[&str]) -> ExitCode {
+    Questionnaire::from_args(&["questionnaire"], arguments)
+        .expect("valid arguments")
+        .run()
+}
+
+/// Guards against a policy that contradicts what the two users said weighs most.
+#[test]
+fn examples_weigh_latency_and_coverage() {
+    let (fast, full) = (policy(PLAMENIK), policy(HALLOWAY));
+    let early = fast.partial_after_ms.expect("an early partial answer");
+    assert!(
+        early < fast.deadline_ms && fast.min_coverage < 1.0,
+        "{fast:?}"
+    );
+    assert_eq!(fast.hedge.percent, 2.0, "the whole budget, and no more");
+    let alarm = fast.alarm.expect("alarms");
+    let quiet = alarm.quiet.expect("nobody works nights");
+    assert_eq!(
+        (quiet.from_hour, quiet.to_hour, quiet.utc_offset),
+        (18, 6, 60)
+    );
+    assert_eq!((full.partial_after_ms, full.min_coverage), (None, 1.0));
+    assert!(full.deadline_ms > fast.deadline_ms && full.hedge.quantile > fast.hedge.quantile);
+    assert_eq!(full.alarm.expect("alarms").coverage, 1.0);
+}
+
+/// Guards against output that varies between runs, values without their answer, and wrong exit codes.
+#[test]
+fn files_are_reproducible() {
+    let dir = tempfile::tempdir().expect("temporary directory");
+    let path = |name: &str| dir.path().join(name).to_str().expect("UTF-8").to_owned();
+    let (first, second, bad) = (path("first"), path("second"), path("bad"));
+    for example in ["plamenik", "halloway"] {
+        let answers = format!("examples/questionnaire/{example}.toml");
+        for out in [&first, &second] {
+            assert_eq!(
+                run(&["--answers", &answers, "--out", out]),
+                ExitCode::SUCCESS
+            );
+        }
+        let text = fs::read_to_string(&first).expect("written");
+        assert_eq!(text, fs::read_to_string(&second).expect("written"));
+        let lines: Vec<_> = text.lines().collect();
+        for pair in lines
+            .windows(2)
+            .filter(|pair| pair[1].contains(" = ") && !pair[1].starts_with('#'))
+        {
+            let (comment, key) = (pair[0], pair[1]);
+            let named = QUESTIONS
+                .iter()
+                .any(|question| comment.contains(question.key));
+            assert!(
+                comment.starts_with("# ") && named,
+                "{key} follows {comment}"
+            );
+        }
+    }
+    fs::write(&bad, PLAMENIK.replace("nothing", "everything")).expect("written");
+    assert_eq!(run(&["--answers", &bad]), ExitCode::from(1));
+    assert_eq!(run(&["--answers", &path("absent")]), ExitCode::from(2));
+}
+
+/// Guards against a policy made from answers that cannot all be met, or that are not answers.
+#[test]
+fn contradictions_are_asked_back() {
+    type Case = (
+        &'static str,
+        &'static [(&'static str, &'static str)],
+        &'static [&'static str],
+    );
+    let cases: &[Case] = &[
+        (
+            HALLOWAY,
+            &[("wait_ms", "1000")],
+            &["partial", "late", "wait_ms", "slowest_ms"],
+        ),
+        (
+            PLAMENIK,
+            &[("urgent_at_night", "everything")],
+            &["night", "urgent_at_night"],
+        ),
+        (PLAMENIK, &[("day_to", "6")], &["day_from", "day_to"]),
+        (
+            PLAMENIK,
+            &[("partial", "harmful"), ("wait_ms", "900")],
+            &["first", "partial"],
+        ),
+        (HALLOWAY, &[("lost", "none")], &["first", "lost"]),
+        (
+            HALLOWAY,
+            &[("never_repeat", "nothing")],
+            &["doubled", "never_repeat"],
+        ),
+        (
+            HALLOWAY,
+            &[("doubled", "none")],
+            &["doubled", "never_repeat"],
+        ),
+        (HALLOWAY, &[("wait_ms", "10001")], &["wait_ms"]),
+        (HALLOWAY, &[("utc_offset", "+14:01")], &["utc_offset"]),
+        (HALLOWAY, &[("callers", "a\nb")], &["callers"]),
+        (HALLOWAY, &[("webhook", "https://a/")], &["webhook"]),
+        (HALLOWAY, &[("colour", "red")], &["colour"]),
+    ];
+    for (text, changes, keys) in cases {
+        let problems = changed(text, changes).expect_err("a problem");
+        let found: Vec<_> = problems.iter().map(|problem| &problem.keys[..]).collect();
+        assert_eq!(found, [*keys], "{changes:?}");
+    }
+}
+
+/// Guards against a terminal session that gives up, or goes on, at a contradiction.
+#[test]
+fn terminal_asks_contradictions_again() {
+    let mut given = raw(PLAMENIK);
+    given.insert("urgent_at_night".to_owned(), "everything".to_owned());
+    let lines = QUESTIONS
+        .iter()
+        .map(|question| given.get(question.key).map_or("", String::as_str));
+    let mut input: String = lines.map(|line| format!("{line}\n")).collect();
+    assert!(
+        ask(&mut Cursor::new(&input), &mut Vec::new()).is_err(),
+        "the input ends"
+    );
+    input.push_str("\nnothing\n");
+    let mut output = Vec::new();
+    let answers = ask(&mut Cursor::new(&input), &mut output).expect("answered");
+    assert_eq!(Ok(answers), Answers::check(&raw(PLAMENIK)));
+    let output = String::from_utf8(output).expect("UTF-8");
+    assert_eq!(output.matches("nobody may be woken").count(), 1, "{output}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, rng_seed: proptest::test_runner::RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against accepted answers that make a policy which the nodes reject.
+    #[test]
+    fn accepted_answers_make_valid_policies(
+        harms in prop::array::uniform3(0..3_usize), flags in prop::array::uniform4(any::<bool>()),
+        wait in 20..=10_000_u32, slowest in 1..=10_000_u32, hits in 1..=1_000_u32,
+        hours in prop::array::uniform2(0..24_u8), offset in -12..=13_i8, callers in "[^\\p{Cc}\\s]{1,40}",
+    ) {
+        let level = |n: usize| ["none", "some", "severe: \"quoted\" # text"][harms[n]];
+        let pick = |n: usize, yes, no| if flags[n] { yes } else { no };
+        let values = [
+            ("service", "s.1"), ("callers", &callers), ("late", level(0)), ("lost", level(1)),
+            ("doubled", level(2)), ("first", pick(0, "time", "completeness")),
+            ("partial", pick(1, "useful", "harmful")),
+            ("never_repeat", if harms[2] > 0 { "order" } else { "nothing" }),
+            ("wait_ms", &wait.to_string()), ("slowest_ms", &slowest.to_string()),
+            ("max_hits", &hits.to_string()), ("night", pick(2, "nobody", "someone")),
+            ("urgent_at_night", "nothing"), ("day_from", &hours[0].to_string()),
+            ("day_to", &hours[1].to_string()), ("utc_offset", &format!("{offset:+03}:30")),
+            ("webhook", pick(3, "http://10.0.0.9/a?b=\"c\"", "none")),
+        ].map(|(key, value)| (key.to_owned(), value.to_owned()));
+        if let Ok(answers) = Answers::check(&Raw::from(values)) {
+            let text = generate(&answers);
+            let policy = ServicePolicy::parse(&answers.service, &text);
+            prop_assert!(policy.is_ok(), "{policy:?}\n{text}");
+            prop_assert!(policy.is_ok_and(|policy| policy.hedge.percent <= 2.0));
+        }
+    }
+}
