Feed alarms from callers' answers and deliver them

Cause: the alarm core had no input and no way out.

Queries and at-most-once requests are recorded where their caller is, refusals only if the node could not take work. Rejected and accepted configuration and invariant violations are passed on. Membership messages carry two summaries unless crash events fill the datagram. Notices go to the webhook with 2 s time-out and 3 tries; GET /v1/state shows the causes.

Ruled out: counting a forwarded at-most-once request at the node that issued its key, because its caller is elsewhere; alarms in every message, because 4 crash events may fill the datagram of 1,200 bytes.

--- a/src/node/caller.rs
+++ b/src/node/caller.rs
@@ -5,6 +5,7 @@
 
 use super::{
     Node,
+    alarm::Seen,
     api::{self, AddressesAnswer, QueryAnswer, QueryBody},
     query::{self, Mode},
     telemetry,
@@ -66,10 +67,11 @@
         let node = &self.0;
         let _work = node.work.token();
         let begin = Instant::now();
-        let reply = match node.prepare(&request) {
+        let (reply, coverage) = match node.prepare(&request) {
             Ok(query) => self.answer(&request, query).await,
-            Err(error) => error.into(),
+            Err(error) => error_reply(error),
         };
+        node.note_answer(&request, begin.elapsed(), coverage);
         let service = request.service.to_string();
         let status = reply.status.as_str().to_owned();
         metrics::counter!("cranberrychute_queries_total", "service" => service.clone(), "status" => status)
@@ -80,7 +82,10 @@
     }
 
     async fn once(&self, request: QueryRequest) -> Reply {
-        self.0.serve_once(request).await
+        let begin = Instant::now();
+        let reply = self.0.serve_once(request.clone()).await;
+        self.0.note_once(&request, begin.elapsed(), &reply);
+        reply
     }
 
     fn state(&self) -> Reply {
@@ -123,6 +128,7 @@
             "configuration_rejected": rejected,
             "keys": node.keys.lock().expect("no panic while locked").len(),
             "queries_quarantined": quarantined,
+            "alarms": node.alarm_states(now),
             "requests_in_progress": node.work.len(),
             "invariant_violations": invariant::violations(),
             "recent_spans": telemetry::recent_spans(),
@@ -148,7 +154,7 @@
 }
 
 impl Api {
-    async fn answer(&self, request: &QueryRequest, query: Query) -> Reply {
+    async fn answer(&self, request: &QueryRequest, query: Query) -> (Reply, Seen) {
         let span = api::root_span("query", request);
         match query::run(&self.0, query, Mode::Repeatable, span).await {
             Ok(answer) => {
@@ -156,9 +162,11 @@
                 metrics::histogram!("cranberrychute_coverage", "service" => request.service.to_string())
                     .record(share);
                 log::debug!(request = request.request.as_str(), coverage = share; "query answered");
-                Reply::json(StatusCode::OK, &QueryAnswer::new(&request.request, &answer))
+                let reply =
+                    Reply::json(StatusCode::OK, &QueryAnswer::new(&request.request, &answer));
+                (reply, Seen::Covered(share))
             }
-            Err(error) => query_error(&error).into(),
+            Err(error) => error_reply(query_error(&error)),
         }
     }
 }
@@ -207,6 +215,15 @@
     }
 }
 
+/// Turns an error into its reply; only a node that cannot take work is the system's fault.
+fn error_reply(error: ApiError) -> (Reply, Seen) {
+    let seen = match error.error {
+        ErrorCode::Unavailable => Seen::Refused,
+        _ => Seen::CallersFault,
+    };
+    (error.into(), seen)
+}
+
 fn query_error(error: &QueryError) -> ApiError {
     let code = match error {
         QueryError::NoSnapshot(_) => ErrorCode::Unavailable,
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -10,6 +10,7 @@
 use super::Node;
 use crate::core::{
     NodeId, Outbound, Time,
+    alarm::AlarmSummary,
     config::{
         Digest, Document,
         relay::{ISOLATION_LIMIT, RelayMessage, isolated},
@@ -28,11 +29,17 @@
 /// Nodes told of a crash directly; in a larger fleet rumors reach the others.
 pub(super) const MAX_DIRECT_PEERS: usize = 64;
 
+/// Fingerprints of crashes (19 bytes each at most) in a message that has room for alarms too: with 8 rumors the
+/// datagram stays below its 1,200 bytes.
+const MAX_PRINTS_BESIDE_ALARMS: usize = 8;
+
 /// What membership probes carry besides membership.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct Payload {
     pub(super) digest: Digest,
     pub(super) crashes: SmallVec<[CrashEvent; 4]>,
+    /// At most two; below 200 bytes.
+    pub(super) alarms: SmallVec<[AlarmSummary; 2]>,
     /// The sender is leaving and must not be named to callers any more.
     pub(super) leaving: bool,
 }
@@ -177,10 +184,12 @@
                 let Payload {
                     digest,
                     crashes,
+                    alarms,
                     leaving,
                 } = message.payload.clone();
                 self.note_departure(&from, leaving);
                 self.learn_crashes(now, crashes);
+                self.learn_alarms(now, alarms);
                 let payload = self.payload();
                 let mut replies = Vec::new();
                 let mut members = self.members.lock().expect("no panic while locked");
@@ -284,14 +293,22 @@
     }
 
     fn payload(&self) -> Payload {
+        let now = self.clock.now();
         let crashes = self
             .crash
             .lock()
             .expect("no panic while locked")
-            .rumors(self.clock.now());
+            .rumors(now);
+        // Crash events come first in the bounded datagram; alarms wait for the next one.
+        let prints: usize = crashes.iter().map(|crash| crash.prints.len()).sum();
+        let alarms = match prints <= MAX_PRINTS_BESIDE_ALARMS {
+            true => self.alarm_summaries(now),
+            false => SmallVec::new(),
+        };
         Payload {
             digest: self.digest(),
             crashes: crashes.into_iter().collect(),
+            alarms,
             leaving: self.leaving.load(Ordering::Relaxed),
         }
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 //! config, rng; the others are never held together with another one, except that a query plan holds its
 //! service's state and the crash ledger.
 
+mod alarm;
 mod api;
 mod caller;
 mod control;
@@ -49,6 +50,7 @@
     },
     core::{
         Incarnation, NodeId, PartitionId, ServiceName, Time,
+        alarm::Alarms,
         call::{LeafBatch, LeafReply},
         config::{
             Applied, ConfigStore, View,
@@ -94,6 +96,7 @@
     joiners: Mutex<HashMap<NodeId, PeerAddress>>,
     /// Nodes that said themselves that they are leaving.
     departing: Mutex<HashSet<NodeId>>,
+    alarms: Mutex<Alarms>,
     rng: Mutex<Pcg64>,
     pool: LeafPool<NodePorts>,
     peers: Arc<PeerTransport>,
@@ -129,6 +132,7 @@
     let mut tasks = tokio::task::JoinSet::new();
     tasks.spawn(control::run(node.clone()));
     tasks.spawn(platform::run(node.clone()));
+    tasks.spawn(alarm::run(node.clone()));
     tasks.spawn(node.clone().spread_crashes(crashes));
     tasks.spawn(node.peers.clone().serve(Arc::new(Peers(node.clone()))));
     shutdown.await;
@@ -211,6 +215,7 @@
             services: Mutex::default(),
             joiners: Mutex::default(),
             departing: Mutex::default(),
+            alarms: Mutex::new(Alarms::new(me.clone(), now)),
             rng: Mutex::new(Pcg64::from_os_rng()),
             pool: LeafPool::new(Arc::new(ports), pool_settings),
             peers,
@@ -259,6 +264,7 @@
 
     /// Puts changed documents in force and reports rejected ones.
     fn put_in_force(&self, applied: Applied) {
+        self.note_configuration(&applied);
         for rejection in &applied.rejected {
             metrics::counter!("cranberrychute_config_rejected_total").increment(1);
             log::warn!(key = &*rejection.key; "configuration rejected: {rejection}");
