Query plan: hedge queries that started before latencies were known

The first queries of an entry node had no latency data at their start and were never hedged, however late they became. The delay is now set once enough replies have arrived.

--- a/src/core/query/plan.rs
+++ b/src/core/query/plan.rs
@@ -278,9 +278,26 @@
         if was_alone && self.alone.is_none() {
             self.release(now, context, out);
         }
+        self.learn_delays(now, context);
         self.settle(now, out);
     }
 
+    /// Schedules the hedges of a query that started before the node knew any latency.
+    fn learn_delays<C>(&mut self, now: Time, context: &Context<'_, C>) {
+        if self.hedge_delays.is_some() || self.finished {
+            return;
+        }
+        self.hedge_delays = self.hedge_delays(now, context);
+        let Some([first, _]) = self.hedge_delays else {
+            return;
+        };
+        for (number, call) in self.calls.iter().enumerate().filter(|(_, c)| c.in_flight) {
+            let timer = Timer::Hedge(CallId(number as u32));
+            self.timers
+                .push(Reverse(((call.sent + first).max(now), timer)));
+        }
+    }
+
     /// Acts on the time: hedges, retries, early partial answer, deadline.
     pub fn wake<C: CrashView>(
         &mut self,
