--- a/examples/demo.rs
+++ b/examples/demo.rs
@@ -495,7 +495,10 @@
         } else {
             match client.query(kind.name, &Query::new(&*text).top(TOP)).await {
                 Ok(answer) => shared.record(kind, &text, start.elapsed(), &answer),
-                Err(_) => shared.phase(|phase| phase.errors += 1),
+                Err(error) => shared.phase(|phase| {
+                    phase.errors += 1;
+                    phase.last_error = Some(error.to_string());
+                }),
             }
         }
         sleep(THINK_TIME).await;
--- a/src/adapter/upstream/leaf.rs
+++ b/src/adapter/upstream/leaf.rs
@@ -707,23 +707,13 @@
         self.refuse(inner, ticket, reason);
     }
 
-    /// Resets the stream of a call and replies; the call counts until the leaf has seen the reset.
+    /// Cancels a call that was sent and replies; the call counts until the leaf has seen the reset.
     fn stop(&self, inner: &mut Inner, now: Time, ticket: TicketId, failure: Failure) {
         inner.control.cancel(now, ticket);
-        let status = inner.control.status();
-        let Some(pending) = inner.pending.get_mut(&ticket) else {
-            return;
-        };
-        let Phase::Sent(id, stream) = &mut pending.phase else {
+        let Some(id) = Self::reset(inner, ticket, failure) else {
             return;
         };
-        stream.send_reset(Reason::CANCEL);
-        let id = *id;
-        pending.phase = Phase::Stopping(id);
-        let outcome = Outcome::Failed(failure);
-        pending.batch.reply(pending.index, outcome, status);
         if let Some(conn) = inner.conns.iter_mut().find(|conn| conn.id == id) {
-            conn.calls -= 1;
             conn.resets.push((ticket, now));
             self.wake_by(inner, now + RESET_FLUSH);
             self.settle(inner, now, id);
@@ -733,12 +723,15 @@
     /// Gives up a call whose connection broke or went silent.
     fn lose(&self, inner: &mut Inner, now: Time, ticket: TicketId, failure: Failure) {
         inner.control.finish(now, ticket, CallResult::Lost);
+        Self::reset(inner, ticket, failure);
+    }
+
+    /// Resets the stream of a call that was sent, replies, and returns its connection.
+    fn reset(inner: &mut Inner, ticket: TicketId, failure: Failure) -> Option<u64> {
         let status = inner.control.status();
-        let Some(pending) = inner.pending.get_mut(&ticket) else {
-            return;
-        };
+        let pending = inner.pending.get_mut(&ticket)?;
         let Phase::Sent(id, stream) = &mut pending.phase else {
-            return;
+            return None;
         };
         stream.send_reset(Reason::CANCEL);
         let id = *id;
@@ -748,6 +741,7 @@
         if let Some(conn) = inner.conns.iter_mut().find(|conn| conn.id == id) {
             conn.calls -= 1;
         }
+        Some(id)
     }
 
     /// Drops a connection that has ended once all its calls have, and reports the queries that were in flight.
--- a/src/core/query/mod.rs
+++ b/src/core/query/mod.rs
@@ -14,5 +14,7 @@
     budget::HedgeBudget,
     health::{HealthSettings, LeafHealth},
     plan::{CallId, Context, QueryAction, QueryPlan},
-    request::{CrashView, Query, QueryError, Verdict},
+    request::{CrashView, Query, QueryError},
 };
+
+pub use crate::core::crash::Verdict;
--- a/src/core/query/request.rs
+++ b/src/core/query/request.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::core::{RequestId, ServiceName, Time};
+use crate::core::{RequestId, ServiceName, Time, crash::Verdict};
 
 /// One parsed request of a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,19 +39,6 @@
     }
 }
 
-/// What the crash ledger says about a query.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// Never seen to run: one canary request goes first.
-    Fresh,
-    /// Has run without harm.
-    Known,
-    /// Was in flight when a leaf crashed: gets one more try, alone on its leaf.
-    Suspect,
-    /// Crashed leaves repeatedly: is not run.
-    Quarantined,
-}
-
 /// The plan's view of the crash ledger.
 pub trait CrashView {
     /// Returns the verdict on the query `text` of `service`.
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -2,8 +2,8 @@
 
 use crate::core::{
     ServiceName, Time,
-    crash::{self, CrashLedger},
-    query::{CrashView, HealthSettings, HedgeBudget, LeafHealth, Verdict},
+    crash::{CrashLedger, Verdict},
+    query::{CrashView, HealthSettings, HedgeBudget, LeafHealth},
 };
 
 /// What an entry node shares between the queries of one service.
@@ -29,11 +29,6 @@
 
 impl CrashView for Ledger<'_> {
     fn verdict(&self, now: Time, service: &ServiceName, text: &str) -> Verdict {
-        match self.0.verdict(now, CrashLedger::fingerprint(service, text)) {
-            crash::Verdict::Fresh => Verdict::Fresh,
-            crash::Verdict::Known => Verdict::Known,
-            crash::Verdict::Suspect => Verdict::Suspect,
-            crash::Verdict::Quarantined => Verdict::Quarantined,
-        }
+        self.0.verdict(now, CrashLedger::fingerprint(service, text))
     }
 }
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -2,10 +2,11 @@
 //!
 //! `SCHEDULES=n` runs n schedules, `SEED=s` runs only the schedule with that seed.
 
+mod seeds;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, BinaryHeap},
-    env, panic,
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, UNIX_EPOCH},
 };
@@ -421,19 +422,13 @@
 #[test]
 fn schedules_run_each_key_at_most_once() {
     let _alone = VIOLATIONS.lock().unwrap_or_else(PoisonError::into_inner);
-    let number = |name| env::var(name).ok()?.parse::<u64>().ok();
-    let seeds = match (number("SEED"), number("SCHEDULES")) {
-        (Some(seed), _) => seed..seed + 1,
-        (None, count) => 0..count.unwrap_or(DEFAULT_SCHEDULES),
-    };
+    let seeds = seeds::seeds(DEFAULT_SCHEDULES);
     let all = seeds.end - seeds.start >= 100;
     let before = invariant::violations();
     let mut reached = BTreeSet::new();
     for seed in seeds {
-        let run = || World::new(seed).run();
-        reached.append(&mut panic::catch_unwind(run).unwrap_or_else(|panic| {
-            println!("failed: SEED={seed} cargo test --test at_most_once schedules");
-            panic::resume_unwind(panic)
+        reached.append(&mut seeds::schedule("at_most_once", seed, || {
+            World::new(seed).run()
         }));
         assert_eq!(invariant::violations(), before, "seed {seed}");
     }
@@ -454,7 +449,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(seeds::properties())]
 
     /// Guards against a forged, foreign or damaged key that is accepted.
     #[test]
--- a/tests/configuration/main.rs
+++ b/tests/configuration/main.rs
@@ -1,5 +1,7 @@
 //! Configuration: values never revert, are in force everywhere within seconds, and are judged alike.
 
+#[path = "../seeds/mod.rs"]
+mod seeds;
 mod values;
 mod world;
 
@@ -276,6 +278,8 @@
 }
 
 proptest! {
+    #![proptest_config(seeds::properties())]
+
     /// Guards against a result that depends on the order, grouping or repetition of arrivals.
     #[test]
     fn order_does_not_matter((first, second) in documents().prop_flat_map(|list| {
--- a/tests/crash_ledger.rs
+++ b/tests/crash_ledger.rs
@@ -1,17 +1,14 @@
 //! Seeded schedules of crash ledgers on several nodes that run harmless and crashing queries.
 
-use std::{
-    collections::BTreeMap,
-    env,
-    panic::{AssertUnwindSafe, catch_unwind, resume_unwind},
-    time::Duration,
-};
+mod seeds;
+
+use std::{collections::BTreeMap, time::Duration};
 
 use cranberrychute::core::{
     Time,
     crash::{CrashEvent, CrashId, CrashLedger, Fingerprint, MAX_PRINTS, Verdict},
 };
-use proptest::{collection::vec, prelude::*, sample::subsequence, test_runner::RngSeed};
+use proptest::{collection::vec, prelude::*, sample::subsequence};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -29,10 +26,6 @@
     CrashEvent::new(CrashId(id), prints.iter().copied().map(print), alone)
 }
 
-fn setting(name: &str) -> Option<u64> {
-    env::var(name).ok()?.parse().ok()
-}
-
 /// Queries below `CRASHERS` crash every leaf they run on, the others none.
 struct World {
     rng: Pcg64,
@@ -123,13 +116,9 @@
 /// `SEED=n` runs one schedule, `SCHEDULES=n` the first n.
 #[test]
 fn schedules() {
-    let seeds = match setting("SEED") {
-        Some(seed) => seed..seed + 1,
-        None => 0..setting("SCHEDULES").unwrap_or(600),
-    };
     let mut quarantined = 0;
-    for seed in seeds {
-        let run = catch_unwind(AssertUnwindSafe(|| {
+    for seed in seeds::seeds(600) {
+        quarantined += seeds::schedule("crash_ledger", seed, || {
             let mut world = World {
                 rng: Pcg64::seed_from_u64(seed),
                 now: START,
@@ -151,29 +140,14 @@
             let now = world.now;
             let ledgers = world.ledgers.iter();
             ledgers.map(|ledger| ledger.quarantined(now)).sum::<usize>()
-        }));
-        match run {
-            Ok(count) => quarantined += count,
-            Err(panic) => {
-                println!("failed: SEED={seed} cargo test --test crash_ledger schedules");
-                resume_unwind(panic);
-            }
-        }
+        });
     }
     println!("{quarantined} quarantines");
     assert!(quarantined > 0, "no crasher was ever quarantined");
 }
 
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        rng_seed: RngSeed::Fixed(setting("SEED").unwrap_or(1)),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(seeds::properties())]
 
     /// Guards against verdicts that depend on the order or the number of arrivals of an event, as far as only one
     /// query of each crash ever crashes alone.
--- a/tests/leaf_control.rs
+++ b/tests/leaf_control.rs
@@ -1,9 +1,9 @@
 //! Seeded schedules of one leaf's load control against a model that counts what really runs on the leaf.
 
+mod seeds;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
-    env,
-    panic::{AssertUnwindSafe, catch_unwind, resume_unwind},
     time::Duration,
 };
 
@@ -17,7 +17,7 @@
         CallResult, Cancelled, LatencyWindow, LeafControl, LeafSettings, Next, Ticket, TicketId,
     },
 };
-use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
+use proptest::{collection::vec, prelude::*};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -517,23 +517,15 @@
     }
 }
 
-fn setting(name: &str) -> Option<u64> {
-    env::var(name).ok()?.parse().ok()
-}
-
 /// Guards against every breach of the limits of one leaf: more calls than it bears, calls to a leaving leaf or
 /// without lease, calls beside one that runs alone, calls uncounted while they run.
 ///
 /// `SEED=n` runs one schedule, `SCHEDULES=n` the first n.
 #[test]
 fn schedules() {
-    let seeds = match setting("SEED") {
-        Some(seed) => seed..seed + 1,
-        None => 0..setting("SCHEDULES").unwrap_or(2_000),
-    };
     let (mut calls, mut warm) = (0, 0);
-    for seed in seeds {
-        let run = catch_unwind(AssertUnwindSafe(|| {
+    for seed in seeds::seeds(2_000) {
+        calls += seeds::schedule("leaf_control", seed, || {
             let mut world = World::new(seed);
             for _ in 0..STEPS {
                 world.step();
@@ -541,29 +533,13 @@
             }
             world.recover();
             world.dispatched.len()
-        }));
-        match run {
-            Ok(count) => calls += count,
-            Err(panic) => {
-                println!("failed: SEED={seed} cargo test --test leaf_control schedules");
-                resume_unwind(panic);
-            }
-        }
+        });
     }
     println!("{calls} calls dispatched, {warm} steps with a warm leaf");
 }
 
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        cases: 256,
-        rng_seed: RngSeed::Fixed(setting("SEED").unwrap_or(1)),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(seeds::properties())]
 
     /// Guards against lost or doubled tickets, and against a queue that outgrows its bound, under any order of
     /// operations, also ones that no caller would choose.
--- a/tests/query_plan.rs
+++ b/tests/query_plan.rs
@@ -2,10 +2,12 @@
 //!
 //! `SCHEDULES=n` runs n schedules, `SEED=s` runs only the schedule with that seed.
 
+mod seeds;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, BinaryHeap},
-    env, mem, panic,
+    mem,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -773,19 +775,13 @@
 #[test]
 fn schedules_keep_the_invariants() {
     let _alone = VIOLATIONS.lock().unwrap_or_else(PoisonError::into_inner);
-    let number = |name| env::var(name).ok()?.parse::<u64>().ok();
-    let seeds = match (number("SEED"), number("SCHEDULES")) {
-        (Some(seed), _) => seed..seed + 1,
-        (None, count) => 0..count.unwrap_or(DEFAULT_SCHEDULES),
-    };
+    let seeds = seeds::seeds(DEFAULT_SCHEDULES);
     let all = seeds.end - seeds.start >= 100;
     let before = invariant::violations();
     let mut reached = BTreeSet::new();
     for seed in seeds {
-        let run = || World::new(seed).run();
-        reached.append(&mut panic::catch_unwind(run).unwrap_or_else(|panic| {
-            println!("failed: SEED={seed} cargo test --test query_plan schedules");
-            panic::resume_unwind(panic)
+        reached.append(&mut seeds::schedule("query_plan", seed, || {
+            World::new(seed).run()
         }));
         assert_eq!(invariant::violations(), before, "seed {seed}");
     }
@@ -809,7 +805,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(seeds::properties())]
 
     /// Guards against a merge that loses, repeats or misorders hits, with scores that are no numbers too.
     #[test]
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Settings, documents and `check`: every fault is named with its key and what is allowed.
 
+mod seeds;
+
 use std::{fs, process::ExitCode};
 
 use argh::FromArgs;
@@ -425,6 +427,8 @@
 }
 
 proptest! {
+    #![proptest_config(seeds::properties())]
+
     /// Guards against a panic, an unbounded report or differing verdicts on damaged values.
     #[test]
     fn damaged_values_are_judged_alike(
