Demo: show the last error of each phase

Cause: one demo run on a loaded machine ended with one error in the phase of the leaf crash, without its text. Conclusion: not reproduced; the text will show the next one.

--- a/examples/demo.rs
+++ b/examples/demo.rs
@@ -121,6 +121,7 @@
     name: &'static str,
     latency: Histogram<u64>,
     errors: u64,
+    last_error: Option<String>,
     wrong: u64,
     answered: u64,
     shards: u64,
@@ -134,6 +135,7 @@
             name,
             latency: Histogram::new_with_bounds(1, 60_000_000, 3).expect("fixed bounds are valid"),
             errors: 0,
+            last_error: None,
             wrong: 0,
             answered: 0,
             shards: 0,
@@ -517,6 +519,9 @@
     let mut before = start;
     for phase in phases.iter() {
         println!("{}", phase.row(before));
+        if let Some(error) = &phase.last_error {
+            println!("{:18} last error: {error}", "");
+        }
         before = phase.calls;
         total.latency += &phase.latency;
         total.errors += phase.errors;
