One fleet key type

Cause: three types of the same name held the fleet's secret, and a reader had to find out which one derives what. Ruled out: passing the raw bytes; the type hides them in debug output and derives a key per purpose. Conclusion: core::FleetKey derives and computes every MAC.

--- a/benches/cost/child.rs
+++ b/benches/cost/child.rs
@@ -13,7 +13,7 @@
 use cranberrychute::{
     adapter::peer::{Identity, OnceForward, OnceReply, PeerHandler, PeerTransport},
     core::{
-        Incarnation, NodeId,
+        FleetKey, Incarnation, NodeId,
         call::{LeafBatch, LeafReply, LeafStatus, Outcome},
         config::{Document, Versions, relay::RelayMessage},
     },
@@ -136,7 +136,7 @@
     Identity {
         node: NodeId::from(name),
         incarnation: Incarnation(1),
-        key: [7; 32],
+        key: FleetKey::new([7; 32]),
     }
 }
 
--- a/benches/cost/control.rs
+++ b/benches/cost/control.rs
@@ -12,9 +12,9 @@
 };
 
 use cranberrychute::{
-    adapter::peer::{ControlSocket, FleetKey},
+    adapter::peer::ControlSocket,
     core::{
-        Domain, Incarnation, LeafId, NodeId, Outbound, PartitionId, Time,
+        Domain, FleetKey, Incarnation, LeafId, NodeId, Outbound, PartitionId, Time,
         config::{
             ConfigStore, Digest, Document, Vm, VmList, VmState,
             relay::{Relay, RelayMessage, RelayOut, role},
--- a/src/adapter/peer/control.rs
+++ b/src/adapter/peer/control.rs
@@ -1,5 +1,5 @@
 use std::{
-    fmt, io,
+    io,
     net::SocketAddr,
     sync::atomic::{AtomicU64, Ordering},
 };
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::net::UdpSocket;
 
-use crate::core::{Incarnation, NodeId};
+use crate::core::{FleetKey, Incarnation, NodeId};
 
 /// Bytes of a datagram. It fits the smallest path MTU of IPv6, 1,280 bytes, with all headers.
 const MAX_DATAGRAM: usize = 1_200;
@@ -16,24 +16,7 @@
 const MAC_BYTES: usize = 16;
 
 /// Separates these messages from other uses of the fleet key.
-const CONTEXT: &str = "cranberrychute 2026 control message";
-
-/// The key shared by all nodes of a fleet.
-#[derive(Clone)]
-pub struct FleetKey([u8; 32]);
-
-impl FleetKey {
-    /// Wraps the bytes of a key.
-    pub fn new(bytes: [u8; 32]) -> Self {
-        Self(bytes)
-    }
-}
-
-impl fmt::Debug for FleetKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("FleetKey(..)")
-    }
-}
+const PURPOSE: &str = "cranberrychute 2026 control message";
 
 /// Why a control message was not sent.
 #[derive(Debug, thiserror::Error)]
@@ -98,7 +81,7 @@
             socket: UdpSocket::bind(address).await?,
             me,
             incarnation,
-            key: FleetKey(blake3::derive_key(CONTEXT, &key.0)),
+            key: key.derive(PURPOSE),
             dropped: AtomicU64::new(0),
         })
     }
@@ -216,7 +199,7 @@
     }
 
     fn mac(&self, body: &[u8]) -> [u8; MAC_BYTES] {
-        let mac = blake3::keyed_hash(&self.key.0, body);
+        let mac = self.key.mac(body);
         std::array::from_fn(|index| mac.as_bytes()[index])
     }
 }
--- a/src/adapter/peer/mod.rs
+++ b/src/adapter/peer/mod.rs
@@ -4,6 +4,6 @@
 mod quic;
 
 pub use self::{
-    control::{ControlError, ControlSocket, FleetKey, Incoming},
+    control::{ControlError, ControlSocket, Incoming},
     quic::{Identity, OnceForward, OnceReply, PeerError, PeerHandler, PeerStep, PeerTransport},
 };
--- a/src/adapter/peer/quic.rs
+++ b/src/adapter/peer/quic.rs
@@ -1,6 +1,6 @@
 use std::{
     collections::HashMap,
-    fmt, io,
+    io,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -25,7 +25,7 @@
 };
 
 use crate::core::{
-    Incarnation, NodeId, RequestId, ServiceName,
+    FleetKey, Incarnation, NodeId, RequestId, ServiceName,
     call::{LeafBatch, LeafReply},
     config::{Document, Versions, relay::RelayMessage},
 };
@@ -46,21 +46,12 @@
 const PROOF_BYTES: usize = 32;
 
 /// Who this node is towards its peers.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Identity {
     pub node: NodeId,
     pub incarnation: Incarnation,
     /// Secret shared by all nodes of the fleet.
-    pub key: [u8; 32],
-}
-
-impl fmt::Debug for Identity {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Identity")
-            .field("node", &self.node)
-            .field("incarnation", &self.incarnation)
-            .finish_non_exhaustive()
-    }
+    pub key: FleetKey,
 }
 
 /// An at-most-once request on its way to the node that issued its key.
@@ -435,7 +426,7 @@
         connection
             .export_keying_material(&mut session, b"cranberrychute hello", role)
             .map_err(|error| anyhow::anyhow!("export keying material: {error:?}"))?;
-        let mut mac = blake3::Hasher::new_keyed(&self.identity.key);
+        let mut mac = self.identity.key.hasher();
         mac.update(&session)
             .update(role)
             .update(node.as_str().as_bytes());
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,6 +8,7 @@
 pub mod call;
 pub mod config;
 pub mod crash;
+mod fleet_key;
 mod ids;
 pub mod invariant;
 pub mod leaf;
@@ -20,6 +21,7 @@
 mod time;
 
 pub use self::{
+    fleet_key::FleetKey,
     ids::{
         Domain, Incarnation, LeafId, NodeId, PartitionId, RequestId, ServiceName, ShardId,
         SnapshotId,
--- a/src/core/once/key.rs
+++ b/src/core/once/key.rs
@@ -1,10 +1,10 @@
-use std::fmt;
-
 use base64::{Engine, prelude::BASE64_URL_SAFE_NO_PAD};
 
 use super::OnceError;
-use crate::core::{Incarnation, NodeId};
+use crate::core::{FleetKey, Incarnation, NodeId};
 
+/// Separates the MACs of request keys from other uses of the fleet key.
+const PURPOSE: &str = "cranberrychute 2026 request keys v1";
 /// First byte of a key, the version of its layout.
 const VERSION: u8 = 1;
 /// Bytes of the MAC. 128 bits can't be guessed within the 30 s that a key lives.
@@ -14,30 +14,6 @@
 /// Longest key text accepted, so that a hostile one costs nothing to refuse.
 const MOST_TEXT: usize = 512;
 
-/// The secret shared by the nodes of a fleet, used for the MAC of keys.
-#[derive(Clone)]
-pub struct FleetKey([u8; 32]);
-
-impl FleetKey {
-    /// Derives the key for request keys from the fleet's secret.
-    pub fn new(secret: &[u8]) -> Self {
-        Self(blake3::derive_key(
-            "cranberrychute 2026 request keys v1",
-            secret,
-        ))
-    }
-
-    fn mac(&self, bytes: &[u8]) -> blake3::Hash {
-        blake3::keyed_hash(&self.0, bytes)
-    }
-}
-
-impl fmt::Debug for FleetKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("FleetKey(..)")
-    }
-}
-
 /// An at-most-once key: who issued it, which one it is and when it expires.
 ///
 /// As text it is base64url of a version byte, the incarnation, the serial number and the expiry (big
@@ -61,7 +37,7 @@
             bytes.extend_from_slice(&number.to_be_bytes());
         }
         bytes.extend_from_slice(name);
-        let mac = fleet.mac(&bytes);
+        let mac = fleet.derive(PURPOSE).mac(&bytes);
         bytes.extend_from_slice(&mac.as_bytes()[..MAC_BYTES]);
         BASE64_URL_SAFE_NO_PAD.encode(bytes)
     }
@@ -83,7 +59,10 @@
             return Err(OnceError::Malformed);
         }
         let (body, mac) = bytes.split_at(bytes.len() - MAC_BYTES);
-        if !same(&fleet.mac(body).as_bytes()[..MAC_BYTES], mac) {
+        if !same(
+            &fleet.derive(PURPOSE).mac(body).as_bytes()[..MAC_BYTES],
+            mac,
+        ) {
             return Err(OnceError::Forged);
         }
         let number = |at: usize| {
--- a/src/core/once/mod.rs
+++ b/src/core/once/mod.rs
@@ -6,6 +6,6 @@
 
 pub use self::{
     error::OnceError,
-    key::{FleetKey, Key},
+    key::Key,
     table::{Begin, KeySettings, KeyTable, OnceOutcome},
 };
--- a/src/core/once/table.rs
+++ b/src/core/once/table.rs
@@ -5,9 +5,9 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use super::{FleetKey, Key, OnceError};
+use super::{Key, OnceError};
 use crate::core::{
-    Incarnation, NodeId, Time,
+    FleetKey, Incarnation, NodeId, Time,
     invariant::{Invariant, check},
     query::{Answer, RunOutcome},
 };
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -19,7 +19,7 @@
 mod telemetry;
 
 pub use self::{
-    settings::{FleetKey, Limits, LogFormat, LogSettings, Settings, SettingsError},
+    settings::{Limits, LogFormat, LogSettings, Settings, SettingsError},
     telemetry::{recent_spans, start_logging, start_tracing},
 };
 
@@ -46,7 +46,7 @@
     adapter::{
         Clock,
         caller::{CallerServer, ServerLimits},
-        peer::{ControlSocket, FleetKey as ControlKey, Identity, PeerTransport},
+        peer::{ControlSocket, Identity, PeerTransport},
         upstream::{LeafPool, PoolSettings},
     },
     core::{
@@ -60,7 +60,7 @@
         crash::{CrashEvent, CrashLedger},
         lease::{LeaseSettings, LeaseTable},
         member::{MemberSettings, Membership},
-        once::{FleetKey as RequestKey, KeySettings, KeyTable, OnceOutcome},
+        once::{KeySettings, KeyTable, OnceOutcome},
     },
 };
 
@@ -162,21 +162,16 @@
         let now = clock.now();
         let me = settings.id.clone();
         let incarnation = Incarnation(rand::random());
-        let key = settings.fleet_key.0;
+        let key = settings.fleet_key.clone();
         let identity = Identity {
             node: me.clone(),
             incarnation,
-            key,
+            key: key.clone(),
         };
         let peers = PeerTransport::bind(settings.peer, identity)?;
-        let control = ControlSocket::bind(
-            settings.control,
-            me.clone(),
-            incarnation,
-            &ControlKey::new(key),
-        )
-        .await
-        .with_context(|| format!("bind control_address {} (UDP)", settings.control))?;
+        let control = ControlSocket::bind(settings.control, me.clone(), incarnation, &key)
+            .await
+            .with_context(|| format!("bind control_address {} (UDP)", settings.control))?;
         let lease_settings = LeaseSettings {
             voters: settings.limits.voters.into(),
             ..LeaseSettings::default()
@@ -200,7 +195,7 @@
             lifetime: Duration::from_millis(api::KEY_LIFETIME_MS),
             ..KeySettings::default()
         };
-        let keys = KeyTable::new(me.clone(), incarnation, RequestKey::new(&key), key_settings);
+        let keys = KeyTable::new(me.clone(), incarnation, key, key_settings);
         let node = Self {
             clock,
             started: now,
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -1,11 +1,11 @@
-use std::{fmt, fs, io, net::SocketAddr, path::Path, sync::Arc};
+use std::{fs, io, net::SocketAddr, path::Path, sync::Arc};
 
 use log::LevelFilter;
 use serde_json::Value;
 use url::Url;
 
 use crate::core::{
-    Domain, NodeId,
+    Domain, FleetKey, NodeId,
     config::{
         Fault,
         parse::{parse_address, parse_toml, read_address, read_name},
@@ -42,16 +42,6 @@
     pub log: LogSettings,
 }
 
-/// The secret that all nodes share. Its debug output hides the bytes.
-#[derive(Clone, PartialEq, Eq)]
-pub struct FleetKey(pub [u8; 32]);
-
-impl fmt::Debug for FleetKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("FleetKey(hidden)")
-    }
-}
-
 /// Bounds of one node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -209,7 +199,7 @@
         (_, Some(Ok(()))) => {}
         _ => t.fault("fleet_key", "is not a key", allowed),
     }
-    FleetKey(bytes)
+    FleetKey::new(bytes)
 }
 
 fn read_seeds(t: &mut Table<'_>) -> Vec<SocketAddr> {
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -13,7 +13,7 @@
 
 use assert_matches::assert_matches;
 use cranberrychute::core::{
-    Incarnation, NodeId, ServiceName, ShardId, SnapshotId, Time,
+    FleetKey, Incarnation, NodeId, ServiceName, ShardId, SnapshotId, Time,
     call::{Failure, NotRun, Outcome},
     config::{DomainList, ServiceMap, ServicePolicy},
     invariant,
@@ -53,7 +53,7 @@
 }
 
 fn fleet() -> FleetKey {
-    FleetKey::new(b"secret of the fleet")
+    FleetKey::new([1; 32])
 }
 
 fn table(node: usize, incarnation: u64, keys: usize) -> KeyTable {
@@ -465,7 +465,7 @@
         let key = Key { node: node.as_str().into(), incarnation, serial, expiry_ms };
         let text = key.encode(&fleet());
         prop_assert_eq!(Key::decode(&text, &fleet()), Ok(key));
-        prop_assert_eq!(Key::decode(&text, &FleetKey::new(b"other")), Err(OnceError::Forged));
+        prop_assert_eq!(Key::decode(&text, &FleetKey::new([2; 32])), Err(OnceError::Forged));
         let mut bytes = text.into_bytes();
         let place = flip.index(bytes.len());
         bytes[place] ^= by;
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use cranberrychute::{
     adapter::peer::{Identity, PeerStep, PeerTransport},
-    core::{Incarnation, NodeId, config::Versions},
+    core::{FleetKey, Incarnation, NodeId, config::Versions},
     node::{self, Settings},
 };
 use cranberrychute_emulator::{
@@ -249,7 +249,7 @@
     };
     let me = NodeId::from(world.node.id.as_str());
     let any: SocketAddr = ([127, 0, 0, 1], 0).into();
-    let stranger = PeerTransport::bind(any, identity([1; 32])).unwrap();
+    let stranger = PeerTransport::bind(any, identity(FleetKey::new([1; 32]))).unwrap();
     let error = stranger
         .fetch(&me, world.node.peer, Versions::default())
         .await
@@ -259,7 +259,7 @@
         "{error}"
     );
     assert!(error.not_sent());
-    let friend = PeerTransport::bind(any, identity([0x5a; 32])).unwrap();
+    let friend = PeerTransport::bind(any, identity(FleetKey::new([0x5a; 32]))).unwrap();
     let documents = friend
         .fetch(&me, world.node.peer, Versions::default())
         .await
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -4,8 +4,8 @@
 
 use assert_matches::assert_matches;
 use cranberrychute::{
-    adapter::peer::{ControlError, ControlSocket, FleetKey},
-    core::{Incarnation, NodeId, PartitionId, lease::LeaseMessage},
+    adapter::peer::{ControlError, ControlSocket},
+    core::{FleetKey, Incarnation, NodeId, PartitionId, lease::LeaseMessage},
 };
 use tokio::{net::UdpSocket, time::timeout};
 
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -8,7 +8,7 @@
 use cranberrychute::{
     cli::Check,
     core::{
-        NodeId, Time,
+        FleetKey, NodeId, Time,
         address::{LIFETIME_MS, answer},
         config::{
             ConfigStore, Document, DomainList, Fault, MAX_KEYS, MAX_VERSION, ServicePolicy, VmList,
@@ -56,7 +56,8 @@
     let settings = Settings::parse(SETTINGS).expect("valid");
     assert_eq!(settings.id.as_str(), "vm-1");
     assert_eq!(settings.control.port(), 7200);
-    assert_eq!(settings.fleet_key.0[31], 0x1f);
+    let key = FleetKey::new(std::array::from_fn(|byte| byte as u8));
+    assert_eq!(settings.fleet_key, key);
     assert_eq!(
         (settings.limits.drain_ms, settings.limits.partitions),
         (45_000, 8)
