--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -19,15 +19,16 @@
 const UNREADABLE: u8 = 2;
 
 /// Check a settings file or a configuration document, and print every fault with what is allowed.
-///
-/// Settings of a node:   cranberrychute check settings node.toml
-/// Policy of a service:  cranberrychute check service/parts parts.toml
-/// Map of a service:     cranberrychute check map/parts parts.json
-/// Other documents:      cranberrychute check domains domains.json
-///
-/// Exit codes: 0 valid, 1 faults, 2 unreadable file or unknown kind.
 #[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "check")]
+#[argh(
+    subcommand,
+    name = "check",
+    example = "{command_name} settings node.toml",
+    example = "{command_name} service/parts parts.toml",
+    example = "{command_name} map/parts parts.json",
+    error_code(1, "The file has faults."),
+    error_code(2, "The file cannot be read, or the kind is unknown.")
+)]
 pub struct Check {
     /// kind of file: "settings", or the key of the document: service/<name>, map/<name>, domains or vms
     #[argh(positional)]
@@ -35,7 +36,7 @@
     /// file to check
     #[argh(positional)]
     pub file: PathBuf,
-    /// print JSON: {{"valid", "faults": [{{"field", "reason", "allowed"}}]}} or {{"error"}}
+    /// print JSON: {"valid", "faults": [{"field", "reason", "allowed"}]} or {"error"}
     #[argh(switch)]
     pub json: bool,
 }
--- a/src/cli/key.rs
+++ b/src/cli/key.rs
@@ -2,8 +2,7 @@
 
 use argh::FromArgs;
 
-/// Generate a new fleet key: 32 random bytes as 64 hexadecimal digits, for `fleet_key` in the settings of
-/// every node of one fleet. Keep it secret.
+/// Generate a new fleet key for the settings of all nodes of one fleet; keep it secret.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "key")]
 pub(super) struct Key {}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -26,13 +26,15 @@
 const USAGE: u8 = 2;
 
 /// Query tier between callers and back ends that hold many shards.
-///
-/// Run a node:        cranberrychute node --settings node.toml
-/// Check settings:    cranberrychute check settings node.toml
-/// Ask a query:       cranberrychute ask --seed 127.0.0.1:8001 --service parts wok burner jet
-/// Look at a node:    cranberrychute state 127.0.0.1:8001
-/// Create a service:  cranberrychute questionnaire --out parts.toml
 #[derive(Debug, FromArgs)]
+#[argh(
+    note = "{command_name} COMMAND --help explains a command and its exit codes.",
+    example = "{command_name} node --settings node.toml",
+    example = "{command_name} check settings node.toml",
+    example = "{command_name} ask --seed 127.0.0.1:8001 --service parts wok burner jet",
+    example = "{command_name} state 127.0.0.1:8001",
+    example = "{command_name} questionnaire --out parts.toml"
+)]
 struct Cranberrychute {
     #[argh(subcommand)]
     command: Command,
--- a/src/cli/node.rs
+++ b/src/cli/node.rs
@@ -5,10 +5,17 @@
 
 use crate::node::{self, LogFormat, Settings, SettingsError};
 
-/// Run a node. SIGTERM or SIGINT starts a graceful shutdown: the node hands its work over and serves until no
-/// caller can hold its address any more. Logs go to standard error.
+/// Run a node until SIGTERM or SIGINT, which start a graceful shutdown.
 #[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "node")]
+#[argh(
+    subcommand,
+    name = "node",
+    note = "A leaving node hands its work over and serves until no caller can hold its address any more.",
+    note = "Logs go to standard error.",
+    example = "{command_name} --settings node.toml",
+    error_code(1, "An address cannot be bound, or the node failed."),
+    error_code(2, "The settings are unreadable or wrong.")
+)]
 pub(super) struct Node {
     /// settings file (TOML); see docs/settings.md
     #[argh(option)]
--- a/src/cli/questionnaire.rs
+++ b/src/cli/questionnaire.rs
@@ -18,13 +18,16 @@
 const UNREADABLE: u8 = 2;
 
 /// Create the policy of a query service from answers to plain questions.
-///
-/// On the terminal:      cranberrychute questionnaire --out parts.toml
-/// From an answers file: cranberrychute questionnaire --answers answers.toml
-///
-/// Exit codes: 0 written, 1 invalid or contradictory answers, 2 unreadable file.
 #[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "questionnaire")]
+#[argh(
+    subcommand,
+    name = "questionnaire",
+    note = "Without --answers the questions are asked on the terminal.",
+    example = "{command_name} --out parts.toml",
+    example = "{command_name} --answers answers.toml --out parts.toml",
+    error_code(1, "Invalid or contradictory answers."),
+    error_code(2, "A file cannot be read or written.")
+)]
 pub struct Questionnaire {
     /// read the answers from this TOML file instead of the terminal
     #[argh(option)]
--- a/src/cli/state.rs
+++ b/src/cli/state.rs
@@ -12,10 +12,15 @@
 /// Largest state, bytes.
 const MAX_STATE_BYTES: usize = 16 << 20;
 
-/// Show the state of a node to an operator, as JSON: leases, leaves, configuration versions, refusals, recent
-/// trace spans.
+/// Show the state of a node to an operator, as JSON.
 #[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "state")]
+#[argh(
+    subcommand,
+    name = "state",
+    note = "The state names leases, leaves, configuration versions, refusals, alarms and recent trace spans.",
+    example = "{command_name} 127.0.0.1:8001",
+    error_code(1, "The node does not answer.")
+)]
 pub(super) struct State {
     /// caller address of the node, for example 127.0.0.1:8001
     #[argh(positional)]
