Split the query plan by phase: dispatch, replies, end

Ruled out: separate types for the phases, which would share most of the state. Conclusion: a move only.

--- /dev/null
+++ b/src/core/query/plan/end.rs
@@ -0,0 +1,200 @@
+//! Restart, cancellation and the answer.
+
+use std::{cmp::Reverse, mem, time::Duration};
+
+use super::{CANARY_TRIES, Context, QueryAction, QueryPlan, pin};
+use crate::core::{
+    LeafId, SnapshotId, Time,
+    config::{DomainList, ServiceMap},
+    invariant::{Invariant, check},
+    query::{
+        Answer, Coverage, CrashView, Missing, MissingReason, RunOutcome,
+        merge::merge,
+        replica::in_service,
+        shard::{Phase, ShardState},
+    },
+};
+
+impl QueryPlan {
+    /// Returns whether a restart on a newer snapshot can still happen.
+    pub(super) fn may_restart(&self, now: Time) -> bool {
+        let half = self.deadline.since(self.started) / 2;
+        !self.once && self.rounds == 1 && !self.stopped && now.since(self.started) < half
+    }
+
+    /// Starts the whole query again on a newer snapshot, against the budget for all calls that ran.
+    pub(super) fn restart<C: CrashView>(
+        &mut self,
+        now: Time,
+        context: &mut Context<'_, C>,
+        out: &mut Vec<QueryAction>,
+    ) -> bool {
+        let newer = pin(context.map).filter(|newer| *newer > self.snapshot);
+        let Some(newer) = newer.filter(|_| self.may_restart(now)) else {
+            return false;
+        };
+        // A snapshot whose leaves are not in service would lose the answers that have arrived.
+        if reachable(context.map, newer, context.domains) <= self.answered as usize {
+            return false;
+        }
+        let canary = match &self.canary {
+            Some(canary) if canary.tries >= CANARY_TRIES => return false,
+            Some(canary) => Some(canary.tries),
+            None => self.suspect.then_some(0),
+        };
+        let ran = |shard: &&ShardState| shard.may_run || !shard.in_flight.is_empty();
+        let repeats = self.shards.iter().filter(ran).count() as u32;
+        if !context.budget.borrow(repeats) {
+            return false;
+        }
+        for index in 0..self.shards.len() {
+            self.cancel(now, index, context, out);
+        }
+        self.repeats = repeats;
+        self.ran_before = repeats > 0;
+        self.map = context.map.clone();
+        self.snapshot = newer;
+        self.round(now, canary, context, out);
+        true
+    }
+
+    /// Cancels all calls of a shard that are in flight.
+    pub(super) fn cancel<C>(
+        &mut self,
+        now: Time,
+        index: usize,
+        context: &mut Context<'_, C>,
+        out: &mut Vec<QueryAction>,
+    ) {
+        for call in mem::take(&mut self.shards[index].in_flight) {
+            let record = &mut self.calls[call.0 as usize];
+            record.in_flight = false;
+            // Without the slow calls that were given up, the quantile would sink with each hedge.
+            if record.slow {
+                context.health.latency(now, now.since(record.sent));
+            }
+            if self.alone == Some(call) {
+                self.alone = None;
+            }
+            out.push(QueryAction::Cancel(call));
+        }
+    }
+
+    /// Gives the answer if the query is over, otherwise the next time to wake up.
+    pub(super) fn settle(&mut self, now: Time, out: &mut Vec<QueryAction>) {
+        if self.finished {
+            return;
+        }
+        let partial = self
+            .policy
+            .partial_after_ms
+            .filter(|_| !self.once)
+            .map(|millis| self.started + Duration::from_millis(millis.into()));
+        let enough = self.coverage().share() >= self.policy.min_coverage;
+        let early = partial.is_some_and(|at| now >= at) && enough;
+        if self.pending == 0 || now >= self.deadline || early {
+            return self.finish(now, out);
+        }
+        let timer = self.timers.peek().map(|Reverse((at, _))| *at);
+        let partial = partial.filter(|at| *at > now);
+        let next = [timer, partial].into_iter().flatten().min();
+        let next = next.map_or(self.deadline, |next| next.min(self.deadline));
+        if self.wake_at != Some(next) {
+            self.wake_at = Some(next);
+            out.push(QueryAction::WakeAt(next));
+        }
+    }
+
+    /// Returns whether a shard is open and has no call in flight.
+    pub(super) fn is_idle(&self, index: usize) -> bool {
+        let shard = &self.shards[index];
+        shard.phase == Phase::Open && shard.in_flight.is_empty()
+    }
+
+    fn coverage(&self) -> Coverage {
+        Coverage {
+            answered: self.answered,
+            shards: self.shards.len() as u32,
+        }
+    }
+
+    fn finish(&mut self, now: Time, out: &mut Vec<QueryAction>) {
+        self.finished = true;
+        let outcome = self.outcome();
+        for shard in &mut self.shards {
+            for call in mem::take(&mut shard.in_flight) {
+                self.calls[call.0 as usize].in_flight = false;
+                out.push(QueryAction::Cancel(call));
+                shard.reason = match shard.reason {
+                    MissingReason::Truncated => MissingReason::Truncated,
+                    _ => MissingReason::Late,
+                };
+            }
+        }
+        let covered = |shard: &&ShardState| shard.phase == Phase::Covered;
+        let answered = self.shards.iter().filter(covered).count() as u32;
+        let request = &self.query.request;
+        let counted = self.answered;
+        let _ = check(Invariant::TrueCoverage, counted == answered, || {
+            format!("{request}: {counted} answers counted, {answered} shards covered")
+        });
+        let missing = self
+            .shards
+            .iter()
+            .filter(|shard| shard.phase != Phase::Covered)
+            .map(|shard| Missing {
+                shard: shard.shard,
+                reason: shard.reason.clone(),
+            })
+            .collect();
+        let hits = self.shards.iter_mut().flat_map(|s| mem::take(&mut s.hits));
+        let hits = merge(hits.collect(), usize::from(self.query.top));
+        let coverage = Coverage {
+            answered,
+            shards: self.shards.len() as u32,
+        };
+        out.push(QueryAction::Finish(Answer {
+            request: self.query.request.clone(),
+            snapshot: self.snapshot,
+            hits,
+            coverage,
+            missing,
+            elapsed: now.since(self.started),
+            outcome,
+        }));
+    }
+
+    /// Returns what is known about the execution, before the calls in flight are cancelled.
+    fn outcome(&self) -> RunOutcome {
+        let open = |shard: &ShardState| {
+            shard.phase != Phase::Covered && (shard.uncertain || !shard.in_flight.is_empty())
+        };
+        let answered = self.shards.iter().any(|shard| shard.ran);
+        if self.shards.iter().any(open) || (self.ran_before && !answered) {
+            RunOutcome::Unknown
+        } else if answered {
+            RunOutcome::Done
+        } else {
+            let ran = self.shards.iter().any(|shard| shard.may_run);
+            let request = &self.query.request;
+            match check(Invariant::NotRunFinal, !ran, || {
+                format!("{request}: a call ran but the outcome is \"not run\"")
+            }) {
+                true => RunOutcome::NotRun,
+                false => RunOutcome::Unknown,
+            }
+        }
+    }
+}
+
+/// Returns the number of shards of a snapshot that have a replica in service.
+fn reachable(map: &ServiceMap, snapshot: SnapshotId, domains: &DomainList) -> usize {
+    let serves = |leaf: &LeafId| {
+        let info = map.leaves.get(leaf);
+        info.is_some_and(|info| in_service(info, domains))
+    };
+    let found = map.snapshots.iter().find(|s| s.id == snapshot);
+    let shards = found.map_or(&[][..], |found| &found.shards);
+    let reachable = shards.iter().filter(|s| s.leaves.iter().any(serves));
+    reachable.count()
+}
