--- a/tests/schedules/mod.rs
+++ b/tests/schedules/mod.rs
@@ -153,6 +153,8 @@
     late: f64,
     /// Nodes that reach only one another.
     pub(crate) island: BTreeSet<usize>,
+    /// Nodes that send but receive nothing.
+    deaf: BTreeSet<usize>,
 }
 
 impl<S: Scenario> Fleet<S> {
@@ -177,6 +179,7 @@
             duplicate: 0.0,
             late: 0.0,
             island: BTreeSet::new(),
+            deaf: BTreeSet::new(),
         };
         (0..running).for_each(|node| fleet.start(node));
         fleet
@@ -237,7 +240,9 @@
 
     /// Returns whether a message between two nodes would pass now.
     pub(crate) fn passes(&mut self, from: usize, to: usize) -> bool {
-        self.island.contains(&from) == self.island.contains(&to) && !self.rng.random_bool(self.loss)
+        self.island.contains(&from) == self.island.contains(&to)
+            && !self.deaf.contains(&to)
+            && !self.rng.random_bool(self.loss)
     }
 
     fn schedule(&mut self, delay: u64, event: Event<S>) {
@@ -327,6 +332,9 @@
                 let cut = f64::from(self.rng.random_bool(0.3)) * 0.4;
                 let nodes = 0..self.nodes.len();
                 self.island = nodes.filter(|_| self.rng.random_bool(cut)).collect();
+                let cut = f64::from(self.rng.random_bool(0.3)) * 0.3;
+                let nodes = 0..self.nodes.len();
+                self.deaf = nodes.filter(|_| self.rng.random_bool(cut)).collect();
             }
             6 => self.calm_network(),
             kind => S::fault(self, index, kind),
@@ -338,5 +346,6 @@
     fn calm_network(&mut self) {
         (self.loss, self.duplicate, self.late) = (0.0, 0.0, 0.0);
         self.island.clear();
+        self.deaf.clear();
     }
 }
