Wrap relay messages in one place

Cause: four functions of the node's control loop repeated the same conversion of relay messages. Conclusion: no behaviour changed.

--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -79,6 +79,12 @@
     }
 }
 
+/// Adds relay messages to the messages to send.
+fn add_relay(out: &mut Vec<(NodeId, Control)>, messages: Vec<(NodeId, RelayMessage)>) {
+    let messages = messages.into_iter();
+    out.extend(messages.map(|(to, message)| (to, Control::Relay(message))));
+}
+
 /// Returns the encoded size of a value, bytes.
 fn size<T: Serialize>(value: &T) -> usize {
     postcard::experimental::serialized_size(value).unwrap_or(usize::MAX)
@@ -163,11 +169,7 @@
             let (relay, store) = (&mut config.relay, &config.store);
             relay.tick(now, store, &peers, &mut *rng, &mut messages);
         }
-        out.extend(
-            messages
-                .into_iter()
-                .map(|(to, message)| (to, Control::Relay(message))),
-        );
+        add_relay(out, messages);
     }
 
     /// Releases the partitions whose calls have ended.
@@ -355,11 +357,7 @@
         config
             .relay
             .digest_seen(self.clock.now(), from, digest, &config.store, &mut messages);
-        out.extend(
-            messages
-                .into_iter()
-                .map(|(to, message)| (to, Control::Relay(message))),
-        );
+        add_relay(out, messages);
     }
 
     /// Takes a relay message of a peer and puts newer documents in force.
@@ -379,11 +377,7 @@
             let (relay, store) = (&mut config.relay, &mut config.store);
             relay.receive(now, from, message, store, &peers, &mut *rng, &mut messages)
         };
-        out.extend(
-            messages
-                .into_iter()
-                .map(|(to, message)| (to, Control::Relay(message))),
-        );
+        add_relay(out, messages);
         self.put_in_force(applied);
     }
 
@@ -406,11 +400,7 @@
                 .learned(&applied, &peers, &mut *rng, &mut messages);
             applied
         };
-        out.extend(
-            messages
-                .into_iter()
-                .map(|(to, message)| (to, Control::Relay(message))),
-        );
+        add_relay(out, messages);
         self.put_in_force(applied);
     }
 
