--- /dev/null
+++ b/src/adapter/http1/reply.rs
@@ -0,0 +1,123 @@
+use bytes::Bytes;
+use smallvec::SmallVec;
+
+/// Most headers of an answer.
+pub(super) const MAX_HEADERS: usize = 48;
+
+/// How the end of a body is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Framing {
+    Length(usize),
+    Chunked,
+    /// The body ends with the connection.
+    Close,
+}
+
+/// A complete answer.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    pub status: u16,
+    head: Bytes,
+    /// Name and value of each header, as ranges of the head.
+    headers: SmallVec<[(Span, Span); 12]>,
+    pub body: Bytes,
+}
+
+type Span = (u32, u32);
+
+/// The head of an answer.
+pub(super) struct Head {
+    pub(super) reply: Reply,
+    pub(super) length: usize,
+    pub(super) framing: Framing,
+    pub(super) closes: bool,
+}
+
+impl Reply {
+    /// Returns the first value of a header.
+    pub fn header(&self, name: &str) -> Option<&[u8]> {
+        self.headers()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name.as_bytes()))
+            .map(|(_, value)| value)
+    }
+
+    /// Returns all headers in order.
+    pub fn headers(&self) -> impl Iterator<Item = (&[u8], &[u8])> {
+        self.headers
+            .iter()
+            .map(|(name, value)| (self.span(*name), self.span(*value)))
+    }
+
+    /// Returns a header as text.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        std::str::from_utf8(self.header(name)?).ok()
+    }
+
+    fn span(&self, (from, to): Span) -> &[u8] {
+        &self.head[from as usize..to as usize]
+    }
+}
+
+/// Parses a head; None while it is incomplete.
+pub(super) fn parse_head(buffer: &[u8]) -> Result<Option<Head>, &'static str> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Response::new(&mut headers);
+    let length = match parsed.parse(buffer) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => return Err("not an HTTP answer"),
+    };
+    let status = parsed.code.ok_or("no status")?;
+    let span = |part: &[u8]| {
+        let from = part.as_ptr() as usize - buffer.as_ptr() as usize;
+        (from as u32, (from + part.len()) as u32)
+    };
+    let spans = parsed
+        .headers
+        .iter()
+        .map(|header| (span(header.name.as_bytes()), span(header.value)))
+        .collect();
+    let reply = Reply {
+        status,
+        head: Bytes::copy_from_slice(&buffer[..length]),
+        headers: spans,
+        body: Bytes::new(),
+    };
+    let framing = framing(&reply)?;
+    let closes = parsed.version == Some(0)
+        || framing == Framing::Close
+        || reply
+            .header("connection")
+            .is_some_and(|value| value.eq_ignore_ascii_case(b"close"));
+    Ok(Some(Head {
+        reply,
+        length,
+        framing,
+        closes,
+    }))
+}
+
+fn framing(reply: &Reply) -> Result<Framing, &'static str> {
+    if reply.status < 200 || matches!(reply.status, 204 | 304) {
+        return Ok(Framing::Length(0));
+    }
+    if let Some(coding) = reply.header("transfer-encoding") {
+        if coding.eq_ignore_ascii_case(b"chunked") {
+            return Ok(Framing::Chunked);
+        }
+        return Err("unknown transfer coding");
+    }
+    let mut lengths = reply
+        .headers()
+        .filter(|(name, _)| name.eq_ignore_ascii_case(b"content-length"))
+        .map(|(_, value)| value);
+    let Some(first) = lengths.next() else {
+        return Ok(Framing::Close);
+    };
+    if lengths.any(|other| other != first) {
+        return Err("contradicting lengths");
+    }
+    let text = std::str::from_utf8(first).map_err(|_| "length is no number")?;
+    let length = text.trim().parse().map_err(|_| "length is no number")?;
+    Ok(Framing::Length(length))
+}
--- a/src/adapter/mod.rs
+++ b/src/adapter/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 mod clock;
+pub mod http1;
 pub mod peer;
 pub mod platform;
 pub mod upstream;
--- /dev/null
+++ b/src/cli/gateway.rs
@@ -0,0 +1,52 @@
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use log::LevelFilter;
+use tokio::{runtime::Builder, task::LocalSet};
+
+use crate::{gateway, platform};
+
+/// Run a node on the users' platform until SIGTERM, which starts a graceful stop.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "gateway",
+    note = "The settings file is the one that CRANBERRYCHUTE_SETTINGS names. SIGHUP reads it again.",
+    note = "Structured logs go to standard output.",
+    error_code(1, "An address cannot be bound, or the node failed."),
+    error_code(2, "The settings are unreadable or wrong.")
+)]
+pub(super) struct Gateway {
+    /// least severe level that is logged: error, warn, info or debug
+    #[argh(option, default = "LevelFilter::Info")]
+    log: LevelFilter,
+}
+
+impl Gateway {
+    pub(super) fn run(self) -> ExitCode {
+        let settings = match platform::load() {
+            Ok(settings) => settings,
+            Err(error) => {
+                super::complain(&format!("{:#}", anyhow::Error::from(error)));
+                return ExitCode::from(super::USAGE);
+            }
+        };
+        if let Err(error) = gateway::start_logging(self.log) {
+            super::complain(&format!("{error:#}"));
+            return ExitCode::FAILURE;
+        }
+        let run = || {
+            let runtime = Builder::new_current_thread().enable_all().build()?;
+            let reload = || Ok(platform::load()?);
+            LocalSet::new().block_on(&runtime, gateway::run(settings, reload))
+        };
+        match run() {
+            // Connections that are still open end with the process.
+            Ok(()) => std::process::exit(0),
+            Err(error) => {
+                super::complain(&format!("cranberrychute: {error:#}"));
+                ExitCode::FAILURE
+            }
+        }
+    }
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 
 mod ask;
 mod check;
+mod gateway;
 mod key;
 mod node;
 mod questionnaire;
@@ -29,6 +30,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(
     note = "{command_name} COMMAND --help explains a command and its exit codes.",
+    example = "{command_name} gateway",
     example = "{command_name} node --settings node.toml",
     example = "{command_name} check settings node.toml",
     example = "{command_name} ask --seed 127.0.0.1:8001 --service parts wok burner jet",
@@ -43,6 +45,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Gateway(gateway::Gateway),
     Node(node::Node),
     Check(check::Check),
     Ask(ask::Ask),
@@ -84,6 +87,7 @@
 impl Command {
     fn run(self) -> ExitCode {
         match self {
+            Command::Gateway(command) => command.run(),
             Command::Node(command) => command.run(),
             Command::Check(command) => command.run(),
             Command::Ask(command) => command.run(),
--- /dev/null
+++ b/src/core/gather/plan.rs
@@ -0,0 +1,254 @@
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::core::Time;
+
+/// Time after which a part without a usable leaf is tried again.
+const ROOM_RETRY: Duration = Duration::from_millis(4);
+
+/// Tries of one part that end before anything is sent, such as refused connections.
+const UNSENT_TRIES: u8 = 4;
+
+/// What bounds one request.
+#[derive(Clone, Copy, Debug)]
+pub struct PlanSettings {
+    /// Number of parts.
+    pub parts: usize,
+    /// Least number of parts in a success.
+    pub needed: usize,
+    /// Leafs that may run the request, for each part.
+    pub attempts: u32,
+    /// The request may run more than once.
+    pub repeatable: bool,
+    /// Time after a send without an answer at which a second leaf is asked.
+    pub hedge: Duration,
+    /// When the answer goes out with the parts that are there.
+    pub answer: Time,
+    /// When the request ends in any case.
+    pub end: Time,
+}
+
+/// What happened to a send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// Nothing was sent, or the leaf says that it ran nothing.
+    NotRun,
+    /// The leaf may have run the request.
+    MayHaveRun,
+}
+
+/// How a request ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Answer with the parts that are there.
+    Answer,
+    /// Too few parts can still come.
+    Unreachable,
+    /// The time is over.
+    Timeout,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Send these parts now. The second field tells whether another send of the part is in progress or was made.
+    Send(SmallVec<[(usize, bool); 8]>),
+    /// Nothing to do before this time unless a call ends.
+    Wait(Time),
+    Finish(End),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Open,
+    Done,
+    Lost,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    state: State,
+    /// Sends in progress.
+    open: u8,
+    /// Leafs that may have run it, those in progress included.
+    ran: u8,
+    /// Sends so far.
+    sent: u8,
+    /// Tries that ended before anything ran.
+    unsent: u8,
+    /// When it is sent next.
+    next: Time,
+}
+
+/// The parts of one request.
+#[derive(Debug)]
+pub struct Plan {
+    settings: PlanSettings,
+    parts: SmallVec<[Part; 16]>,
+}
+
+impl Plan {
+    /// Starts a request at `now`.
+    pub fn new(settings: PlanSettings, now: Time) -> Self {
+        let part = Part {
+            state: State::Open,
+            open: 0,
+            ran: 0,
+            sent: 0,
+            unsent: 0,
+            next: now,
+        };
+        Self {
+            settings,
+            parts: (0..settings.parts).map(|_| part).collect(),
+        }
+    }
+
+    /// Returns what to do at `now`.
+    pub fn step(&self, now: Time) -> Step {
+        let Settled { done, open } = self.settled();
+        let needed = self.settings.needed;
+        if done == self.parts.len() || (open == 0 && done >= needed) {
+            return Step::Finish(End::Answer);
+        }
+        if done + open < needed {
+            return Step::Finish(End::Unreachable);
+        }
+        if now >= self.settings.end {
+            let end = if done >= needed {
+                End::Answer
+            } else {
+                End::Timeout
+            };
+            return Step::Finish(end);
+        }
+        if done >= needed && now >= self.settings.answer {
+            return Step::Finish(End::Answer);
+        }
+        let due: SmallVec<[(usize, bool); 8]> = self
+            .parts
+            .iter()
+            .enumerate()
+            .filter(|(_, part)| self.may_send(part) && now >= part.next)
+            .map(|(index, part)| (index, part.sent > 0))
+            .collect();
+        if !due.is_empty() {
+            return Step::Send(due);
+        }
+        let next = self.parts.iter().filter(|part| self.may_send(part));
+        let mut until = next
+            .map(|part| part.next)
+            .min()
+            .unwrap_or(self.settings.end);
+        if now < self.settings.answer {
+            until = until.min(self.settings.answer);
+        }
+        Step::Wait(until.min(self.settings.end))
+    }
+
+    /// Records that a part was sent.
+    pub fn sent(&mut self, part: usize, now: Time) {
+        let hedge = self.settings.hedge;
+        let repeatable = self.settings.repeatable;
+        let part = &mut self.parts[part];
+        part.open += 1;
+        part.ran += 1;
+        part.sent = part.sent.saturating_add(1);
+        part.next = if repeatable {
+            now + hedge
+        } else {
+            Time(u64::MAX)
+        };
+    }
+
+    /// Records that a part that was due has no leaf to go to now.
+    pub fn no_room(&mut self, part: usize, now: Time) {
+        self.parts[part].next = now + ROOM_RETRY;
+    }
+
+    /// Records that a part that was due has no leaf that works. It is lost unless a send is in progress.
+    pub fn no_leaf(&mut self, part: usize) {
+        let part = &mut self.parts[part];
+        part.next = Time(u64::MAX);
+        if part.open == 0 && part.state == State::Open {
+            part.state = State::Lost;
+        }
+    }
+
+    /// Records that a second send is not paid for by the budget.
+    pub fn unpaid(&mut self, part: usize) {
+        self.no_leaf(part);
+    }
+
+    /// Records the answer of a part. Returns whether it is the first.
+    pub fn answered(&mut self, part: usize) -> bool {
+        let part = &mut self.parts[part];
+        part.open = part.open.saturating_sub(1);
+        let first = part.state != State::Done;
+        part.state = State::Done;
+        first
+    }
+
+    /// Records the failure of a send.
+    pub fn failed(&mut self, part: usize, now: Time, failure: Failure) {
+        let (attempts, repeatable) = (self.settings.attempts, self.settings.repeatable);
+        let part = &mut self.parts[part];
+        part.open = part.open.saturating_sub(1);
+        let again = match failure {
+            Failure::NotRun => {
+                part.ran = part.ran.saturating_sub(1);
+                part.unsent += 1;
+                part.unsent < UNSENT_TRIES
+            }
+            Failure::MayHaveRun => repeatable,
+        };
+        if part.state != State::Open {
+            return;
+        }
+        if again && u32::from(part.ran) < attempts {
+            part.next = part.next.min(now);
+            if part.open == 0 {
+                part.next = now;
+            }
+        } else if part.open == 0 {
+            part.state = State::Lost;
+        } else {
+            part.next = Time(u64::MAX);
+        }
+    }
+
+    /// Returns whether any leaf may have run a part.
+    pub fn may_have_run(&self) -> bool {
+        self.parts.iter().any(|part| part.ran > 0)
+    }
+
+    /// Returns whether a part is answered.
+    pub fn is_done(&self, part: usize) -> bool {
+        self.parts[part].state == State::Done
+    }
+
+    /// Returns the number of answered parts.
+    pub fn done(&self) -> usize {
+        self.settled().done
+    }
+
+    fn may_send(&self, part: &Part) -> bool {
+        part.state == State::Open
+            && u32::from(part.ran) < self.settings.attempts
+            && (part.open == 0 || self.settings.repeatable)
+    }
+
+    fn settled(&self) -> Settled {
+        let count = |state| self.parts.iter().filter(|part| part.state == state).count();
+        Settled {
+            done: count(State::Done),
+            open: count(State::Open),
+        }
+    }
+}
+
+struct Settled {
+    done: usize,
+    open: usize,
+}
--- a/src/core/ids.rs
+++ b/src/core/ids.rs
@@ -64,6 +64,10 @@
     /// The address of a leaf, `ip:port`. One leaf serves one or more shards of one service.
     LeafId
 }
+name_type! {
+    /// The id that one run of a leaf gives itself; an address may pass to another leaf, this id does not.
+    Instance
+}
 name_type! {
     /// The id of one caller request, carried by every log line and hop.
     RequestId
--- a/src/core/member/membership.rs
+++ b/src/core/member/membership.rs
@@ -94,6 +94,19 @@
         }
     }
 
+    /// Takes the name of a node that may exist, from a seed or another node. It is probed next, and forgotten if
+    /// it does not answer. Does nothing above the number of nodes that may be learnt.
+    pub fn introduce(&mut self, now: Time, node: &NodeId) {
+        let full = self.members.len() >= self.settings.learn;
+        if full || *node == self.me || self.members.contains_key(node) {
+            return;
+        }
+        let mut member = Member::new(now, false);
+        member.heard = Some(now);
+        self.members.insert(node.clone(), member);
+        self.order.push(node.clone());
+    }
+
     /// Probes when it is time to and ends suspicions. Call it at least every 100 ms. Every message sent
     /// carries a copy of `payload`.
     pub fn tick<P: Clone>(
@@ -187,6 +200,17 @@
         }
     }
 
+    /// Sends `payload` to all live nodes at once. Meant for rare news.
+    pub fn broadcast<P: Clone>(&mut self, payload: &P, out: &mut Vec<Outbound<MemberMessage<P>>>) {
+        for node in self.alive() {
+            if node != self.me {
+                self.seq += 1;
+                let seq = self.seq;
+                self.send(&node, Probe::Ping { seq }, payload, out);
+            }
+        }
+    }
+
     /// Records that a node was heard by other means, for example a lease message.
     pub fn heard(&mut self, now: Time, node: &NodeId) {
         if let Some(member) = self.members.get_mut(node) {
@@ -200,6 +224,12 @@
         *node == self.me || member.is_some_and(|member| member.life != Life::Dead)
     }
 
+    /// Returns whether a node counts as alive and is not suspected.
+    pub fn is_sound(&self, node: &NodeId) -> bool {
+        let member = self.members.get(node);
+        *node == self.me || member.is_some_and(|member| member.life == Life::Alive)
+    }
+
     /// Returns the live nodes, this one included, by name.
     pub fn alive(&self) -> Vec<NodeId> {
         let alive = self
@@ -267,7 +297,9 @@
             }
             return;
         }
-        // Nodes are not learnt from rumors, so that their number stays bounded.
+        if rumor.life != Life::Dead {
+            self.introduce(now, &rumor.node);
+        }
         let Some(member) = self.members.get_mut(&rumor.node) else {
             return;
         };
--- a/src/core/member/settings.rs
+++ b/src/core/member/settings.rs
@@ -20,6 +20,8 @@
     pub pause: Duration,
     /// Time after which a node that is not on the VM list is forgotten unless it was heard.
     pub forget: Duration,
+    /// Most nodes that are learnt from rumors, for deployments without a VM list. 0 where there is one.
+    pub learn: usize,
 }
 
 impl Default for MemberSettings {
@@ -33,6 +35,7 @@
             queue: 256,
             pause: Duration::from_secs(1),
             forget: Duration::from_secs(30),
+            learn: 0,
         }
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,7 +8,9 @@
 pub mod call;
 pub mod config;
 pub mod crash;
+pub mod feed;
 mod fleet_key;
+pub mod gather;
 mod ids;
 pub mod invariant;
 pub mod leaf;
@@ -16,15 +18,19 @@
 pub mod member;
 pub mod once;
 mod outbound;
+pub mod placement;
 pub mod query;
+pub mod registry;
 mod rendezvous;
+pub mod retry;
+pub mod routing;
 mod time;
 
 pub use self::{
     fleet_key::FleetKey,
     ids::{
-        Domain, Incarnation, LeafId, NodeId, PartitionId, RequestId, ServiceName, ShardId,
-        SnapshotId,
+        Domain, Incarnation, Instance, LeafId, NodeId, PartitionId, RequestId, ServiceName,
+        ShardId, SnapshotId,
     },
     outbound::Outbound,
     rendezvous::{rank, score},
--- /dev/null
+++ b/src/core/placement/gauge.rs
@@ -0,0 +1,218 @@
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::core::Time;
+
+/// Weight of a new answer in the pace of a leaf: two answers tell a slow leaf from a usual one.
+const PACE_WEIGHT: f64 = 0.35;
+/// Bounds of one answer's effect on the pace.
+const PACE_RANGE: (f64, f64) = (0.2, 20.0);
+/// Time after which half of what was learnt about a leaf is forgotten, so that one avoided for its past is tried
+/// again.
+const FORGET: Duration = Duration::from_millis(1_500);
+/// Weight of a new outcome in the share of failures.
+const FAULT_WEIGHT: f64 = 0.25;
+/// Time for which a reported load counts.
+const LOAD_AGE: Duration = Duration::from_millis(60);
+/// Multiple of the usual latency after which an unanswered call shows that its leaf stands still.
+const STALL_RATIO: f64 = 3.0;
+/// Least time without an answer that counts as a stall.
+const STALL_TIME: Duration = Duration::from_millis(12);
+/// Calls in a row without an answer after which a leaf counts as down.
+const DOWN_CALLS: u32 = 2;
+/// First time for which a leaf that is down gets no call.
+const DOWN_TIME: Duration = Duration::from_millis(250);
+/// Longest time for which a leaf that is down gets no call.
+const DOWN_TIME_MAX: Duration = Duration::from_millis(2_000);
+
+/// The load that a leaf reports.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LeafLoad {
+    pub running: u32,
+    pub waiting: u32,
+    pub slots: u32,
+}
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// An answer, after this time.
+    Answered(Duration),
+    /// The leaf ran the call and failed.
+    Failed(Duration),
+    /// The leaf refused the call without running it.
+    Shed,
+    /// The connection broke or could not be opened.
+    Broken,
+    /// No answer in time.
+    Silent,
+    /// The call was given up for reasons of its caller.
+    Cancelled,
+}
+
+/// Identifies a call in progress.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallToken(u32);
+
+/// What one node knows of one leaf from its own calls.
+#[derive(Debug)]
+pub struct Gauge {
+    calls: SmallVec<[(CallToken, Time); 4]>,
+    next: u32,
+    /// Latency as a multiple of the usual one.
+    pace: f64,
+    /// Share of calls that failed or were shed.
+    faults: f64,
+    updated: Time,
+    load: LeafLoad,
+    loaded: Option<Time>,
+    /// Calls in a row without an answer.
+    unanswered: u32,
+    /// Until when a leaf that is down gets no call.
+    rest: Option<Time>,
+    /// Calls that a cold leaf may get, and when that was counted.
+    cold: (f64, Time),
+}
+
+impl Gauge {
+    /// Creates the gauge of a leaf of which nothing is known.
+    pub fn new(now: Time, slots: u32) -> Self {
+        Self {
+            calls: SmallVec::new(),
+            next: 0,
+            pace: 1.0,
+            faults: 0.0,
+            updated: now,
+            load: LeafLoad {
+                slots,
+                ..LeafLoad::default()
+            },
+            loaded: None,
+            unanswered: 0,
+            rest: None,
+            cold: (1.0, now),
+        }
+    }
+
+    /// Records a call that is sent now.
+    pub fn sent(&mut self, now: Time) -> CallToken {
+        let token = CallToken(self.next);
+        self.next = self.next.wrapping_add(1);
+        self.calls.push((token, now));
+        self.cold.0 -= 1.0;
+        token
+    }
+
+    /// Records the end of a call. `usual` is the latency usual for this kind of call.
+    pub fn ended(&mut self, now: Time, token: CallToken, outcome: Outcome, usual: Duration) {
+        self.calls.retain(|(call, _)| *call != token);
+        self.forget(now);
+        let fault = |gauge: &mut Self, share: f64| {
+            gauge.faults += (share - gauge.faults) * FAULT_WEIGHT;
+        };
+        match outcome {
+            Outcome::Answered(latency) => {
+                let pace = latency.as_secs_f64() / usual.as_secs_f64().max(1e-4);
+                let pace = pace.clamp(PACE_RANGE.0, PACE_RANGE.1);
+                self.pace += (pace - self.pace) * PACE_WEIGHT;
+                fault(self, 0.0);
+                self.alive();
+            }
+            Outcome::Failed(_) => {
+                fault(self, 1.0);
+                self.alive();
+            }
+            Outcome::Shed => {
+                fault(self, 1.0);
+                self.alive();
+            }
+            Outcome::Broken | Outcome::Silent => {
+                fault(self, 1.0);
+                self.unanswered += 1;
+                if self.unanswered >= DOWN_CALLS {
+                    let doublings = (self.unanswered - DOWN_CALLS).min(8);
+                    let rest = (DOWN_TIME * 2_u32.pow(doublings)).min(DOWN_TIME_MAX);
+                    self.rest = Some(now + rest);
+                }
+            }
+            Outcome::Cancelled => {}
+        }
+    }
+
+    /// Records the load that an answer reports.
+    pub fn reported(&mut self, now: Time, load: LeafLoad) {
+        self.load = LeafLoad {
+            slots: load.slots.max(1),
+            ..load
+        };
+        self.loaded = Some(now);
+    }
+
+    /// Returns the number of this node's calls in progress.
+    pub fn calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Returns whether the leaf counts as down and is not yet due for another try.
+    pub fn is_resting(&self, now: Time) -> bool {
+        self.rest.is_some_and(|until| now < until)
+    }
+
+    /// Returns when a leaf that counts as down is tried again.
+    pub fn rest_until(&self) -> Option<Time> {
+        self.rest
+    }
+
+    /// Returns whether a leaf that counted as down may be tried by one call.
+    pub fn is_on_trial(&self) -> bool {
+        self.rest.is_some()
+    }
+
+    /// Returns whether a cold leaf may get one more call at `rate` calls a second.
+    pub fn has_cold_room(&mut self, now: Time, rate: f64) -> bool {
+        let (level, at) = self.cold;
+        let level = (level + now.since(at).as_secs_f64() * rate).min(rate.max(1.0));
+        self.cold = (level, now);
+        level >= 1.0
+    }
+
+    /// Returns the expected latency of another call as a multiple of the usual one.
+    pub fn cost(&self, now: Time, usual: Duration) -> f64 {
+        let keep = keep(now.since(self.updated));
+        let pace = 1.0 + (self.pace - 1.0) * keep;
+        let reported = self
+            .loaded
+            .filter(|at| now.since(*at) < LOAD_AGE)
+            .map_or(0, |_| self.load.running + self.load.waiting);
+        let busy = (self.calls.len() as f64).max(f64::from(reported) * 0.7);
+        let slots = f64::from(self.load.slots.max(1));
+        let queue = ((busy + 1.0 - slots) / slots).max(0.0);
+        let oldest = self.calls.iter().map(|(_, sent)| now.since(*sent)).max();
+        let oldest = oldest.unwrap_or_default();
+        let stall = usual.mul_f64(STALL_RATIO * pace).max(STALL_TIME);
+        let stalled = if oldest > stall {
+            4.0 + oldest.as_secs_f64() / usual.as_secs_f64().max(1e-4)
+        } else {
+            0.0
+        };
+        pace * (1.0 + queue) + self.faults * keep * 20.0 + stalled + 0.15 * busy / slots
+    }
+
+    fn alive(&mut self) {
+        self.unanswered = 0;
+        self.rest = None;
+    }
+
+    fn forget(&mut self, now: Time) {
+        let keep = keep(now.since(self.updated));
+        self.pace = 1.0 + (self.pace - 1.0) * keep;
+        self.faults *= keep;
+        self.updated = now;
+    }
+}
+
+/// Returns the share that is left of what was learnt some time ago.
+fn keep(age: Duration) -> f64 {
+    (-age.as_secs_f64() / FORGET.as_secs_f64()).exp2()
+}
--- /dev/null
+++ b/src/core/placement/mod.rs
@@ -0,0 +1,15 @@
+//! Which leaf gets a call.
+//!
+//! Each node decides by itself, from its own calls and from the load that leafs report with their answers. Load
+//! pattern answered here: leafs of unequal speed that pause for a moment each at its own time, some of them slow,
+//! failing, shedding or silent for seconds.
+
+mod gauge;
+mod pick;
+mod share;
+
+pub use self::{
+    gauge::{CallToken, Gauge, LeafLoad, Outcome},
+    pick::{Candidate, pick},
+    share::{cold_share, connection_share, planned_nodes},
+};
--- /dev/null
+++ b/src/core/placement/pick.rs
@@ -0,0 +1,50 @@
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::core::{Time, placement::Gauge};
+
+/// Spread of the random factor on costs. Nodes do not see each other's calls, and without it all of them would
+/// choose the leaf that looks best.
+const NOISE: f64 = 0.25;
+
+/// Extra cost of a leaf in another failure domain, as a multiple of the usual latency: the way there and back.
+const FAR: f64 = 0.1;
+
+/// Extra cost of opening a connection first.
+const CONNECT: f64 = 0.6;
+
+/// Extra cost of a leaf that is still slow after its start.
+const COLD: f64 = 1.0;
+
+/// A leaf that may get a call.
+#[derive(Debug)]
+pub struct Candidate<'a> {
+    pub gauge: &'a Gauge,
+    /// It is in this node's failure domain.
+    pub near: bool,
+    /// It is slower than it will be, since it has just started.
+    pub cold: bool,
+    /// A connection is open already.
+    pub connected: bool,
+}
+
+/// Returns the index of the leaf with the least expected latency, None without a candidate.
+pub fn pick<'a>(
+    now: Time,
+    usual: Duration,
+    candidates: impl Iterator<Item = (usize, Candidate<'a>)>,
+    rng: &mut impl Rng,
+) -> Option<usize> {
+    candidates
+        .map(|(index, candidate)| {
+            let mut cost = candidate.gauge.cost(now, usual);
+            cost *= 1.0 + rng.random_range(0.0..NOISE);
+            cost += if candidate.near { 0.0 } else { FAR };
+            cost += if candidate.cold { COLD } else { 0.0 };
+            cost += if candidate.connected { 0.0 } else { CONNECT };
+            (index, cost)
+        })
+        .min_by(|(_, a), (_, b)| a.total_cmp(b))
+        .map(|(index, _)| index)
+}
--- /dev/null
+++ b/src/core/registry/mod.rs
@@ -0,0 +1,111 @@
+//! The leafs that may be used, from what they publish about themselves.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use crate::core::{Domain, Instance, ServiceName, Time};
+
+/// Time after the platform's return in which entries that lapsed meanwhile come back. The platform states about
+/// two seconds; the rest covers the way of the news.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_600);
+
+/// Silence of the platform after which entries may have lapsed without their leafs' fault: one missed liveness
+/// report.
+const OUTAGE: Duration = Duration::from_millis(1_200);
+
+/// What a leaf publishes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeafRecord {
+    pub instance: Instance,
+    pub service: ServiceName,
+    pub address: SocketAddr,
+    pub domain: Domain,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// It takes no new work.
+    pub leaving: bool,
+    /// How long it stays cold, as of the record.
+    pub cold: Duration,
+    /// Start of the process, Unix milliseconds: tells two runs under one id apart.
+    pub born: Option<u64>,
+}
+
+/// What became of a leaf.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeafChange {
+    Present(Arc<LeafRecord>),
+    Gone(Instance),
+}
+
+/// The published leafs, with removals that are not yet believed.
+#[derive(Debug, Default)]
+pub struct Registry {
+    leafs: HashMap<Instance, Arc<LeafRecord>>,
+    /// When removals that may only be lapsed entries take effect.
+    removals: HashMap<Instance, Time>,
+    /// When the platform last answered.
+    contact: Option<Time>,
+    /// Until when removals are held back.
+    grace: Option<Time>,
+}
+
+impl Registry {
+    /// Records an answer of the platform. After an outage, removals are held back for a while.
+    pub fn contact(&mut self, now: Time) {
+        if self.contact.is_some_and(|at| now.since(at) > OUTAGE) {
+            self.grace = Some(now + LAPSE_GRACE);
+        }
+        self.contact = Some(now);
+    }
+
+    /// Takes a record. Returns the change, if any.
+    pub fn put(&mut self, record: LeafRecord) -> Option<LeafChange> {
+        self.removals.remove(&record.instance);
+        let known = self.leafs.get(&record.instance);
+        if known.is_some_and(|known| **known == record) {
+            return None;
+        }
+        let record = Arc::new(record);
+        self.leafs.insert(record.instance.clone(), record.clone());
+        Some(LeafChange::Present(record))
+    }
+
+    /// Takes the removal of a record. Returns the change if it takes effect at once.
+    pub fn remove(&mut self, now: Time, instance: &Instance) -> Option<LeafChange> {
+        let known = self.leafs.get(instance)?;
+        match self.grace.filter(|until| now < *until) {
+            // A leaf that was leaving has left.
+            Some(until) if !known.leaving => {
+                self.removals.insert(instance.clone(), until);
+                None
+            }
+            _ => self.drop_leaf(instance),
+        }
+    }
+
+    /// Returns the removals that take effect now.
+    pub fn tick(&mut self, now: Time) -> Vec<LeafChange> {
+        let due: Vec<Instance> = self
+            .removals
+            .iter()
+            .filter(|(_, until)| now >= **until)
+            .map(|(instance, _)| instance.clone())
+            .collect();
+        due.iter().filter_map(|leaf| self.drop_leaf(leaf)).collect()
+    }
+
+    /// Returns the number of leafs.
+    pub fn len(&self) -> usize {
+        self.leafs.len()
+    }
+
+    /// Returns whether no leaf is known.
+    pub fn is_empty(&self) -> bool {
+        self.leafs.is_empty()
+    }
+
+    fn drop_leaf(&mut self, instance: &Instance) -> Option<LeafChange> {
+        self.removals.remove(instance);
+        let gone = self.leafs.remove(instance)?;
+        Some(LeafChange::Gone(gone.instance.clone()))
+    }
+}
--- /dev/null
+++ b/src/core/retry/mod.rs
@@ -0,0 +1,94 @@
+//! The budget for sending a request to a second leaf.
+//!
+//! The bound holds for the sum over all nodes in any window, so each node spends only what its own requests earn
+//! and its fixed part of the slack. Nodes need no agreement: a node that is cut off or has just started earns by
+//! its own requests, too.
+
+use std::{collections::VecDeque, time::Duration};
+
+use crate::core::Time;
+
+/// Slices of a window: the error of the sliding sum is one slice.
+const SLICES: u32 = 20;
+
+/// Share of the allowed ratio that is used. The rest covers requests that the callers' side counts in the next
+/// window.
+const USED_RATIO: f64 = 0.9;
+
+/// What all nodes together may send beyond the first call of each request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryBounds {
+    /// Extra sends for each request in a window.
+    pub ratio: f64,
+    pub window: Duration,
+    /// Extra sends in a window on top, for all nodes together.
+    pub slack: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Slice {
+    start: Time,
+    requests: u32,
+    extra: u32,
+}
+
+/// One node's extra sends to one service.
+#[derive(Debug, Default)]
+pub struct RetryBudget {
+    slices: VecDeque<Slice>,
+    requests: u32,
+    extra: u32,
+}
+
+impl RetryBudget {
+    /// Counts a request's first send.
+    pub fn earn(&mut self, now: Time, bounds: &RetryBounds) {
+        self.slice(now, bounds).requests += 1;
+        self.requests += 1;
+    }
+
+    /// Returns how many extra sends are left, for `nodes` nodes that share the slack.
+    pub fn left(&mut self, now: Time, bounds: &RetryBounds, nodes: usize) -> f64 {
+        self.slice(now, bounds);
+        let slack = bounds.slack / nodes.max(1) as f64;
+        bounds.ratio * USED_RATIO * f64::from(self.requests) + slack - f64::from(self.extra)
+    }
+
+    /// Takes one extra send if there is one.
+    pub fn spend(&mut self, now: Time, bounds: &RetryBounds, nodes: usize) -> bool {
+        let paid = self.left(now, bounds, nodes) >= 1.0;
+        if paid {
+            self.force(now, bounds);
+        }
+        paid
+    }
+
+    /// Counts an extra send that was made in any case.
+    pub fn force(&mut self, now: Time, bounds: &RetryBounds) {
+        self.slice(now, bounds).extra += 1;
+        self.extra += 1;
+    }
+
+    fn slice(&mut self, now: Time, bounds: &RetryBounds) -> &mut Slice {
+        while let Some(first) = self.slices.front()
+            && now.since(first.start) >= bounds.window
+        {
+            self.requests -= first.requests;
+            self.extra -= first.extra;
+            self.slices.pop_front();
+        }
+        let length = bounds.window / SLICES;
+        let current = self
+            .slices
+            .back()
+            .is_some_and(|last| now.since(last.start) < length);
+        if !current {
+            let start = now;
+            self.slices.push_back(Slice {
+                start,
+                ..Slice::default()
+            });
+        }
+        self.slices.back_mut().expect("a slice was just added")
+    }
+}
--- /dev/null
+++ b/src/core/routing/table.rs
@@ -0,0 +1,140 @@
+use std::{cmp::Reverse, collections::HashMap, sync::Arc, time::Duration};
+
+use crate::core::{
+    ServiceName,
+    routing::{Route, Target},
+};
+
+/// Why a configuration is refused as a whole.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RoutingError {
+    #[error("route {route}: the prefix {prefix:?} does not begin and end with a slash")]
+    Prefix { route: Arc<str>, prefix: Arc<str> },
+    #[error("route {route}: no service to send requests to")]
+    NoTarget { route: Arc<str> },
+}
+
+/// What the tier needs to know about a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceSpec {
+    /// Connections that one leaf accepts from all callers together.
+    pub connections: u32,
+    /// Requests a second that a cold leaf bears; zero where it is only slow.
+    pub cold_rate: f64,
+}
+
+/// What callers may send, and how long they may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct IngressLimits {
+    pub header_bytes: usize,
+    pub body_bytes: usize,
+    /// Longest time to receive the head of a request.
+    pub header_time: Duration,
+    /// Longest time without a request on a connection.
+    pub idle_time: Duration,
+}
+
+impl Default for IngressLimits {
+    /// Limits in force before the first configuration.
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 << 10,
+            body_bytes: 256 << 10,
+            header_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        }
+    }
+}
+
+/// All routes of one version of the configuration.
+#[derive(Clone, Debug, Default)]
+pub struct Routing {
+    version: u64,
+    /// Routes of each host, longest prefix first.
+    hosts: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    services: HashMap<ServiceName, ServiceSpec>,
+    limits: IngressLimits,
+}
+
+impl Routing {
+    /// Builds the table.
+    ///
+    /// # Errors
+    ///
+    /// Fails at the first route that cannot be served.
+    pub fn new(
+        version: u64,
+        routes: Vec<Route>,
+        services: HashMap<ServiceName, ServiceSpec>,
+        limits: IngressLimits,
+    ) -> Result<Self, RoutingError> {
+        let mut hosts: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
+        for route in routes {
+            if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
+                return Err(RoutingError::Prefix {
+                    route: route.name,
+                    prefix: route.prefix,
+                });
+            }
+            let empty = match &route.target {
+                Target::Service(_) => false,
+                Target::Split(parts) => parts.is_empty(),
+                Target::Gather(gather) => gather.shards.is_empty(),
+            };
+            if empty {
+                return Err(RoutingError::NoTarget { route: route.name });
+            }
+            let host = route.host.clone();
+            hosts.entry(host).or_default().push(Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| Reverse(route.prefix.len()));
+        }
+        Ok(Self {
+            version,
+            hosts,
+            services,
+            limits,
+        })
+    }
+
+    /// Returns the version of the configuration.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the route of a request: the longest prefix of the host's routes that begins the path.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = match self.hosts.get(host) {
+            Some(routes) => routes,
+            None => self.hosts.get(host.to_ascii_lowercase().as_str())?,
+        };
+        routes.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// Returns what is known about a service.
+    pub fn service(&self, name: &ServiceName) -> Option<&ServiceSpec> {
+        self.services.get(name)
+    }
+
+    /// Returns the limits on what callers send.
+    pub fn limits(&self) -> IngressLimits {
+        self.limits
+    }
+
+    /// Returns the number of routes.
+    pub fn len(&self) -> usize {
+        self.hosts.values().map(Vec::len).sum()
+    }
+
+    /// Returns whether there is no route.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
+    /// Returns all routes, in no particular order.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flatten()
+    }
+}
--- /dev/null
+++ b/src/gateway/calls.rs
@@ -0,0 +1,208 @@
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
+
+use tokio::time::timeout;
+
+use crate::{
+    adapter::http1::{Connection, ExchangeError, Reply},
+    core::{
+        Time,
+        gather::Failure,
+        placement::{CallToken, Outcome},
+    },
+    gateway::{
+        fleet::{CONNECT_LIMIT, Leaf},
+        routes::RouteStats,
+        state::Gateway,
+    },
+    platform::{CallRequest, LeafAnswer, leaf_answer, owns_answer},
+};
+
+/// Longest body of a leaf's answer, bytes.
+const MAX_BODY: usize = 4 << 20;
+/// Time kept back from what a leaf is told, for the way of its answer.
+const WAY_BACK: Duration = Duration::from_millis(4);
+
+/// One call to one leaf.
+pub(super) struct Call {
+    pub(super) part: usize,
+    pub(super) leaf: Rc<Leaf>,
+    pub(super) request: Rc<CallRequest>,
+    /// Id of the caller's request.
+    pub(super) id: Arc<str>,
+    /// When the caller's request ends.
+    pub(super) end: Time,
+    pub(super) objective: Duration,
+    pub(super) stats: Rc<RefCell<RouteStats>>,
+}
+
+/// How a call ended.
+pub(super) struct CallEnd {
+    pub(super) part: usize,
+    pub(super) leaf: Rc<Leaf>,
+    pub(super) result: Result<(Reply, LeafAnswer), CallFailure>,
+}
+
+/// A call without an answer to use.
+pub(super) struct CallFailure {
+    pub(super) failure: Failure,
+    /// The leaf's own failure, if it gave one.
+    pub(super) reply: Option<Box<Reply>>,
+    pub(super) reason: String,
+}
+
+/// Counts a call as given up if it is dropped.
+struct Running {
+    gateway: Rc<Gateway>,
+    leaf: Rc<Leaf>,
+    token: CallToken,
+    sent: Time,
+    usual: Duration,
+    ended: bool,
+}
+
+impl Running {
+    fn end(&mut self, outcome: Outcome) {
+        self.ended = true;
+        let now = self.gateway.now();
+        self.leaf
+            .gauge
+            .borrow_mut()
+            .ended(now, self.token, outcome, self.usual);
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if !self.ended {
+            let waited = self.gateway.now().since(self.sent);
+            let silent = waited >= SILENCE.max(self.usual * SILENT_RATIO);
+            self.end(if silent {
+                Outcome::Silent
+            } else {
+                Outcome::Cancelled
+            });
+        }
+    }
+}
+
+/// Least time without an answer after which a call that is given up counts against its leaf; longer than the
+/// pauses that leafs make.
+const SILENCE: Duration = Duration::from_millis(200);
+/// Multiple of the usual latency for the same purpose.
+const SILENT_RATIO: u32 = 5;
+
+impl Call {
+    /// Makes the call.
+    pub(super) async fn run(self, gateway: Rc<Gateway>) -> CallEnd {
+        let sent = gateway.now();
+        let usual = self.stats.borrow().usual;
+        let token = self.leaf.gauge.borrow_mut().sent(sent);
+        let mut running = Running {
+            gateway: gateway.clone(),
+            leaf: self.leaf.clone(),
+            token,
+            sent,
+            usual,
+            ended: false,
+        };
+        let left = self.end.since(sent);
+        let result = match timeout(left, self.exchange(&gateway)).await {
+            Ok(Ok(reply)) => self.judge(&gateway, &mut running, reply),
+            Ok(Err(error)) => {
+                running.end(Outcome::Broken);
+                let failure = if error.is_unsent() {
+                    Failure::NotRun
+                } else {
+                    Failure::MayHaveRun
+                };
+                Err(CallFailure {
+                    failure,
+                    reply: None,
+                    reason: error.to_string(),
+                })
+            }
+            Err(_) => {
+                running.end(Outcome::Silent);
+                Err(CallFailure {
+                    failure: Failure::MayHaveRun,
+                    reply: None,
+                    reason: "no answer in time".into(),
+                })
+            }
+        };
+        CallEnd {
+            part: self.part,
+            leaf: self.leaf,
+            result,
+        }
+    }
+
+    async fn exchange(&self, gateway: &Gateway) -> Result<Reply, ExchangeError> {
+        let (address, instance) = {
+            let record = self.leaf.record.borrow();
+            (record.address, record.instance.clone())
+        };
+        let mut lease = match self.leaf.take_idle() {
+            Some(lease) => lease,
+            None => {
+                let mut lease = self.leaf.reserve();
+                let opened = timeout(CONNECT_LIMIT, Connection::open(address)).await;
+                lease.connection =
+                    Some(opened.unwrap_or_else(|_| Err(ExchangeError::no_connection(address)))?);
+                lease
+            }
+        };
+        let left = self.end.since(gateway.now()).saturating_sub(WAY_BACK);
+        let bytes = self.request.encode(&instance, left);
+        let connection = lease
+            .connection
+            .as_mut()
+            .expect("the lease was just filled");
+        let reply = connection
+            .exchange(&bytes, MAX_BODY, |reply| owns_answer(reply, &self.id))
+            .await?;
+        lease.release();
+        Ok(reply)
+    }
+
+    fn judge(
+        &self,
+        gateway: &Gateway,
+        running: &mut Running,
+        reply: Reply,
+    ) -> Result<(Reply, LeafAnswer), CallFailure> {
+        let now = gateway.now();
+        let latency = now.since(running.sent);
+        let answer = leaf_answer(&reply);
+        if let Some(load) = answer.load {
+            self.leaf.gauge.borrow_mut().reported(now, load);
+        }
+        if let Some(cold) = answer.cold {
+            let until = (!cold.is_zero()).then(|| now + cold);
+            self.leaf.cold_until.set(until);
+        }
+        if answer.misdirected {
+            log::info!(leaf:% = self.leaf.instance(), id = &*self.id; "another leaf has the address");
+            self.leaf.misplaced.set(true);
+        }
+        if answer.not_run {
+            running.end(Outcome::Shed);
+            return Err(CallFailure {
+                failure: Failure::NotRun,
+                reason: format!("refused with {}", reply.status),
+                reply: Some(Box::new(reply)),
+            });
+        }
+        if reply.status >= 500 {
+            running.end(Outcome::Failed(latency));
+            return Err(CallFailure {
+                failure: Failure::MayHaveRun,
+                reason: format!("failed with {}", reply.status),
+                reply: Some(Box::new(reply)),
+            });
+        }
+        running.end(Outcome::Answered(latency));
+        self.stats.borrow_mut().record(latency, self.objective);
+        Ok((reply, answer))
+    }
+}
--- /dev/null
+++ b/src/gateway/dispatch.rs
@@ -0,0 +1,385 @@
+use std::{cell::RefCell, pin::pin, rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures::{StreamExt, stream::FuturesUnordered};
+use http::{Response, StatusCode};
+use http_body_util::Full;
+use rand::Rng;
+use smallvec::SmallVec;
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    adapter::http1::Reply,
+    core::{
+        ServiceName, Time,
+        gather::{End, Failure, Plan, PlanSettings, Step, merge_top},
+        routing::{Gather, Repeat, Route, Target},
+    },
+    gateway::{
+        calls::{Call, CallEnd},
+        fleet::{Leaf, NoLeaf, Service},
+        routes::RouteStats,
+        state::Gateway,
+    },
+    platform::{CallRequest, CallerRequest, FinalAnswer},
+};
+
+/// Time before the objective at which an answer leaves with the parts that are there: the way from and to the
+/// caller, up to 2.4 ms each, and the time to put the answer together.
+const ANSWER_MARGIN: Duration = Duration::from_millis(8);
+/// Time before the caller's own limit at which a request ends.
+const END_MARGIN: Duration = Duration::from_millis(6);
+/// Least time for the parts of a request that has missed its objective already.
+const LATE_WAIT: Duration = Duration::from_millis(20);
+/// Time for which calls go on that are no longer waited for. A leaf that only paused answers within it, and its
+/// connection stays open.
+const LINGER: Duration = Duration::from_millis(300);
+/// Time after which a refused caller may come back when nothing tells when a leaf is usable again.
+const COME_BACK: Duration = Duration::from_millis(100);
+/// Factor up to which that time is drawn, so that refused callers do not return together.
+const COME_BACK_SPREAD: f64 = 2.0;
+
+/// A caller's request on its way through the tier.
+pub(super) struct Inbound {
+    pub(super) caller: CallerRequest,
+    pub(super) request: Rc<CallRequest>,
+    pub(super) route: Arc<Route>,
+    /// When its head had arrived.
+    pub(super) arrived: Time,
+}
+
+/// The state of one request.
+struct Dispatch {
+    gateway: Rc<Gateway>,
+    inbound: Inbound,
+    stats: Rc<RefCell<RouteStats>>,
+    services: SmallVec<[(ServiceName, Rc<Service>); 16]>,
+    end: Time,
+    plan: Plan,
+    replies: SmallVec<[Option<Reply>; 16]>,
+    stamps: SmallVec<[Option<Bytes>; 16]>,
+    /// Leafs that were asked for a part.
+    tried: SmallVec<[(usize, Rc<Leaf>); 16]>,
+    /// A leaf's own failure, the answer of a request that goes to one leaf if nothing better comes.
+    fallback: Option<Box<Reply>>,
+    /// When a leaf that is down is tried again.
+    again: Option<Time>,
+    extra: u32,
+    reasons: SmallVec<[String; 2]>,
+}
+
+/// Runs a request and returns the answer to its caller.
+pub(super) async fn dispatch(gateway: Rc<Gateway>, inbound: Inbound) -> Response<Full<Bytes>> {
+    let mut dispatch = Dispatch::new(gateway.clone(), inbound);
+    let mut calls = Calls {
+        gateway: gateway.clone(),
+        running: FuturesUnordered::new(),
+        run: Call::run,
+    };
+    let mut timer = pin!(sleep(Duration::ZERO));
+    let end = loop {
+        let now = gateway.now();
+        match dispatch.plan.step(now) {
+            Step::Finish(end) => break end,
+            Step::Send(parts) => {
+                for (part, again) in parts {
+                    if let Some(call) = dispatch.place(now, part, again) {
+                        calls.start(call);
+                    }
+                }
+            }
+            Step::Wait(until) => {
+                timer
+                    .as_mut()
+                    .reset(tokio::time::Instant::now() + until.since(now));
+                tokio::select! {
+                    biased;
+                    Some(ended) = calls.running.next() => dispatch.ended(ended),
+                    () = timer.as_mut() => {}
+                }
+            }
+        }
+    };
+    dispatch.finish(end)
+}
+
+/// Calls in progress. Those that are left when the request ends go on for a while.
+struct Calls<F: Future<Output = CallEnd> + 'static, R: Fn(Call, Rc<Gateway>) -> F> {
+    gateway: Rc<Gateway>,
+    running: FuturesUnordered<F>,
+    run: R,
+}
+
+impl<F: Future<Output = CallEnd> + 'static, R: Fn(Call, Rc<Gateway>) -> F> Calls<F, R> {
+    fn start(&mut self, call: Call) {
+        self.running.push((self.run)(call, self.gateway.clone()));
+    }
+}
+
+impl<F: Future<Output = CallEnd> + 'static, R: Fn(Call, Rc<Gateway>) -> F> Drop for Calls<F, R> {
+    fn drop(&mut self) {
+        if self.running.is_empty() {
+            return;
+        }
+        let mut left = std::mem::take(&mut self.running);
+        tokio::task::spawn_local(async move {
+            let _ = timeout(LINGER, async { while left.next().await.is_some() {} }).await;
+        });
+    }
+}
+
+impl Dispatch {
+    fn new(gateway: Rc<Gateway>, inbound: Inbound) -> Self {
+        let route = inbound.route.clone();
+        let stats = gateway.routes.stats(&route);
+        let service = |name: &ServiceName| (name.clone(), gateway.fleet.service(name));
+        let (services, needed) = match &route.target {
+            Target::Service(name) => (SmallVec::from_iter([service(name)]), 1),
+            Target::Split(parts) => {
+                let weights = parts.iter().map(|(_, weight)| *weight);
+                let part = stats.borrow_mut().spread.next(weights);
+                (SmallVec::from_iter([service(&parts[part].0)]), 1)
+            }
+            Target::Gather(gather) => {
+                let services = gather.shards.iter().map(service).collect();
+                (services, gather.needed())
+            }
+        };
+        let arrived = inbound.arrived;
+        let patience = inbound.caller.patience.unwrap_or(route.timeout);
+        let (spent, hedge) = {
+            let mut stats = stats.borrow_mut();
+            stats.patience = stats.patience.max(patience);
+            (stats.patience - patience, stats.hedge)
+        };
+        let end = arrived + patience.min(route.timeout).saturating_sub(END_MARGIN);
+        let left = route
+            .objective
+            .saturating_sub(spent)
+            .saturating_sub(ANSWER_MARGIN);
+        let parts = services.len();
+        let settings = PlanSettings {
+            parts,
+            needed,
+            attempts: route.attempts,
+            repeatable: route.repeat == Repeat::Idempotent,
+            hedge,
+            answer: arrived + left.max(LATE_WAIT),
+            end,
+        };
+        Self {
+            plan: Plan::new(settings, arrived),
+            stats,
+            services,
+            end,
+            replies: SmallVec::from_elem(None, parts),
+            stamps: SmallVec::from_elem(None, parts),
+            tried: SmallVec::new(),
+            fallback: None,
+            again: None,
+            extra: 0,
+            reasons: SmallVec::new(),
+            inbound,
+            gateway,
+        }
+    }
+
+    fn gather(&self) -> Option<&Gather> {
+        match &self.inbound.route.target {
+            Target::Gather(gather) => Some(gather),
+            _ => None,
+        }
+    }
+
+    /// Chooses a leaf for a part that is due.
+    fn place(&mut self, now: Time, part: usize, again: bool) -> Option<Call> {
+        let gateway = self.gateway.clone();
+        let bounds = gateway.settings.borrow().bounds.retry;
+        let (name, service) = self.services[part].clone();
+        if again
+            && service
+                .budget
+                .borrow_mut()
+                .left(now, &bounds, gateway.planned())
+                < 1.0
+        {
+            self.note(now, "no_budget", part);
+            self.plan.unpaid(part);
+            return None;
+        }
+        let tried: SmallVec<[Rc<Leaf>; 2]> = self
+            .tried
+            .iter()
+            .filter(|(other, _)| *other == part)
+            .map(|(_, leaf)| leaf.clone())
+            .collect();
+        let usual = self.stats.borrow().usual;
+        let regions = &self.inbound.route.regions;
+        let chosen = gateway
+            .fleet
+            .choose(&gateway, &name, &service, usual, regions, &tried);
+        let leaf = match chosen {
+            Ok(leaf) => leaf,
+            Err(NoLeaf::Full) => {
+                self.plan.no_room(part, now);
+                return None;
+            }
+            Err(NoLeaf::Down(until)) => {
+                self.again = self.again.into_iter().chain(until).min();
+                self.plan.no_leaf(part);
+                return None;
+            }
+        };
+        let mut budget = service.budget.borrow_mut();
+        if again {
+            budget.force(now, &bounds);
+            self.extra += 1;
+        } else {
+            budget.earn(now, &bounds);
+        }
+        self.plan.sent(part, now);
+        self.tried.push((part, leaf.clone()));
+        Some(Call {
+            part,
+            leaf,
+            request: self.inbound.request.clone(),
+            id: self.inbound.caller.id.clone(),
+            end: self.end,
+            objective: self.inbound.route.objective,
+            stats: self.stats.clone(),
+        })
+    }
+
+    /// Takes the end of a call.
+    fn ended(&mut self, ended: CallEnd) {
+        let now = self.gateway.now();
+        let part = ended.part;
+        match ended.result {
+            Ok((reply, answer)) => {
+                let is_part = self.gather().is_none() || answer.success && answer.stamp.is_some();
+                if !is_part {
+                    self.plan.failed(part, now, Failure::MayHaveRun);
+                } else if self.plan.answered(part) {
+                    self.replies[part] = Some(reply);
+                    self.stamps[part] = answer.stamp;
+                }
+            }
+            Err(failure) => {
+                if let Some(suppressed) = self.gateway.journal.admit(now, "call_failed") {
+                    log::warn!(
+                        id = &*self.inbound.caller.id,
+                        route = &*self.inbound.route.name,
+                        service:% = self.services[part].0,
+                        leaf:% = ended.leaf.instance(),
+                        not_run = failure.failure == Failure::NotRun,
+                        elapsed_ms = now.since(self.inbound.arrived).as_millis() as u64,
+                        suppressed;
+                        "leaf call failed: {}",
+                        failure.reason
+                    );
+                }
+                if self.reasons.len() < self.reasons.inline_size() {
+                    self.reasons.push(failure.reason);
+                }
+                if failure.failure == Failure::MayHaveRun {
+                    self.fallback = failure.reply.or(self.fallback.take());
+                }
+                self.plan.failed(part, now, failure.failure);
+            }
+        }
+    }
+
+    fn finish(self, end: End) -> Response<Full<Bytes>> {
+        let now = self.gateway.now();
+        let elapsed = now.since(self.inbound.arrived);
+        let id = &*self.inbound.caller.id;
+        let missing = self.services.len() - self.plan.done();
+        let outcome = match end {
+            End::Answer if missing > 0 => "partial",
+            End::Answer => "answered",
+            End::Unreachable => "unreachable",
+            End::Timeout => "timeout",
+        };
+        let labels = [
+            ("route", self.inbound.route.name.to_string()),
+            ("outcome", outcome.to_owned()),
+        ];
+        metrics::counter!("cranberrychute_requests_total", &labels).increment(1);
+        metrics::counter!("cranberrychute_extra_calls_total").increment(self.extra.into());
+        metrics::histogram!("cranberrychute_request_seconds").record(elapsed.as_secs_f64());
+        if outcome != "answered"
+            && let Some(suppressed) = self.gateway.journal.admit(now, outcome)
+        {
+            let absent = (0..self.services.len()).filter(|part| !self.plan.is_done(*part));
+            let absent: Vec<_> = absent.map(|part| self.services[part].0.as_str()).collect();
+            log::warn!(
+                id,
+                route = &*self.inbound.route.name,
+                version = self.gateway.routing.borrow().version(),
+                outcome,
+                elapsed_ms = elapsed.as_millis() as u64,
+                extra_calls = self.extra,
+                missing = absent.join(","),
+                causes = self.reasons.join("; "),
+                may_have_run = self.plan.may_have_run(),
+                suppressed;
+                "request ended"
+            );
+        }
+        if end == End::Answer {
+            if let Some(gather) = self.gather() {
+                let stamps: Vec<Bytes> = self.stamps.iter().flatten().cloned().collect();
+                let bodies = self.replies.iter().flatten().map(|reply| &reply.body);
+                let records = merge_top(bodies, gather.top);
+                let answer = FinalAnswer::Gathered {
+                    stamps: &stamps,
+                    missing,
+                    records,
+                };
+                return answer.response(id);
+            }
+            if let Some(Some(reply)) = self.replies.first() {
+                return FinalAnswer::Leaf(reply).response(id);
+            }
+        }
+        if self.gather().is_none()
+            && let Some(reply) = &self.fallback
+        {
+            return FinalAnswer::Leaf(reply).response(id);
+        }
+        if !self.plan.may_have_run() {
+            let again = self.come_back(now);
+            return FinalAnswer::Refused { again }.response(id);
+        }
+        let status = match end {
+            End::Timeout => StatusCode::GATEWAY_TIMEOUT,
+            _ => StatusCode::BAD_GATEWAY,
+        };
+        FinalAnswer::Lost(status).response(id)
+    }
+
+    /// Returns when a refused caller may come back: when a leaf is tried again, spread.
+    fn come_back(&self, now: Time) -> Duration {
+        let until = self.again.map_or(Duration::ZERO, |again| again.since(now));
+        let spread = self
+            .gateway
+            .rng
+            .borrow_mut()
+            .random_range(1.0..COME_BACK_SPREAD);
+        until.max(COME_BACK).mul_f64(spread)
+    }
+
+    fn note(&self, now: Time, kind: &'static str, part: usize) {
+        metrics::counter!("cranberrychute_decisions_total", "kind" => kind).increment(1);
+        if let Some(suppressed) = self.gateway.journal.admit(now, kind) {
+            log::info!(
+                id = &*self.inbound.caller.id,
+                service:% = self.services[part].0,
+                decision = kind,
+                elapsed_ms = now.since(self.inbound.arrived).as_millis() as u64,
+                suppressed;
+                "no further call"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/feed.rs
@@ -0,0 +1,180 @@
+use std::{rc::Rc, time::Duration};
+
+use rand::Rng;
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    adapter::http1::Connection,
+    core::{
+        Time,
+        feed::{Change, Update},
+        routing::Routing,
+    },
+    gateway::{ingress::FEED_PATH, state::Gateway},
+    platform::{Published, StoreClient, StoreError, decode},
+};
+
+/// Longest wait of a watch. A silent connection is noticed at its end; until then other nodes tell of news.
+const WATCH: Duration = Duration::from_secs(5);
+/// Time for an answer of the store beyond the wait of a watch.
+const ANSWER: Duration = Duration::from_millis(1_000);
+/// Pause after a failed call, drawn up to twice as long, so that nodes do not ask together.
+const RETRY: Duration = Duration::from_millis(250);
+/// Time between two questions to other nodes while the store does not answer this one.
+const PEER_INTERVAL: Duration = Duration::from_millis(300);
+/// Time that the store's own news gets to arrive before another node is asked.
+const PEER_DELAY: Duration = Duration::from_millis(60);
+/// Time for another node's answer.
+const PEER_ANSWER: Duration = Duration::from_millis(400);
+/// Longest answer of another node, bytes.
+const MAX_UPDATE: usize = 64 << 20;
+
+impl Gateway {
+    /// Keeps the copy of the store's items up to date as long as the process runs.
+    pub(super) async fn watch_store(self: Rc<Self>) {
+        tokio::task::spawn_local(self.clone().follow_peers());
+        let mut client = StoreClient::new(self.settings.borrow().store);
+        let mut whole = true;
+        loop {
+            let read = if whole {
+                client.read_all(ANSWER).await
+            } else {
+                let after = self.feed.borrow().revision();
+                client.watch(after, WATCH, ANSWER).await
+            };
+            let now = self.now();
+            match read {
+                Ok(news) => {
+                    if self.store_lost.replace(None).is_some() {
+                        log::info!(revision = news.revision; "store regained");
+                    }
+                    self.registry.borrow_mut().contact(now);
+                    let changes = {
+                        let mut feed = self.feed.borrow_mut();
+                        if whole {
+                            feed.replace(news.changes, news.revision)
+                        } else {
+                            feed.advance(news.changes, news.revision)
+                        }
+                    };
+                    whole = false;
+                    self.take(changes);
+                }
+                Err(error) => {
+                    if self.store_lost.get().is_none() {
+                        self.store_lost.set(Some(now));
+                        let revision = self.feed.borrow().revision();
+                        log::warn!(revision, error:% = error; "store lost");
+                    }
+                    whole |= matches!(error, StoreError::Compacted);
+                    client.reset();
+                    let pause = RETRY.mul_f64(self.rng.borrow_mut().random_range(1.0..2.0));
+                    sleep(pause).await;
+                }
+            }
+        }
+    }
+
+    /// Asks other nodes for what this one lacks: when they are ahead, and regularly while the store is lost.
+    async fn follow_peers(self: Rc<Self>) {
+        loop {
+            let told = timeout(PEER_INTERVAL, self.behind.notified()).await.is_ok();
+            if told {
+                sleep(PEER_DELAY).await;
+            }
+            let revision = self.feed.borrow().revision();
+            let peer = match self.members.ahead(&self, revision) {
+                Some((peer, _)) => Some(peer),
+                None if self.store_lost.get().is_some() => self.members.any(&self),
+                None => None,
+            };
+            let Some(peer) = peer else {
+                continue;
+            };
+            let fetched = timeout(PEER_ANSWER, async {
+                let mut connection = Connection::open(peer).await?;
+                let request =
+                    format!("GET {FEED_PATH}?{revision} HTTP/1.1\r\nHost: {peer}\r\n\r\n");
+                connection
+                    .exchange(request.as_bytes(), MAX_UPDATE, |_| true)
+                    .await
+            });
+            let update = match fetched.await {
+                Ok(Ok(reply)) => {
+                    postcard::from_bytes::<Update>(&reply.body).map_err(anyhow::Error::from)
+                }
+                Ok(Err(error)) => Err(error.into()),
+                Err(_) => Err(anyhow::anyhow!("no answer in time")),
+            };
+            match update {
+                Ok(update) => {
+                    let (from, to) = (revision, update.revision);
+                    let changes = self.feed.borrow_mut().merge(update);
+                    if !changes.is_empty() {
+                        log::info!(peer:% = peer, from, to, changes = changes.len(); "caught up from another node");
+                    }
+                    self.take(changes);
+                }
+                Err(error) => {
+                    if let Some(suppressed) = self.journal.admit(self.now(), "peer_feed") {
+                        log::warn!(peer:% = peer, suppressed, error:% = error; "no update from another node");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Puts changes of the store's items into force.
+    fn take(self: &Rc<Self>, changes: Vec<Change>) {
+        let now = self.now();
+        for change in changes {
+            match decode(&change) {
+                Published::Routing(Ok(routing)) => self.take_routing(now, routing, change.revision),
+                Published::Routing(Err(error)) => {
+                    log::error!(revision = change.revision, error; "configuration rejected");
+                }
+                Published::Evacuation { domain, out } => {
+                    log::info!(domain:% = domain, out, revision = change.revision; "failure domain changed");
+                    self.fleet.set_evacuated(&domain, out);
+                }
+                Published::Leaf(Ok(record)) => {
+                    let put = self.registry.borrow_mut().put(record);
+                    self.fleet.apply(self, put.into_iter().collect());
+                }
+                Published::Leaf(Err(error)) => {
+                    log::warn!(key = &*change.key, revision = change.revision, error; "leaf entry ignored");
+                }
+                Published::LeafGone(instance) => {
+                    let gone = self.registry.borrow_mut().remove(now, &instance);
+                    if gone.is_none() {
+                        log::info!(leaf:% = instance, revision = change.revision; "removal held back");
+                    }
+                    self.fleet.apply(self, gone.into_iter().collect());
+                }
+                Published::Other => {}
+            }
+        }
+    }
+
+    fn take_routing(&self, now: Time, routing: Routing, revision: u64) {
+        let mut current = self.routing.borrow_mut();
+        if routing.version() < current.version() {
+            log::error!(
+                version = routing.version(),
+                current = current.version(),
+                revision;
+                "older configuration ignored"
+            );
+            return;
+        }
+        log::info!(
+            version = routing.version(),
+            revision,
+            routes = routing.len(),
+            uptime_ms = now.since(self.started).as_millis() as u64;
+            "configuration in force"
+        );
+        self.routes.keep(routing.routes());
+        *current = Rc::new(routing);
+    }
+}
--- /dev/null
+++ b/src/gateway/fleet.rs
@@ -0,0 +1,350 @@
+use std::{
+    cell::{Cell, RefCell},
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use rand::Rng;
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    adapter::http1::Connection,
+    core::{
+        Domain, Instance, ServiceName, Time,
+        placement::{Candidate, Gauge, cold_share, connection_share, pick},
+        registry::{LeafChange, LeafRecord},
+        retry::RetryBudget,
+    },
+    gateway::state::Gateway,
+};
+
+/// Longest time to open a connection to a leaf: a leaf that stands still accepts after its pause.
+pub(super) const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// Time over which the first connections to leafs are spread, so that nodes do not all connect at once.
+const FIRST_CONNECTIONS: Duration = Duration::from_millis(600);
+/// Connections to each leaf that are kept open beside those in use.
+const SPARE_CONNECTIONS: usize = 1;
+
+/// One run of a leaf.
+#[derive(Debug)]
+pub(super) struct Leaf {
+    pub(super) record: RefCell<Arc<LeafRecord>>,
+    pub(super) gauge: RefCell<Gauge>,
+    idle: RefCell<Vec<Connection>>,
+    /// Connections, idle ones and those being opened included.
+    open: Cell<usize>,
+    /// Another leaf has its address.
+    pub(super) misplaced: Cell<bool>,
+    pub(super) cold_until: Cell<Option<Time>>,
+}
+
+impl Leaf {
+    fn new(now: Time, record: Arc<LeafRecord>) -> Self {
+        let cold = (!record.cold.is_zero()).then(|| now + record.cold);
+        Self {
+            gauge: RefCell::new(Gauge::new(now, record.slots)),
+            idle: RefCell::default(),
+            open: Cell::new(0),
+            misplaced: Cell::new(false),
+            cold_until: Cell::new(cold),
+            record: RefCell::new(record),
+        }
+    }
+
+    pub(super) fn instance(&self) -> Instance {
+        self.record.borrow().instance.clone()
+    }
+
+    pub(super) fn is_cold(&self, now: Time) -> bool {
+        self.cold_until.get().is_some_and(|until| now < until)
+    }
+
+    /// Takes an idle connection. It counts as open until it is released or the lease is dropped.
+    pub(super) fn take_idle(self: &Rc<Self>) -> Option<ConnectionLease> {
+        loop {
+            let mut connection = self.idle.borrow_mut().pop()?;
+            let mut lease = ConnectionLease::of(self);
+            if connection.is_at_rest() {
+                lease.connection = Some(connection);
+                return Some(lease);
+            }
+        }
+    }
+
+    /// Reserves a new connection.
+    pub(super) fn reserve(self: &Rc<Self>) -> ConnectionLease {
+        self.open.set(self.open.get() + 1);
+        ConnectionLease::of(self)
+    }
+
+    fn has_room(&self, share: usize) -> bool {
+        !self.idle.borrow().is_empty() || self.open.get() < share
+    }
+
+    fn has_idle(&self) -> bool {
+        !self.idle.borrow().is_empty()
+    }
+
+    /// Drops idle connections that their peer closed.
+    fn sweep(&self) {
+        let mut idle = self.idle.borrow_mut();
+        let before = idle.len();
+        idle.retain_mut(Connection::is_at_rest);
+        self.open.set(self.open.get() - (before - idle.len()));
+    }
+}
+
+/// A place among a leaf's connections. Dropping it frees the place and closes the connection.
+#[derive(Debug)]
+pub(super) struct ConnectionLease {
+    leaf: Rc<Leaf>,
+    pub(super) connection: Option<Connection>,
+}
+
+impl ConnectionLease {
+    fn of(leaf: &Rc<Leaf>) -> Self {
+        Self {
+            leaf: leaf.clone(),
+            connection: None,
+        }
+    }
+
+    /// Gives the connection back for the next call if it is at rest.
+    pub(super) fn release(mut self) {
+        if let Some(mut connection) = self.connection.take()
+            && connection.is_at_rest()
+        {
+            self.leaf.idle.borrow_mut().push(connection);
+            // The place stays taken by the idle connection.
+            self.leaf.open.set(self.leaf.open.get() + 1);
+        }
+    }
+}
+
+impl Drop for ConnectionLease {
+    fn drop(&mut self) {
+        self.leaf.open.set(self.leaf.open.get().saturating_sub(1));
+    }
+}
+
+/// The leafs of one service, and what this node sent to them.
+#[derive(Debug, Default)]
+pub(super) struct Service {
+    pub(super) leafs: RefCell<Vec<Rc<Leaf>>>,
+    pub(super) budget: RefCell<RetryBudget>,
+}
+
+/// Why a service has no leaf for a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum NoLeaf {
+    /// Its leafs work, but this node has as many calls on them as it may have.
+    Full,
+    /// None of its leafs works; the earliest is tried again at this time.
+    Down(Option<Time>),
+}
+
+/// All services and leafs.
+#[derive(Debug, Default)]
+pub(super) struct Fleet {
+    services: RefCell<HashMap<ServiceName, Rc<Service>>>,
+    leafs: RefCell<HashMap<Instance, Rc<Leaf>>>,
+    evacuated: RefCell<HashSet<Domain>>,
+}
+
+impl Fleet {
+    pub(super) fn service(&self, name: &ServiceName) -> Rc<Service> {
+        let mut services = self.services.borrow_mut();
+        if let Some(service) = services.get(name) {
+            return service.clone();
+        }
+        let service = Rc::<Service>::default();
+        services.insert(name.clone(), service.clone());
+        service
+    }
+
+    pub(super) fn set_evacuated(&self, domain: &Domain, out: bool) {
+        let mut evacuated = self.evacuated.borrow_mut();
+        if out {
+            evacuated.insert(domain.clone());
+        } else {
+            evacuated.remove(domain);
+        }
+    }
+
+    /// Takes changes of the published leafs.
+    pub(super) fn apply(&self, gateway: &Rc<Gateway>, changes: Vec<LeafChange>) {
+        let now = gateway.now();
+        for change in changes {
+            match change {
+                LeafChange::Present(record) => self.put(gateway, now, record),
+                LeafChange::Gone(instance) => {
+                    log::info!(leaf:% = instance; "leaf gone");
+                    if let Some(leaf) = self.leafs.borrow_mut().remove(&instance) {
+                        self.detach(&leaf);
+                    }
+                }
+            }
+        }
+    }
+
+    fn put(&self, gateway: &Rc<Gateway>, now: Time, record: Arc<LeafRecord>) {
+        let known = self.leafs.borrow().get(&record.instance).cloned();
+        if let Some(leaf) = known {
+            let before = leaf.record.borrow().clone();
+            let same = before.born == record.born
+                && before.address == record.address
+                && before.service == record.service;
+            if same {
+                if before.leaving != record.leaving {
+                    log::info!(leaf:% = record.instance, leaving = record.leaving; "leaf changed state");
+                }
+                if record.cold != before.cold {
+                    let cold = (!record.cold.is_zero()).then(|| now + record.cold);
+                    leaf.cold_until.set(cold);
+                }
+                *leaf.record.borrow_mut() = record;
+                return;
+            }
+            self.detach(&leaf);
+        }
+        log::info!(
+            leaf:% = record.instance,
+            service:% = record.service,
+            address:% = record.address,
+            domain:% = record.domain;
+            "leaf present"
+        );
+        let leaf = Rc::new(Leaf::new(now, record.clone()));
+        let service = self.service(&record.service);
+        service.leafs.borrow_mut().push(leaf.clone());
+        self.leafs
+            .borrow_mut()
+            .insert(record.instance.clone(), leaf.clone());
+        let delay = gateway
+            .rng
+            .borrow_mut()
+            .random_range(Duration::ZERO..FIRST_CONNECTIONS);
+        tokio::task::spawn_local(warm_up(leaf, delay));
+    }
+
+    fn detach(&self, leaf: &Rc<Leaf>) {
+        let service = self.service(&leaf.record.borrow().service);
+        service
+            .leafs
+            .borrow_mut()
+            .retain(|other| !Rc::ptr_eq(other, leaf));
+        let idle = leaf.idle.take().len();
+        leaf.open.set(leaf.open.get() - idle);
+        leaf.misplaced.set(true);
+    }
+
+    /// Drops connections that their peers closed.
+    pub(super) fn sweep(&self, gateway: &Gateway) {
+        let now = gateway.now();
+        for leaf in self.leafs.borrow().values() {
+            leaf.sweep();
+            let useful = !leaf.misplaced.get() && !leaf.gauge.borrow().is_resting(now);
+            if leaf.open.get() == 0 && useful {
+                tokio::task::spawn_local(warm_up(leaf.clone(), Duration::ZERO));
+            }
+        }
+    }
+
+    /// Chooses a leaf of a service that is not among `tried`.
+    pub(super) fn choose(
+        &self,
+        gateway: &Gateway,
+        name: &ServiceName,
+        service: &Service,
+        usual: Duration,
+        regions: &[Arc<str>],
+        tried: &[Rc<Leaf>],
+    ) -> Result<Rc<Leaf>, NoLeaf> {
+        let now = gateway.now();
+        let settings = gateway.settings.borrow();
+        let nodes = gateway.planned();
+        let routing = gateway.routing.borrow();
+        let spec = routing.service(name);
+        let share = spec.map_or(1, |spec| connection_share(spec.connections, nodes));
+        let cold_rate = spec.and_then(|spec| {
+            let bounds = &settings.bounds;
+            cold_share(
+                spec.cold_rate,
+                bounds.cold_overshoot,
+                bounds.cold_slack,
+                nodes,
+            )
+        });
+        let evacuated = self.evacuated.borrow();
+        let leafs = service.leafs.borrow();
+        let (mut works, mut again) = (false, None::<Time>);
+        let mut usable = Vec::with_capacity(leafs.len());
+        for (index, leaf) in leafs.iter().enumerate() {
+            let record = leaf.record.borrow();
+            let allowed = regions.is_empty()
+                || settings
+                    .regions
+                    .get(&record.domain)
+                    .is_some_and(|at| regions.contains(at));
+            let out = record.leaving || evacuated.contains(&record.domain) || !allowed;
+            if out || leaf.misplaced.get() || tried.iter().any(|other| Rc::ptr_eq(other, leaf)) {
+                continue;
+            }
+            let mut gauge = leaf.gauge.borrow_mut();
+            if gauge.is_resting(now) || gauge.is_on_trial() && gauge.calls() > 0 {
+                let until = gauge.rest_until().unwrap_or(now).max(now);
+                again = Some(again.map_or(until, |again| again.min(until)));
+                continue;
+            }
+            works = true;
+            let cold = leaf.is_cold(now);
+            let cold_full = cold && cold_rate.is_some_and(|rate| !gauge.has_cold_room(now, rate));
+            if leaf.has_room(share) && !cold_full {
+                usable.push(index);
+            }
+        }
+        let gauges: Vec<_> = usable
+            .iter()
+            .map(|index| (*index, leafs[*index].gauge.borrow()))
+            .collect();
+        let candidates = gauges.iter().map(|(index, gauge)| {
+            let leaf = &leafs[*index];
+            let candidate = Candidate {
+                gauge,
+                near: leaf.record.borrow().domain == settings.domain,
+                cold: leaf.is_cold(now),
+                connected: leaf.has_idle(),
+            };
+            (*index, candidate)
+        });
+        let mut rng = gateway.rng.borrow_mut();
+        match pick(now, usual, candidates, &mut *rng) {
+            Some(index) => Ok(leafs[index].clone()),
+            None if works => Err(NoLeaf::Full),
+            None => Err(NoLeaf::Down(again)),
+        }
+    }
+}
+
+/// Opens a connection before the first call needs it.
+async fn warm_up(leaf: Rc<Leaf>, delay: Duration) {
+    sleep(delay).await;
+    if leaf.misplaced.get() || leaf.open.get() >= SPARE_CONNECTIONS {
+        return;
+    }
+    let mut lease = leaf.reserve();
+    let address = leaf.record.borrow().address;
+    match timeout(CONNECT_LIMIT, Connection::open(address)).await {
+        Ok(Ok(connection)) => {
+            lease.connection = Some(connection);
+            lease.release();
+        }
+        // A call finds out whether the leaf is down.
+        Ok(Err(error)) => {
+            log::debug!(leaf:% = leaf.instance(), error:% = error; "no connection in advance")
+        }
+        Err(_) => log::debug!(leaf:% = leaf.instance(); "no connection in advance in time"),
+    }
+}
--- /dev/null
+++ b/src/gateway/ingress.rs
@@ -0,0 +1,257 @@
+use std::{cell::Cell, convert::Infallible, pin::pin, rc::Rc, time::Duration};
+
+use anyhow::Context as _;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+
+use crate::{
+    core::feed::Update,
+    gateway::{
+        Listen,
+        dispatch::{Inbound, dispatch},
+        state::Gateway,
+    },
+    platform::{CallRequest, CallerRequest, FinalAnswer, directory_query, is_ready_probe},
+};
+
+/// Pause after a failed accept, such as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Smallest buffer that hyper allows.
+const MIN_BUFFER: usize = 8 << 10;
+/// Path at which other nodes ask for what they lack.
+pub(super) const FEED_PATH: &str = "/v1/feed";
+/// Path of the metrics page.
+const METRICS_PATH: &str = "/metrics";
+
+pub(super) type Answer = Response<Full<Bytes>>;
+
+/// The sockets of the process.
+#[derive(Debug)]
+pub(super) struct Listeners {
+    callers: TcpListener,
+    ready: TcpListener,
+    directory: TcpListener,
+    peer: TcpListener,
+    metrics: TcpListener,
+}
+
+impl Listeners {
+    pub(super) async fn bind(listen: &Listen) -> anyhow::Result<Self> {
+        let bind = async |address, purpose| {
+            let listener = TcpListener::bind(address).await;
+            listener.with_context(|| format!("bind {address} for {purpose}"))
+        };
+        Ok(Self {
+            callers: bind(listen.callers, "callers").await?,
+            ready: bind(listen.ready, "readiness checks").await?,
+            directory: bind(listen.directory, "address questions").await?,
+            peer: bind(listen.peer, "other nodes").await?,
+            metrics: bind(listen.metrics, "metrics").await?,
+        })
+    }
+}
+
+/// Starts serving all sockets.
+pub(super) fn serve(gateway: &Rc<Gateway>, listeners: Listeners) {
+    let start = |listener, port| {
+        tokio::task::spawn_local(accept(gateway.clone(), listener, port));
+    };
+    start(listeners.callers, Port::Callers);
+    start(listeners.ready, Port::Ready);
+    start(listeners.directory, Port::Directory);
+    start(listeners.peer, Port::Peer);
+    start(listeners.metrics, Port::Metrics);
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Port {
+    Callers,
+    Ready,
+    Directory,
+    Peer,
+    Metrics,
+}
+
+async fn accept(gateway: Rc<Gateway>, listener: TcpListener, port: Port) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(gateway.clone(), stream, port));
+            }
+            Err(error) => {
+                log::warn!(port:? = port, error:% = error; "connection not accepted");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Counts something while it lives.
+struct Counted<'a>(&'a Cell<usize>);
+
+impl<'a> Counted<'a> {
+    fn new(counter: &'a Cell<usize>) -> Self {
+        counter.set(counter.get() + 1);
+        Self(counter)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn connection(gateway: Rc<Gateway>, stream: TcpStream, port: Port) {
+    // Without it answers only wait for acknowledgements.
+    let _ = stream.set_nodelay(true);
+    let limits = gateway.routing.borrow().limits();
+    let _counted = (port == Port::Callers).then(|| Counted::new(&gateway.callers));
+    let service = service_fn(|request| {
+        let gateway = gateway.clone();
+        async move { Ok::<_, Infallible>(answer(gateway, request, port).await) }
+    });
+    // The time for the head includes the idle time before it.
+    let idle = limits.idle_time + limits.header_time;
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size((limits.header_bytes * 2).max(MIN_BUFFER))
+        .auto_date_header(false)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut served = pin!(served);
+    let mut stopping = pin!(gateway.stopping.notified());
+    let ended = tokio::select! {
+        ended = served.as_mut() => ended,
+        () = stopping.as_mut() => {
+            // Each answer tells the caller to use another address; requests that arrive are served.
+            served.await
+        }
+    };
+    if let Err(error) = ended
+        && let Some(suppressed) = gateway.journal.admit(gateway.now(), "connection")
+    {
+        log::debug!(port:? = port, suppressed, error:% = error; "connection ended");
+    }
+}
+
+async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>, port: Port) -> Answer {
+    match port {
+        Port::Callers => {
+            let _counted = Counted::new(&gateway.requests);
+            let mut answer = request_answer(gateway.clone(), request).await;
+            if gateway.leaving.get() {
+                let close = header::HeaderValue::from_static("close");
+                answer.headers_mut().insert(header::CONNECTION, close);
+            }
+            answer
+        }
+        Port::Ready => {
+            let ready = is_ready_probe(request.uri()) && gateway.is_ready();
+            plain(if ready {
+                StatusCode::OK
+            } else {
+                StatusCode::SERVICE_UNAVAILABLE
+            })
+        }
+        Port::Directory => match directory_query(request.uri()) {
+            Some(query) => gateway.addresses(&query),
+            None if is_ready_probe(request.uri()) => plain(StatusCode::OK),
+            None => plain(StatusCode::NOT_FOUND),
+        },
+        Port::Peer => peer_answer(&gateway, &request),
+        Port::Metrics if request.uri().path() == METRICS_PATH => {
+            Response::new(Full::new(gateway.metrics.render().into()))
+        }
+        Port::Metrics => plain(StatusCode::NOT_FOUND),
+    }
+}
+
+pub(super) fn plain(status: StatusCode) -> Answer {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
+/// Returns what a peer that is complete up to the revision in the query lacks.
+fn peer_answer(gateway: &Gateway, request: &Request<Incoming>) -> Answer {
+    let after = request
+        .uri()
+        .query()
+        .and_then(|query| query.parse::<u64>().ok());
+    let Some(after) = after.filter(|_| request.uri().path() == FEED_PATH) else {
+        return plain(StatusCode::NOT_FOUND);
+    };
+    let update: Update = gateway.feed.borrow().since(after);
+    match postcard::to_allocvec(&update) {
+        Ok(bytes) => Response::new(Full::new(bytes.into())),
+        Err(error) => {
+            log::error!(error:% = error; "update for a peer cannot be encoded");
+            plain(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+async fn request_answer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Answer {
+    let arrived = gateway.now();
+    let (parts, body) = request.into_parts();
+    let caller = CallerRequest::read(&parts);
+    let routing = gateway.routing.borrow().clone();
+    let reject = |status: StatusCode, reason: &str| {
+        let labels = [("status", status.as_str().to_owned())];
+        metrics::counter!("cranberrychute_rejected_total", &labels).increment(1);
+        if let Some(suppressed) = gateway.journal.admit(arrived, "rejected") {
+            log::warn!(
+                id = &*caller.id,
+                status = status.as_u16(),
+                version = routing.version(),
+                suppressed;
+                "request rejected: {reason}"
+            );
+        }
+        FinalAnswer::Rejected(status).response(&caller.id)
+    };
+    if routing.is_empty() {
+        let again = gateway.come_back();
+        let _ = reject(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet");
+        return FinalAnswer::Refused { again }.response(&caller.id);
+    }
+    let host = parts
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok());
+    let host = parts.uri.host().or(host).unwrap_or_default();
+    let Some(route) = routing.find(host, parts.uri.path()).cloned() else {
+        return reject(StatusCode::NOT_FOUND, "no route");
+    };
+    let limits = routing.limits();
+    let head: usize = parts
+        .headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum();
+    if head > limits.header_bytes {
+        return reject(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head too long");
+    }
+    let body = match Limited::new(body, limits.body_bytes).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<LengthLimitError>() => {
+            return reject(StatusCode::PAYLOAD_TOO_LARGE, "body too long");
+        }
+        Err(error) => return reject(StatusCode::BAD_REQUEST, &format!("body not read: {error}")),
+    };
+    let inbound = Inbound {
+        request: Rc::new(CallRequest::new(&parts, body)),
+        caller,
+        route,
+        arrived,
+    };
+    dispatch(gateway, inbound).await
+}
--- /dev/null
+++ b/src/gateway/members.rs
@@ -0,0 +1,237 @@
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use rand::seq::IteratorRandom;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use tokio::time::sleep;
+
+use crate::{
+    adapter::peer::ControlSocket,
+    core::{
+        Incarnation, NodeId, Outbound, Time,
+        member::{MemberMessage, MemberSettings, Membership},
+    },
+    gateway::{Settings, state::Gateway},
+};
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(100);
+/// Most nodes that are learnt from others.
+const MAX_NODES: usize = 4_096;
+/// Nodes that a message names, so that one that has just started learns of the others.
+const NAMED: usize = 8;
+/// Time after which what a node said about itself no longer counts.
+const NOTE_AGE: Duration = Duration::from_secs(10);
+/// Time between two tries to reach seeds that are not known as nodes.
+const SEED_RETRY: Duration = Duration::from_secs(1);
+
+/// What a node says about itself in each message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Note {
+    /// It takes requests.
+    ready: bool,
+    /// Revision up to which its copy of the platform's items is complete.
+    revision: u64,
+    /// Peer addresses of nodes that it holds for alive.
+    others: SmallVec<[SocketAddr; NAMED]>,
+}
+
+type Message = MemberMessage<Note>;
+
+/// The other nodes.
+#[derive(Debug)]
+pub(super) struct Members {
+    me: NodeId,
+    socket: ControlSocket,
+    view: RefCell<Membership>,
+    /// What nodes said last.
+    notes: RefCell<HashMap<NodeId, (Note, Time)>>,
+    alive: Cell<usize>,
+    seeded: Cell<Option<Time>>,
+}
+
+impl Members {
+    pub(super) fn new(
+        socket: ControlSocket,
+        settings: &Settings,
+        incarnation: Incarnation,
+        now: Time,
+    ) -> Self {
+        let me: NodeId = settings.listen.peer.to_string().into();
+        let member = MemberSettings {
+            period: Duration::from_millis(500),
+            timeout: Duration::from_millis(200),
+            suspicion: Duration::from_millis(1_500),
+            learn: MAX_NODES,
+            ..MemberSettings::default()
+        };
+        Self {
+            view: RefCell::new(Membership::new(me.clone(), incarnation, member, now)),
+            me,
+            socket,
+            notes: RefCell::default(),
+            alive: Cell::new(1),
+            seeded: Cell::new(None),
+        }
+    }
+
+    /// Returns the number of live nodes, this one included.
+    pub(super) fn alive_count(&self) -> usize {
+        self.alive.get()
+    }
+
+    /// Returns the addresses of the other nodes that take requests.
+    pub(super) fn ready(&self, now: Time) -> impl Iterator<Item = IpAddr> {
+        let view = self.view.borrow();
+        let notes = self.notes.borrow();
+        let ready: Vec<IpAddr> = notes
+            .iter()
+            .filter(|(node, (note, at))| {
+                note.ready && now.since(*at) < NOTE_AGE && view.is_sound(node)
+            })
+            .filter_map(|(node, _)| address(node))
+            .map(|address| address.ip())
+            .collect();
+        ready.into_iter()
+    }
+
+    /// Returns a live node whose copy of the platform's items is ahead of `revision`, or any for revision 0.
+    pub(super) fn ahead(&self, gateway: &Gateway, revision: u64) -> Option<(SocketAddr, u64)> {
+        let view = self.view.borrow();
+        let notes = self.notes.borrow();
+        let ahead = notes
+            .iter()
+            .filter(|(node, (note, _))| note.revision > revision && view.is_alive(node))
+            .filter_map(|(node, (note, _))| Some((address(node)?, note.revision)));
+        ahead.choose(&mut *gateway.rng.borrow_mut())
+    }
+
+    /// Returns some live node.
+    pub(super) fn any(&self, gateway: &Gateway) -> Option<SocketAddr> {
+        let alive = self.view.borrow().alive();
+        let others = alive.iter().filter(|node| **node != self.me);
+        let node = others.choose(&mut *gateway.rng.borrow_mut())?;
+        address(node)
+    }
+}
+
+fn address(node: &NodeId) -> Option<SocketAddr> {
+    node.as_str().parse().ok()
+}
+
+impl Gateway {
+    fn note(&self) -> Note {
+        let members = &self.members;
+        let alive = members.view.borrow().alive();
+        let others = alive.iter().filter(|node| **node != members.me);
+        let others = others.choose_multiple(&mut *self.rng.borrow_mut(), NAMED);
+        Note {
+            ready: self.is_ready(),
+            revision: self.feed.borrow().revision(),
+            others: others.into_iter().filter_map(address).collect(),
+        }
+    }
+
+    /// Probes other nodes as long as the process runs.
+    pub(super) async fn gossip(self: Rc<Self>) {
+        loop {
+            let now = self.now();
+            self.ask_seeds(now);
+            let note = self.note();
+            let mut out = Vec::new();
+            {
+                let mut view = self.members.view.borrow_mut();
+                let mut rng = self.rng.borrow_mut();
+                view.tick(now, &mut *rng, &note, &mut out);
+                self.members.alive.set(view.alive().len());
+            }
+            self.send(out).await;
+            let view = &self.members.view;
+            let known = |node: &NodeId| view.borrow().is_alive(node);
+            self.members
+                .notes
+                .borrow_mut()
+                .retain(|node, _| known(node));
+            sleep(TICK).await;
+        }
+    }
+
+    /// Handles messages of other nodes as long as the process runs.
+    pub(super) async fn receive_gossip(self: Rc<Self>) {
+        loop {
+            let incoming = match self.members.socket.receive::<Message>().await {
+                Ok(incoming) => incoming,
+                Err(error) => {
+                    log::warn!(error:% = error; "peer socket failed");
+                    sleep(TICK).await;
+                    continue;
+                }
+            };
+            let now = self.now();
+            let note = incoming.message.payload.clone();
+            let own = self.note();
+            let mut out = Vec::new();
+            {
+                let mut view = self.members.view.borrow_mut();
+                for other in &note.others {
+                    view.introduce(now, &other.to_string().as_str().into());
+                }
+                view.receive(now, &incoming.from, incoming.message, &own, &mut out);
+            }
+            let ahead = note.revision > own.revision;
+            self.members
+                .notes
+                .borrow_mut()
+                .insert(incoming.from, (note, now));
+            if ahead {
+                self.behind.notify_one();
+            }
+            self.send(out).await;
+        }
+    }
+
+    /// Tells all nodes at once that this one is leaving.
+    pub(super) async fn announce(&self) {
+        let note = self.note();
+        let mut out = Vec::new();
+        self.members.view.borrow_mut().broadcast(&note, &mut out);
+        self.send(out).await;
+    }
+
+    fn ask_seeds(&self, now: Time) {
+        let due = self
+            .members
+            .seeded
+            .get()
+            .is_none_or(|at| now.since(at) >= SEED_RETRY);
+        if !due {
+            return;
+        }
+        self.members.seeded.set(Some(now));
+        let settings = self.settings.borrow();
+        let mut view = self.members.view.borrow_mut();
+        for seed in &settings.seeds {
+            view.introduce(now, &seed.to_string().as_str().into());
+        }
+    }
+
+    async fn send(&self, out: Vec<Outbound<Message>>) {
+        for Outbound { to, message } in out {
+            let Some(address) = address(&to) else {
+                continue;
+            };
+            let sent = self.members.socket.send(address, message, Err).await;
+            if let Err(error) = sent
+                && let Some(suppressed) = self.journal.admit(self.now(), "peer_send")
+            {
+                log::warn!(peer:% = to, suppressed, error:% = error; "message to a node not sent");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/routes.rs
@@ -0,0 +1,88 @@
+use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+
+use crate::core::{
+    leaf::LatencyWindow,
+    routing::{Route, Spread},
+};
+
+/// Share of the objective that is assumed for a leaf call before any was measured.
+const FIRST_USUAL: f64 = 0.12;
+/// Share of the objective after which a second leaf is asked before any call was measured.
+const FIRST_HEDGE: f64 = 0.3;
+/// Quantile of the latency after which a second leaf is asked: one call in ten, half of what the budget allows.
+const HEDGE_QUANTILE: f64 = 0.9;
+/// Factor on that quantile.
+const HEDGE_FACTOR: f64 = 1.15;
+/// Share of the objective by which a second leaf is asked at the latest.
+const HEDGE_LATEST: f64 = 0.45;
+/// Calls measured before quantiles are used.
+const MIN_SAMPLES: usize = 16;
+/// Calls after which quantiles are computed again.
+const REFRESH: u32 = 16;
+
+/// What is measured for one route.
+#[derive(Debug)]
+pub(super) struct RouteStats {
+    window: LatencyWindow,
+    since: u32,
+    /// Usual latency of a leaf call.
+    pub(super) usual: Duration,
+    /// Time after which a second leaf is asked.
+    pub(super) hedge: Duration,
+    /// Longest time that a caller of the route said to wait.
+    pub(super) patience: Duration,
+    pub(super) spread: Spread,
+}
+
+impl RouteStats {
+    fn new(objective: Duration) -> Self {
+        Self {
+            window: LatencyWindow::default(),
+            since: 0,
+            usual: objective.mul_f64(FIRST_USUAL),
+            hedge: objective.mul_f64(FIRST_HEDGE),
+            patience: Duration::ZERO,
+            spread: Spread::default(),
+        }
+    }
+
+    /// Records the latency of a leaf call, one of a call that lost against another leaf's included.
+    pub(super) fn record(&mut self, latency: Duration, objective: Duration) {
+        let micros = u32::try_from(latency.as_micros()).unwrap_or(u32::MAX);
+        self.window.record(micros);
+        self.since += 1;
+        if self.since >= REFRESH && self.window.len() >= MIN_SAMPLES {
+            self.since = 0;
+            let at = |quantile| Duration::from_micros(self.window.quantile(quantile).into());
+            self.usual = at(0.5);
+            let latest = objective.mul_f64(HEDGE_LATEST);
+            self.hedge = at(HEDGE_QUANTILE).mul_f64(HEDGE_FACTOR).min(latest);
+        }
+    }
+}
+
+/// Statistics by the name of the route. They outlive configurations.
+#[derive(Debug, Default)]
+pub(super) struct RouteBook {
+    stats: RefCell<HashMap<Arc<str>, Rc<RefCell<RouteStats>>>>,
+}
+
+impl RouteBook {
+    pub(super) fn stats(&self, route: &Route) -> Rc<RefCell<RouteStats>> {
+        let mut stats = self.stats.borrow_mut();
+        if let Some(known) = stats.get(&route.name) {
+            return known.clone();
+        }
+        let new = Rc::new(RefCell::new(RouteStats::new(route.objective)));
+        stats.insert(route.name.clone(), new.clone());
+        new
+    }
+
+    /// Forgets routes that no longer exist.
+    pub(super) fn keep<'a>(&self, routes: impl Iterator<Item = &'a Arc<Route>>) {
+        let names: std::collections::HashSet<_> = routes.map(|route| route.name.clone()).collect();
+        self.stats
+            .borrow_mut()
+            .retain(|name, _| names.contains(name));
+    }
+}
--- /dev/null
+++ b/src/gateway/state.rs
@@ -0,0 +1,177 @@
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use anyhow::Context as _;
+use metrics_exporter_prometheus::PrometheusHandle;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::Notify,
+    time::sleep,
+};
+
+use crate::{
+    adapter::{Clock, peer::ControlSocket},
+    core::{
+        Incarnation, Time, feed::Feed, placement::planned_nodes, registry::Registry,
+        routing::Routing,
+    },
+    gateway::{
+        Settings, fleet::Fleet, ingress, journal::Journal, members::Members, routes::RouteBook,
+    },
+    node::start_metrics,
+};
+
+/// Time between two rounds of upkeep: idle connections, removals of leafs, the metrics' histograms.
+const UPKEEP: Duration = Duration::from_millis(250);
+
+/// The state of one process. Everything runs on one thread.
+pub(super) struct Gateway {
+    pub(super) settings: RefCell<Settings>,
+    pub(super) clock: Clock,
+    pub(super) started: Time,
+    pub(super) routing: RefCell<Rc<Routing>>,
+    pub(super) feed: RefCell<Feed>,
+    pub(super) registry: RefCell<Registry>,
+    pub(super) fleet: Fleet,
+    pub(super) routes: RouteBook,
+    pub(super) members: Members,
+    pub(super) journal: Journal,
+    pub(super) rng: RefCell<Pcg64>,
+    pub(super) leaving: Cell<bool>,
+    /// Requests in progress.
+    pub(super) requests: Cell<usize>,
+    /// Connections of callers.
+    pub(super) callers: Cell<usize>,
+    /// Since when the store has not answered this node.
+    pub(super) store_lost: Cell<Option<Time>>,
+    /// Signals that another node's copy of the store's items is ahead.
+    pub(super) behind: Notify,
+    /// Wakes the connections of callers when the process begins to stop.
+    pub(super) stopping: Notify,
+    pub(super) metrics: PrometheusHandle,
+}
+
+impl Gateway {
+    pub(super) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Returns the number of nodes among which fleet-wide limits are split.
+    pub(super) fn planned(&self) -> usize {
+        planned_nodes(self.members.alive_count())
+    }
+
+    /// Returns whether the node takes requests.
+    pub(super) fn is_ready(&self) -> bool {
+        !self.leaving.get()
+            && !self.routing.borrow().is_empty()
+            && !self.registry.borrow().is_empty()
+    }
+
+    async fn upkeep(self: Rc<Self>) {
+        loop {
+            sleep(UPKEEP).await;
+            let now = self.now();
+            let removed = self.registry.borrow_mut().tick(now);
+            self.fleet.apply(&self, removed);
+            self.fleet.sweep(&self);
+            metrics::gauge!("cranberrychute_log_lines_dropped")
+                .set(super::journal::dropped_lines() as f64);
+            metrics::gauge!("cranberrychute_members_alive").set(self.members.alive_count() as f64);
+            metrics::gauge!("cranberrychute_feed_revision")
+                .set(self.feed.borrow().revision() as f64);
+            metrics::gauge!("cranberrychute_routing_version")
+                .set(self.routing.borrow().version() as f64);
+            self.metrics.run_upkeep();
+        }
+    }
+}
+
+/// Runs the process until a signal stops it.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound.
+pub async fn run(
+    settings: Settings,
+    reload: impl Fn() -> anyhow::Result<Settings> + 'static,
+) -> anyhow::Result<()> {
+    let clock = Clock;
+    let mut rng = Pcg64::from_os_rng();
+    let incarnation = Incarnation(rng.random());
+    let listen = settings.listen;
+    let me = listen.peer.to_string().as_str().into();
+    let socket = ControlSocket::bind(listen.peer, me, incarnation, &settings.fleet)
+        .await
+        .with_context(|| format!("bind the peer socket {}", listen.peer))?;
+    let listeners = ingress::Listeners::bind(&listen).await?;
+    let started = clock.now();
+    let gateway = Rc::new(Gateway {
+        clock,
+        started,
+        routing: RefCell::default(),
+        feed: RefCell::default(),
+        registry: RefCell::default(),
+        fleet: Fleet::default(),
+        routes: RouteBook::default(),
+        members: Members::new(socket, &settings, incarnation, started),
+        journal: Journal::default(),
+        rng: RefCell::new(rng),
+        leaving: Cell::new(false),
+        requests: Cell::new(0),
+        callers: Cell::new(0),
+        store_lost: Cell::new(None),
+        behind: Notify::new(),
+        stopping: Notify::new(),
+        metrics: start_metrics(),
+        settings: RefCell::new(settings),
+    });
+    log::info!(
+        node = &*gateway.settings.borrow().name,
+        callers:% = listen.callers,
+        peer:% = listen.peer,
+        incarnation = incarnation.0;
+        "started"
+    );
+    tokio::task::spawn_local(gateway.clone().watch_store());
+    tokio::task::spawn_local(gateway.clone().gossip());
+    tokio::task::spawn_local(gateway.clone().receive_gossip());
+    tokio::task::spawn_local(gateway.clone().upkeep());
+    ingress::serve(&gateway, listeners);
+    let mut terminate = signal(SignalKind::terminate()).context("watch for SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("watch for SIGINT")?;
+    let mut hangup = signal(SignalKind::hangup()).context("watch for SIGHUP")?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => gateway.reload(&reload),
+        }
+    }
+    gateway.stop().await;
+    Ok(())
+}
+
+impl Gateway {
+    /// Takes new settings. Addresses stay as they are until the next start.
+    fn reload(&self, load: impl Fn() -> anyhow::Result<Settings>) {
+        match load() {
+            Ok(settings) => {
+                let seeds = settings.seeds.len();
+                let mut current = self.settings.borrow_mut();
+                *current = Settings {
+                    listen: current.listen,
+                    store: current.store,
+                    ..settings
+                };
+                log::info!(seeds; "settings reloaded");
+            }
+            Err(error) => log::error!(error:% = format!("{error:#}"); "settings not reloaded"),
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,5 +7,7 @@
 pub mod cli;
 pub mod client;
 pub mod core;
+pub mod gateway;
 pub mod node;
+pub mod platform;
 pub mod questionnaire;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -18,6 +18,7 @@
 mod stop;
 mod telemetry;
 
+pub(crate) use self::telemetry::{log_dispatch, start_metrics};
 pub use self::{
     settings::{Limits, LogFormat, LogSettings, Settings, SettingsError},
     telemetry::{recent_spans, start_logging, start_tracing},
--- a/src/node/telemetry.rs
+++ b/src/node/telemetry.rs
@@ -20,15 +20,20 @@
 ///
 /// Fails when a logger is installed already.
 pub fn start_logging(level: LevelFilter, json: bool) -> anyhow::Result<()> {
+    log_dispatch(level, json)
+        .chain(std::io::stderr())
+        .apply()
+        .context("install the logger")
+}
+
+/// Returns the levels and the format of log lines, without an output.
+pub(crate) fn log_dispatch(level: LevelFilter, json: bool) -> Dispatch {
     let format = if json { format_json } else { format_text };
     Dispatch::new()
         .level(LevelFilter::Warn)
         .level_for("cranberrychute", level)
         .level_for(SPAN_TARGET, level)
         .format(format)
-        .chain(std::io::stderr())
-        .apply()
-        .context("install the logger")
 }
 
 /// Starts the reporter that writes finished spans to the log.
@@ -37,7 +42,7 @@
 }
 
 /// Installs the metrics recorder, or returns a handle of its own when one is installed already.
-pub(super) fn start_metrics() -> PrometheusHandle {
+pub(crate) fn start_metrics() -> PrometheusHandle {
     let recorder = PrometheusBuilder::new().build_recorder();
     let handle = recorder.handle();
     // Several nodes in one process, as in the demo, share the recorder of the first.
--- /dev/null
+++ b/src/platform/settings.rs
@@ -0,0 +1,159 @@
+use std::{
+    collections::BTreeMap,
+    env, fs, io,
+    net::{IpAddr, SocketAddr},
+    path::PathBuf,
+    sync::Arc,
+    time::Duration,
+};
+
+use serde::Deserialize;
+
+use crate::{
+    core::{Domain, FleetKey, retry::RetryBounds},
+    gateway::{Bounds, Listen, Settings},
+};
+
+/// Names the settings file of a process.
+pub const SETTINGS_VARIABLE: &str = "CRANBERRYCHUTE_SETTINGS";
+
+/// Port of the metrics page, as `deploy/system.toml` names it.
+const METRICS_PORT: u16 = 9_464;
+
+/// Why the settings cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    #[error("set {SETTINGS_VARIABLE} to the path of the settings file")]
+    NoVariable,
+    #[error("cannot read the settings file {}", path.display())]
+    Read { path: PathBuf, source: io::Error },
+    #[error("the settings file {} is wrong", path.display())]
+    Parse {
+        path: PathBuf,
+        source: Box<toml::de::Error>,
+    },
+}
+
+#[derive(Deserialize)]
+struct File {
+    node: Arc<str>,
+    ip: IpAddr,
+    zone: Domain,
+    region: Arc<str>,
+    /// First and last port that is free for traffic between nodes.
+    internal_ports: (u16, u16),
+    /// Control addresses of up to three nodes, which may be stale.
+    #[serde(default)]
+    seeds: Vec<SocketAddr>,
+    /// Region of each failure domain.
+    #[serde(default)]
+    zones: BTreeMap<Domain, Arc<str>>,
+    listen: Addresses,
+    bounds: Limits,
+    platform: Store,
+}
+
+#[derive(Deserialize)]
+struct Addresses {
+    /// Requests of callers.
+    front: SocketAddr,
+    /// The platform's check whether the node takes requests.
+    ready: SocketAddr,
+    directory: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct Store {
+    address: SocketAddr,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    grace_s: f64,
+    config_apply_ms: u64,
+    retry_budget_ratio: f64,
+    budget_window_s: f64,
+    retry_slack: f64,
+    warmup_overshoot: f64,
+    warmup_slack: f64,
+    ttl_max_s: f64,
+}
+
+impl Default for Limits {
+    /// The values that both users state today.
+    fn default() -> Self {
+        Self {
+            grace_s: 6.0,
+            config_apply_ms: 3_000,
+            retry_budget_ratio: 0.2,
+            budget_window_s: 10.0,
+            retry_slack: 50.0,
+            warmup_overshoot: 1.5,
+            warmup_slack: 5.0,
+            ttl_max_s: 5.0,
+        }
+    }
+}
+
+/// Reads the settings file that the platform names.
+///
+/// # Errors
+///
+/// Fails if the variable is not set, or the file is unreadable or wrong.
+pub fn load() -> Result<Settings, SettingsError> {
+    let path = env::var_os(SETTINGS_VARIABLE).ok_or(SettingsError::NoVariable)?;
+    let path = PathBuf::from(path);
+    let text = match fs::read_to_string(&path) {
+        Ok(text) => text,
+        Err(source) => return Err(SettingsError::Read { path, source }),
+    };
+    match toml::from_str::<File>(&text) {
+        Ok(file) => Ok(file.into()),
+        Err(source) => Err(SettingsError::Parse {
+            path,
+            source: Box::new(source),
+        }),
+    }
+}
+
+impl From<File> for Settings {
+    fn from(file: File) -> Self {
+        let peer = SocketAddr::new(file.ip, file.internal_ports.0);
+        let seeds = file
+            .seeds
+            .iter()
+            .map(|seed| SocketAddr::new(seed.ip(), peer.port()));
+        Settings {
+            name: file.node,
+            domain: file.zone,
+            region: file.region,
+            seeds: seeds.filter(|seed| *seed != peer).collect(),
+            regions: file.zones,
+            listen: Listen {
+                callers: file.listen.front,
+                ready: file.listen.ready,
+                directory: file.listen.directory,
+                peer,
+                metrics: SocketAddr::new(file.ip, METRICS_PORT),
+            },
+            store: file.platform.address,
+            // No secret is published. The key only keeps the messages of two deployments apart.
+            fleet: FleetKey::new(
+                *blake3::hash(file.platform.address.to_string().as_bytes()).as_bytes(),
+            ),
+            bounds: Bounds {
+                stop: Duration::from_secs_f64(file.bounds.grace_s),
+                apply: Duration::from_millis(file.bounds.config_apply_ms),
+                answer_life: Duration::from_secs_f64(file.bounds.ttl_max_s),
+                retry: RetryBounds {
+                    ratio: file.bounds.retry_budget_ratio,
+                    window: Duration::from_secs_f64(file.bounds.budget_window_s),
+                    slack: file.bounds.retry_slack,
+                },
+                cold_overshoot: file.bounds.warmup_overshoot,
+                cold_slack: file.bounds.warmup_slack,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/wire.rs
@@ -0,0 +1,313 @@
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::{BufMut, Bytes, BytesMut};
+use http::{HeaderName, Method, Response, StatusCode, Uri, header, request};
+use http_body_util::Full;
+use serde::Serialize;
+
+use crate::{
+    adapter::http1::Reply,
+    core::{Domain, Instance, placement::LeafLoad},
+};
+
+/// The caller's id of this attempt of its request.
+const REQUEST_ID: &str = "request-id";
+/// How long the sender waits, milliseconds.
+const DEADLINE: &str = "deadline-ms";
+/// The only leaf that may run the request.
+const TARGET: &str = "target-instance";
+/// A leaf's signature of one answer to one request.
+const STAMP: &str = "server-stamp";
+/// The leaf did not run the request.
+const NOT_RUN: &str = "not-executed";
+/// Running requests, waiting requests and slots of the leaf.
+const LOAD: &str = "leaf-load";
+/// How long the leaf stays cold, milliseconds.
+const COLD: &str = "warmup-ms";
+/// The signatures of the parts of an answer.
+const PARTS: &str = "part-stamps";
+/// The number of shards that are left out.
+const MISSING: &str = "missing-parts";
+const READY_PATH: &str = "/-/ready";
+const RESOLVE_PATH: &str = "/-/resolve";
+
+/// Headers that concern one connection or that the tier sets itself.
+fn is_own(name: &str) -> bool {
+    matches!(
+        name,
+        "connection"
+            | "keep-alive"
+            | "proxy-connection"
+            | "proxy-authenticate"
+            | "proxy-authorization"
+            | "te"
+            | "trailer"
+            | "transfer-encoding"
+            | "upgrade"
+            | "content-length"
+            | "expect"
+            | DEADLINE
+            | TARGET
+    )
+}
+
+/// A request as a caller sent it.
+#[derive(Debug)]
+pub struct CallerRequest {
+    /// The caller's id of this attempt; empty if it sent none.
+    pub id: Arc<str>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+}
+
+impl CallerRequest {
+    /// Reads what the head of a request says.
+    pub fn read(parts: &request::Parts) -> Self {
+        let text = |name| {
+            parts
+                .headers
+                .get(name)
+                .and_then(|value| value.to_str().ok())
+        };
+        let patience = text(DEADLINE).and_then(|value| value.trim().parse::<u64>().ok());
+        Self {
+            id: text(REQUEST_ID).unwrap_or_default().into(),
+            patience: patience.map(Duration::from_millis),
+        }
+    }
+}
+
+/// A caller's request in the form in which leafs get it.
+#[derive(Debug)]
+pub struct CallRequest {
+    head: BytesMut,
+    body: Bytes,
+}
+
+impl CallRequest {
+    /// Takes over method, path, headers and body of a caller's request.
+    pub fn new(parts: &request::Parts, body: Bytes) -> Self {
+        let mut head = BytesMut::with_capacity(512);
+        head.put_slice(parts.method.as_str().as_bytes());
+        head.put_u8(b' ');
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+        head.put_slice(path.as_bytes());
+        head.put_slice(b" HTTP/1.1\r\n");
+        if !parts.headers.contains_key(header::HOST)
+            && let Some(host) = parts.uri.authority()
+        {
+            put_header(&mut head, b"host", host.as_str().as_bytes());
+        }
+        let listed = listed(parts);
+        for (name, value) in &parts.headers {
+            let name = name.as_str();
+            if !is_own(name) && !listed.iter().any(|own| own.eq_ignore_ascii_case(name)) {
+                put_header(&mut head, name.as_bytes(), value.as_bytes());
+            }
+        }
+        let has_length = parts.headers.contains_key(header::CONTENT_LENGTH)
+            || parts.headers.contains_key(header::TRANSFER_ENCODING);
+        if has_length || !matches!(parts.method, Method::GET | Method::HEAD) {
+            put_header(
+                &mut head,
+                b"content-length",
+                body.len().to_string().as_bytes(),
+            );
+        }
+        Self { head, body }
+    }
+
+    /// Returns the bytes to send to one leaf, which has `left` to answer.
+    pub fn encode(&self, instance: &Instance, left: Duration) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(self.head.len() + self.body.len() + 96);
+        bytes.extend_from_slice(&self.head);
+        let millis = left.as_millis().max(1).to_string();
+        put_header(&mut bytes, DEADLINE.as_bytes(), millis.as_bytes());
+        put_header(&mut bytes, TARGET.as_bytes(), instance.as_str().as_bytes());
+        bytes.extend_from_slice(b"\r\n");
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
+/// Returns the headers that `Connection` names as its own.
+fn listed(parts: &request::Parts) -> Vec<&str> {
+    let values = parts.headers.get_all(header::CONNECTION).iter();
+    let values = values.filter_map(|value| value.to_str().ok());
+    values
+        .flat_map(|value| value.split(','))
+        .map(str::trim)
+        .collect()
+}
+
+fn put_header(buffer: &mut impl BufMut, name: &[u8], value: &[u8]) {
+    buffer.put_slice(name);
+    buffer.put_slice(b": ");
+    buffer.put_slice(value);
+    buffer.put_slice(b"\r\n");
+}
+
+/// What a leaf's answer says.
+#[derive(Debug)]
+pub struct LeafAnswer {
+    /// The leaf ran the request with success.
+    pub success: bool,
+    /// The leaf ran nothing.
+    pub not_run: bool,
+    /// Another leaf has the address.
+    pub misdirected: bool,
+    /// The leaf's signature of the answer.
+    pub stamp: Option<Bytes>,
+    pub load: Option<LeafLoad>,
+    /// How long the leaf stays cold.
+    pub cold: Option<Duration>,
+}
+
+/// Reads what the headers of a leaf's answer say.
+pub fn leaf_answer(reply: &Reply) -> LeafAnswer {
+    let misdirected = reply.status == 421;
+    let cold = reply.text(COLD).and_then(|text| text.parse::<f64>().ok());
+    LeafAnswer {
+        success: (200..300).contains(&reply.status),
+        not_run: misdirected || reply.header(NOT_RUN).is_some(),
+        misdirected,
+        stamp: reply.header(STAMP).map(Bytes::copy_from_slice),
+        load: reply.text(LOAD).and_then(load),
+        cold: cold.map(|millis| Duration::from_secs_f64((millis / 1e3).clamp(0.0, 3_600.0))),
+    }
+}
+
+fn load(text: &str) -> Option<LeafLoad> {
+    let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
+    Some(LeafLoad {
+        running: numbers.next()??,
+        waiting: numbers.next()??,
+        slots: numbers.next()??,
+    })
+}
+
+/// Returns whether an answer belongs to the request with this id. Leafs repeat the id.
+pub fn owns_answer(reply: &Reply, id: &str) -> bool {
+    let echoed = reply.header(REQUEST_ID);
+    echoed.is_none_or(|echoed| echoed == id.as_bytes())
+}
+
+/// What a caller gets in the end.
+#[derive(Debug)]
+pub enum FinalAnswer<'a> {
+    /// A leaf's answer as it is.
+    Leaf(&'a Reply),
+    /// The merged records of some parts.
+    Gathered {
+        stamps: &'a [Bytes],
+        missing: usize,
+        records: Vec<u8>,
+    },
+    /// Nothing ran, and nothing will.
+    Refused { again: Duration },
+    /// The tier does not serve this.
+    Rejected(StatusCode),
+    /// The request may have run.
+    Lost(StatusCode),
+}
+
+impl FinalAnswer<'_> {
+    /// Builds the answer to the request with this id.
+    pub fn response(self, id: &str) -> Response<Full<Bytes>> {
+        let mut response = Response::new(Full::default());
+        let headers = response.headers_mut();
+        let value = |bytes: &[u8]| header::HeaderValue::from_bytes(bytes).ok();
+        match self {
+            FinalAnswer::Leaf(reply) => {
+                for (name, bytes) in reply.headers() {
+                    let Ok(name) = HeaderName::from_bytes(name) else {
+                        continue;
+                    };
+                    let own = is_own(name.as_str()) || matches!(name.as_str(), NOT_RUN | LOAD);
+                    if let Some(value) = value(bytes).filter(|_| !own) {
+                        headers.append(name, value);
+                    }
+                }
+                let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
+                *response.status_mut() = status;
+                *response.body_mut() = Full::new(reply.body.clone());
+            }
+            FinalAnswer::Gathered {
+                stamps,
+                missing,
+                records,
+            } => {
+                if let Some(value) = value(&stamps.join(&b", "[..])) {
+                    headers.insert(PARTS, value);
+                }
+                headers.insert(MISSING, missing.into());
+                if let Some(value) = value(id.as_bytes()) {
+                    headers.insert(REQUEST_ID, value);
+                }
+                *response.body_mut() = Full::new(records.into());
+            }
+            FinalAnswer::Refused { again } => {
+                let seconds = format!("{:.2}", again.as_secs_f64());
+                if let Some(value) = value(seconds.as_bytes()) {
+                    headers.insert(header::RETRY_AFTER, value);
+                }
+                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            }
+            FinalAnswer::Rejected(status) | FinalAnswer::Lost(status) => {
+                *response.status_mut() = status;
+            }
+        }
+        response
+    }
+}
+
+/// Returns whether a request is the platform's check whether the node takes requests.
+pub fn is_ready_probe(uri: &Uri) -> bool {
+    uri.path() == READY_PATH
+}
+
+/// Which addresses a caller asks for.
+#[derive(Debug, Default)]
+pub struct DirectoryQuery {
+    /// The caller's failure domain.
+    pub domain: Option<Domain>,
+}
+
+/// Reads a question for addresses; None if the request is another one.
+pub fn directory_query(uri: &Uri) -> Option<DirectoryQuery> {
+    if uri.path() != RESOLVE_PATH {
+        return None;
+    }
+    let pairs = url::form_urlencoded::parse(uri.query().unwrap_or_default().as_bytes());
+    let zone = pairs.into_iter().find(|(key, _)| key == "zone");
+    Some(DirectoryQuery {
+        domain: zone.map(|(_, zone)| zone.as_ref().into()),
+    })
+}
+
+#[derive(Serialize)]
+struct Resolved<'a> {
+    addrs: &'a [SocketAddr],
+    ttl_s: f64,
+}
+
+/// Builds the answer that names addresses and the time for which it may be kept.
+pub fn directory_answer(addresses: &[SocketAddr], life: Duration) -> Response<Full<Bytes>> {
+    let body = Resolved {
+        addrs: addresses,
+        ttl_s: life.as_secs_f64(),
+    };
+    let mut response = Response::new(Full::default());
+    match serde_json::to_vec(&body) {
+        Ok(json) => {
+            let value = header::HeaderValue::from_static("application/json");
+            response.headers_mut().insert(header::CONTENT_TYPE, value);
+            *response.body_mut() = Full::new(json.into());
+        }
+        Err(error) => {
+            log::error!(error:% = error; "address answer cannot be encoded");
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        }
+    }
+    response
+}
