--- /dev/null
+++ b/tests/decisions/gather.rs
@@ -0,0 +1,241 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use cranberrychute::core::{
+    Time,
+    gather::{End, Failure, Plan, PlanSettings, RECORD_BYTES, Step, merge_top},
+};
+use proptest::{collection::vec, prelude::*};
+
+use crate::{at, seeds};
+
+const HEDGE: u64 = 20;
+const ANSWER: u64 = 72;
+const END: u64 = 790;
+
+fn settings(parts: usize, needed: usize) -> PlanSettings {
+    PlanSettings {
+        parts,
+        needed,
+        attempts: 2,
+        repeatable: true,
+        hedge: Duration::from_millis(HEDGE),
+        answer: at(ANSWER),
+        end: at(END),
+    }
+}
+
+/// Sends all parts that are due and returns them.
+fn send(plan: &mut Plan, now: Time) -> Vec<(usize, bool)> {
+    let Step::Send(due) = plan.step(now) else {
+        panic!("nothing is due: {:?}", plan.step(now));
+    };
+    for (part, _) in &due {
+        plan.sent(*part, now);
+    }
+    due.to_vec()
+}
+
+fn answer(plan: &mut Plan, parts: impl IntoIterator<Item = usize>) {
+    for part in parts {
+        plan.answered(part);
+    }
+}
+
+#[test]
+fn complete_answer_goes_out_at_once() {
+    let mut plan = Plan::new(settings(10, 9), at(0));
+    assert_eq!(send(&mut plan, at(0)).len(), 10);
+    answer(&mut plan, 0..10);
+    assert_eq!(plan.step(at(9)), Step::Finish(End::Answer));
+}
+
+/// A leaf pauses: its part is asked for again after the usual time, and only this part.
+#[test]
+fn a_part_without_answer_is_asked_for_again_once() {
+    let mut plan = Plan::new(settings(10, 9), at(0));
+    send(&mut plan, at(0));
+    answer(&mut plan, 0..9);
+    assert_eq!(plan.step(at(10)), Step::Wait(at(HEDGE)));
+    assert_eq!(send(&mut plan, at(HEDGE)), [(9, true)]);
+    assert_eq!(plan.step(at(HEDGE + 1)), Step::Wait(at(ANSWER)));
+    answer(&mut plan, [9]);
+    assert_eq!(plan.step(at(30)), Step::Finish(End::Answer));
+}
+
+/// A shard is dark: the answer goes out in time without it.
+#[test]
+fn the_answer_goes_out_at_the_objective_with_enough_parts() {
+    let mut plan = Plan::new(settings(10, 9), at(0));
+    send(&mut plan, at(0));
+    answer(&mut plan, 0..9);
+    send(&mut plan, at(HEDGE));
+    assert_eq!(plan.step(at(ANSWER)), Step::Finish(End::Answer));
+    assert_eq!(plan.done(), 9);
+}
+
+/// A shard is known to be down: nobody waits for it.
+#[test]
+fn a_part_without_a_working_leaf_holds_nothing_up() {
+    let mut plan = Plan::new(settings(10, 9), at(0));
+    send(&mut plan, at(0));
+    answer(&mut plan, 0..9);
+    plan.failed(9, at(8), Failure::MayHaveRun);
+    let Step::Send(due) = plan.step(at(8)) else {
+        panic!("the part is not due");
+    };
+    assert_eq!(due.as_slice(), [(9, true)]);
+    plan.no_leaf(9);
+    assert_eq!(plan.step(at(8)), Step::Finish(End::Answer));
+}
+
+/// Two shards are down and only one may be missing: the caller is not kept until its deadline.
+#[test]
+fn a_request_that_cannot_be_served_ends_at_once() {
+    let mut plan = Plan::new(settings(10, 9), at(0));
+    plan.no_leaf(0);
+    plan.no_leaf(1);
+    assert_eq!(plan.step(at(0)), Step::Finish(End::Unreachable));
+    assert!(!plan.may_have_run());
+}
+
+/// Too few parts at the objective: the rest is waited for, and the answer goes out with the last one needed.
+#[test]
+fn a_late_answer_goes_out_as_soon_as_it_has_enough_parts() {
+    let mut plan = Plan::new(settings(10, 9), at(0));
+    send(&mut plan, at(0));
+    answer(&mut plan, 0..8);
+    send(&mut plan, at(HEDGE));
+    assert_eq!(plan.step(at(ANSWER)), Step::Wait(at(END)));
+    answer(&mut plan, [8]);
+    assert_eq!(plan.step(at(ANSWER + 40)), Step::Finish(End::Answer));
+}
+
+#[test]
+fn the_request_ends_with_its_time() {
+    let mut plan = Plan::new(settings(10, 9), at(0));
+    send(&mut plan, at(0));
+    send(&mut plan, at(HEDGE));
+    assert_eq!(plan.step(at(END)), Step::Finish(End::Timeout));
+    assert!(plan.may_have_run());
+}
+
+/// Guards against a request that runs twice though it must not.
+#[test]
+fn at_most_once_is_not_sent_again_after_it_may_have_run() {
+    let settings = PlanSettings {
+        repeatable: false,
+        ..settings(1, 1)
+    };
+    let mut plan = Plan::new(settings, at(0));
+    send(&mut plan, at(0));
+    assert_eq!(plan.step(at(HEDGE)), Step::Wait(at(ANSWER)));
+    plan.failed(0, at(100), Failure::MayHaveRun);
+    assert_eq!(plan.step(at(100)), Step::Finish(End::Unreachable));
+    assert!(plan.may_have_run());
+}
+
+/// A leaf sheds: the request goes to another one, and if all refuse, "not run" is true.
+#[test]
+fn at_most_once_goes_on_after_a_refusal() {
+    let settings = PlanSettings {
+        repeatable: false,
+        ..settings(1, 1)
+    };
+    let mut plan = Plan::new(settings, at(0));
+    send(&mut plan, at(0));
+    plan.failed(0, at(5), Failure::NotRun);
+    assert_eq!(send(&mut plan, at(5)), [(0, true)]);
+    plan.failed(0, at(9), Failure::NotRun);
+    assert!(!plan.may_have_run());
+    plan.no_leaf(0);
+    assert_eq!(plan.step(at(9)), Step::Finish(End::Unreachable));
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Answer(usize),
+    Fail(usize, bool),
+    NoRoom,
+    NoLeaf,
+    Pass(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        (0..6_usize).prop_map(Event::Answer),
+        (0..6_usize, any::<bool>()).prop_map(|(part, run)| Event::Fail(part, run)),
+        Just(Event::NoRoom),
+        Just(Event::NoLeaf),
+        (1..60_u64).prop_map(Event::Pass),
+    ]
+}
+
+proptest! {
+    #![proptest_config(seeds::properties())]
+
+    /// Guards against more runs of a part than allowed, an answer with too few parts, a refusal that is not true
+    /// and a request that never ends, whatever order calls end in.
+    #[test]
+    fn plans_keep_their_bounds(events in vec(event(), 0..80), repeatable: bool) {
+        let settings = PlanSettings { repeatable, ..settings(6, 5) };
+        let mut plan = Plan::new(settings, at(0));
+        let (mut open, mut ran) = ([0_u32; 6], [0_u32; 6]);
+        let mut events = events.into_iter();
+        let mut now = 0;
+        let end = loop {
+            match plan.step(at(now)) {
+                Step::Finish(end) => break end,
+                Step::Send(due) => match events.next() {
+                    Some(Event::NoLeaf) => plan.no_leaf(due[0].0),
+                    Some(Event::NoRoom) => plan.no_room(due[0].0, at(now)),
+                    _ => for (part, _) in due {
+                        plan.sent(part, at(now));
+                        open[part] += 1;
+                        ran[part] += 1;
+                        prop_assert!(ran[part] <= 2, "part {part} runs {} times", ran[part]);
+                        prop_assert!(repeatable || open[part] <= 1);
+                    },
+                },
+                Step::Wait(until) => {
+                    prop_assert!(until > at(now), "waits for a time that is over");
+                    match events.next() {
+                        Some(Event::Answer(part)) if open[part] > 0 => {
+                            open[part] -= 1;
+                            plan.answered(part);
+                        }
+                        Some(Event::Fail(part, run)) if open[part] > 0 => {
+                            open[part] -= 1;
+                            if !run {
+                                ran[part] -= 1;
+                            }
+                            let failure = if run { Failure::MayHaveRun } else { Failure::NotRun };
+                            plan.failed(part, at(now), failure);
+                        }
+                        Some(Event::Pass(time)) => now += time.min(until.since(at(now)).as_millis() as u64),
+                        _ => now += until.since(at(now)).as_millis() as u64,
+                    }
+                }
+            }
+        };
+        prop_assert!(now <= END);
+        match end {
+            End::Answer => prop_assert!(plan.done() >= 5),
+            End::Unreachable | End::Timeout => prop_assert!(plan.done() < 5),
+        }
+        prop_assert_eq!(plan.may_have_run(), ran.iter().any(|ran| *ran > 0));
+    }
+
+    /// Guards against records that are lost, out of order or made of the rest of a part.
+    #[test]
+    fn merge_is_the_sorted_prefix(parts in vec(vec(0..4_u8, 0..200), 0..6), top in 0..30_usize) {
+        let parts: Vec<Bytes> = parts.into_iter().map(Bytes::from).collect();
+        let mut all: Vec<&[u8]> = parts
+            .iter()
+            .flat_map(|part| part.chunks_exact(RECORD_BYTES))
+            .collect();
+        all.sort_unstable_by(|a, b| b.cmp(a));
+        all.truncate(top);
+        prop_assert_eq!(merge_top(parts.iter(), top), all.concat());
+    }
+}
--- /dev/null
+++ b/tests/decisions/main.rs
@@ -0,0 +1,18 @@
+//! The gateway's decisions, without input and output: each test replays a load or a sequence of news.
+
+#[path = "../seeds/mod.rs"]
+mod seeds;
+
+mod feed;
+mod gather;
+mod placement;
+mod registry;
+mod retry;
+mod routing;
+
+use cranberrychute::core::Time;
+
+/// Returns a point in time, milliseconds.
+fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
--- /dev/null
+++ b/tests/decisions/placement.rs
@@ -0,0 +1,218 @@
+use std::time::Duration;
+
+use cranberrychute::core::{
+    Time,
+    placement::{
+        Candidate, Gauge, LeafLoad, Outcome, cold_share, connection_share, pick, planned_nodes,
+    },
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+use crate::at;
+
+const USUAL: Duration = Duration::from_millis(8);
+
+/// One shard's leafs as one node sees them, in virtual time.
+struct Shard {
+    gauges: Vec<Gauge>,
+    rng: Pcg64,
+    now: Time,
+}
+
+impl Shard {
+    fn new(leafs: usize) -> Self {
+        Self {
+            gauges: (0..leafs).map(|_| Gauge::new(at(0), 2)).collect(),
+            rng: Pcg64::seed_from_u64(1),
+            now: at(0),
+        }
+    }
+
+    fn pick(&mut self) -> usize {
+        let now = self.now;
+        let candidates = self
+            .gauges
+            .iter()
+            .enumerate()
+            .filter(|(_, gauge)| {
+                !gauge.is_resting(now) && !(gauge.is_on_trial() && gauge.calls() > 0)
+            })
+            .map(|(index, gauge)| {
+                let candidate = Candidate {
+                    gauge,
+                    near: false,
+                    cold: false,
+                    connected: true,
+                };
+                (index, candidate)
+            });
+        pick(now, USUAL, candidates, &mut self.rng).expect("a leaf is left")
+    }
+
+    /// Makes a call that ends before the next one.
+    fn call(&mut self, leaf: usize, outcome: Outcome) {
+        let token = self.gauges[leaf].sent(self.now);
+        let took = match outcome {
+            Outcome::Answered(latency) | Outcome::Failed(latency) => latency,
+            _ => Duration::ZERO,
+        };
+        self.gauges[leaf].ended(self.now + took, token, outcome, USUAL);
+    }
+
+    /// Picks a leaf `count` times, 20 ms apart, and returns the share that `leaf` got.
+    fn share(&mut self, leaf: usize, count: u32, outcome: impl Fn(usize) -> Outcome) -> f64 {
+        let mut got = 0;
+        for _ in 0..count {
+            self.now = self.now + Duration::from_millis(20);
+            let chosen = self.pick();
+            got += u32::from(chosen == leaf);
+            self.call(chosen, outcome(chosen));
+        }
+        f64::from(got) / f64::from(count)
+    }
+}
+
+fn answered(millis: u64) -> Outcome {
+    Outcome::Answered(Duration::from_millis(millis))
+}
+
+/// Equal leafs: nodes that do not see each other must not all choose the same one.
+#[test]
+fn equal_leafs_share_the_calls() {
+    let mut shard = Shard::new(3);
+    for leaf in 0..3 {
+        let share = shard.share(leaf, 600, |_| answered(8));
+        assert!((0.2..0.5).contains(&share), "leaf {leaf} gets {share}");
+    }
+}
+
+/// A leaf pauses for 100 ms: the first call that does not return shows it, and no further one goes there.
+#[test]
+fn a_leaf_that_does_not_return_a_call_gets_no_other() {
+    let mut shard = Shard::new(3);
+    shard.share(0, 100, |_| answered(8));
+    shard.gauges[0].sent(shard.now);
+    shard.now = shard.now + Duration::from_millis(30);
+    let again = shard.share(0, 4, |_| answered(8));
+    assert_eq!(again, 0.0);
+}
+
+/// A leaf becomes ten times slower for seconds: it loses its share after a few answers, and has it back soon
+/// after it has recovered.
+#[test]
+fn a_slow_leaf_is_avoided_and_tried_again() {
+    let mut shard = Shard::new(3);
+    shard.share(0, 100, |_| answered(8));
+    let slow = shard.share(0, 300, |leaf| answered(if leaf == 0 { 80 } else { 8 }));
+    assert!(slow < 0.08, "the slow leaf gets {slow} of the calls");
+    shard.now = shard.now + Duration::from_secs(6);
+    let back = shard.share(0, 200, |_| answered(8));
+    assert!(back > 0.15, "the recovered leaf gets {back} of the calls");
+}
+
+/// A leaf fails or sheds half of its calls while it seems healthy.
+#[test]
+fn a_failing_leaf_loses_most_of_its_share() {
+    let failing = [Outcome::Failed(Duration::from_millis(1)), Outcome::Shed];
+    for outcome in failing {
+        let mut shard = Shard::new(3);
+        let share = shard.share(0, 300, |leaf| if leaf == 0 { outcome } else { answered(8) });
+        assert!(
+            share < 0.08,
+            "{outcome:?}: the failing leaf gets {share} of the calls"
+        );
+    }
+}
+
+/// A leaf goes dark: two calls without an answer, then one try at a time, ever more seldom.
+#[test]
+fn a_silent_leaf_rests_and_gets_one_call_at_a_time() {
+    let mut gauge = Gauge::new(at(0), 2);
+    for time in [0, 10] {
+        let token = gauge.sent(at(time));
+        gauge.ended(at(time + 5), token, Outcome::Silent, USUAL);
+    }
+    assert!(gauge.is_resting(at(200)));
+    assert!(!gauge.is_resting(at(300)));
+    assert!(gauge.is_on_trial());
+    let token = gauge.sent(at(300));
+    gauge.ended(at(400), token, Outcome::Silent, USUAL);
+    assert!(gauge.is_resting(at(800)));
+    let token = gauge.sent(at(1_000));
+    gauge.ended(at(1_008), token, answered(8), USUAL);
+    assert!(!gauge.is_resting(at(1_008)));
+    assert!(!gauge.is_on_trial());
+}
+
+/// Guards against a call that was given up for its caller's reasons and counts as the leaf's silence.
+#[test]
+fn cancelled_calls_do_not_count_against_a_leaf() {
+    let mut gauge = Gauge::new(at(0), 2);
+    for time in 0..10 {
+        let token = gauge.sent(at(time));
+        gauge.ended(at(time + 1), token, Outcome::Cancelled, USUAL);
+    }
+    assert!(!gauge.is_on_trial());
+    assert_eq!(gauge.calls(), 0);
+}
+
+/// A leaf reports a queue: others are preferred, and the report soon counts no more.
+#[test]
+fn a_reported_queue_counts_for_a_moment() {
+    let mut gauge = Gauge::new(at(0), 2);
+    let load = LeafLoad {
+        running: 2,
+        waiting: 6,
+        slots: 2,
+    };
+    gauge.reported(at(1_000), load);
+    let idle = Gauge::new(at(0), 2);
+    assert!(gauge.cost(at(1_001), USUAL) > 2.0 * idle.cost(at(1_001), USUAL));
+    assert!(gauge.cost(at(1_500), USUAL) < 1.2 * idle.cost(at(1_500), USUAL));
+}
+
+/// Guards against limits that nodes exceed together: added machines and restarts included.
+#[test]
+fn shares_of_all_planned_nodes_stay_within_the_limit() {
+    for alive in 1..300 {
+        let nodes = planned_nodes(alive);
+        assert!(nodes >= alive + 4);
+        for limit in [26, 52, 110, 540] {
+            let share = connection_share(limit, nodes);
+            assert!(share == 1 || share * nodes <= limit as usize);
+        }
+        let cold = cold_share(3.0, 1.5, 5.0, nodes).expect("there is a limit");
+        assert!(cold * nodes as f64 <= 9.5 + 1e-9);
+    }
+    assert_eq!(cold_share(0.0, 1.5, 5.0, 12), None);
+}
+
+/// All leafs of a zone return cold: a node sends no more than its share, in any second.
+#[test]
+fn a_cold_leaf_gets_its_rate_at_most() {
+    let mut gauge = Gauge::new(at(0), 2);
+    let mut sends = Vec::new();
+    for time in (0..10_000).step_by(10) {
+        if gauge.has_cold_room(at(time), 0.8) {
+            let token = gauge.sent(at(time));
+            gauge.ended(at(time), token, answered(8), USUAL);
+            sends.push(time);
+        }
+    }
+    for start in &sends {
+        let within = sends
+            .iter()
+            .filter(|time| (*start..start + 1_000).contains(*time))
+            .count();
+        assert_eq!(
+            within, 1,
+            "more than one call in the second from {start} ms"
+        );
+    }
+    assert!(
+        (8..=9).contains(&sends.len()),
+        "{} calls in 10 s",
+        sends.len()
+    );
+}
