Test gateway processes against stand-ins; collect news of the store for 200 ms

Broken connections count less towards "down" than refused ones: a leaf that loses single answers works otherwise.

Cause of the cost: each change of the store ended every node's watch, and a repartition makes hundreds in a row.

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -2,19 +2,23 @@
 //!
 //! [`Platform`] is the configuration service and the VM list. [`Upstream`] hosts leaves that index lines
 //! of a [`Corpus`]. Both speak the contracts of `docs/design.md` section 11 and can be made to fail while
-//! they run.
+//! they run. [`Store`] and [`Worker`] speak the wire of the users' platform for tests of the gateway.
 
 mod data;
 mod http;
 mod layout;
 mod node;
 mod platform;
+mod store;
 mod upstream;
+mod worker;
 
 pub use self::{
     data::{Corpus, Hit, Record, score, shard_of, terms},
     layout::{LeafSpec, SnapshotSpec, map_document, spread},
     node::{NodeSpec, vms_document},
     platform::{Platform, PlatformControl, PlatformCounters},
+    store::{Access, Store},
     upstream::{Execution, Fault, LeafControl, LeafCounters, Upstream, UpstreamSettings},
+    worker::{Conduct, Worker},
 };
--- /dev/null
+++ b/emulator/src/store.rs
@@ -0,0 +1,279 @@
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use serde_json::{Value, json};
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    task::JoinSet,
+    time::{Instant, sleep_until, timeout_at},
+};
+
+use crate::http::{Closed, Payload, Reply, json as json_reply, param, serve};
+
+/// Items of one page.
+const PAGE: usize = 7;
+
+/// How the store treats one reader.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Access {
+    #[default]
+    Served,
+    /// Answers 503.
+    Busy,
+    /// Answers 429.
+    Limited,
+    /// Closes the connection without an answer.
+    Reset,
+    /// Answers nothing.
+    Silent,
+}
+
+#[derive(Clone, Debug)]
+struct Event {
+    key: String,
+    revision: u64,
+    /// None when the key was deleted.
+    value: Option<Arc<[u8]>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    items: BTreeMap<String, (u64, Arc<[u8]>)>,
+    history: VecDeque<Event>,
+    /// Revision up to which the history is gone.
+    forgotten: u64,
+    calls: u64,
+}
+
+/// A stand-in for the platform's store: reads in pages, watches, a history that can be dropped.
+///
+/// Each reader has an address of its own, so that some can be refused while others are served.
+#[derive(Debug)]
+pub struct Store {
+    state: Arc<Mutex<State>>,
+    changed: watch::Sender<u64>,
+    readers: Vec<(SocketAddr, watch::Sender<Access>)>,
+    tasks: JoinSet<()>,
+}
+
+impl Store {
+    /// Starts a store with an address for each of `readers` readers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no address can be bound.
+    pub async fn start(readers: usize) -> anyhow::Result<Self> {
+        let mut store = Self {
+            state: Arc::default(),
+            changed: watch::channel(0).0,
+            readers: Vec::new(),
+            tasks: JoinSet::new(),
+        };
+        for _ in 0..readers {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            let access = watch::channel(Access::Served).0;
+            store.readers.push((listener.local_addr()?, access.clone()));
+            let (state, changed) = (store.state.clone(), store.changed.clone());
+            store.tasks.spawn(accept(listener, state, changed, access));
+        }
+        Ok(store)
+    }
+
+    /// Returns the address for one reader.
+    pub fn address(&self, reader: usize) -> SocketAddr {
+        self.readers[reader].0
+    }
+
+    /// Changes how one reader is treated. Watches that wait are cut.
+    pub fn access(&self, reader: usize, access: Access) {
+        self.readers[reader].1.send_replace(access);
+    }
+
+    /// Changes how all readers are treated.
+    pub fn access_all(&self, access: Access) {
+        for reader in 0..self.readers.len() {
+            self.access(reader, access);
+        }
+    }
+
+    /// Writes an item.
+    pub fn put(&self, key: &str, value: &Value) -> u64 {
+        self.put_bytes(key, value.to_string().as_bytes())
+    }
+
+    /// Writes an item of any bytes.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) -> u64 {
+        self.change(key, Some(value.into()))
+    }
+
+    /// Deletes an item.
+    pub fn delete(&self, key: &str) -> u64 {
+        self.change(key, None)
+    }
+
+    /// Drops the history: watches from before get 410.
+    pub fn compact(&self) {
+        let mut state = lock(&self.state);
+        state.history.clear();
+        state.forgotten = state.revision;
+    }
+
+    /// Returns the number of calls so far.
+    pub fn calls(&self) -> u64 {
+        lock(&self.state).calls
+    }
+
+    fn change(&self, key: &str, value: Option<Arc<[u8]>>) -> u64 {
+        let mut state = lock(&self.state);
+        state.revision += 1;
+        let revision = state.revision;
+        match &value {
+            Some(value) => {
+                state
+                    .items
+                    .insert(key.to_owned(), (revision, value.clone()));
+            }
+            None => {
+                state.items.remove(key);
+            }
+        }
+        let key = key.to_owned();
+        state.history.push_back(Event {
+            key,
+            revision,
+            value,
+        });
+        drop(state);
+        self.changed.send_replace(revision);
+        revision
+    }
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().expect("no panic while locked")
+}
+
+async fn accept(
+    listener: TcpListener,
+    state: Arc<Mutex<State>>,
+    changed: watch::Sender<u64>,
+    access: watch::Sender<Access>,
+) {
+    let mut connections = JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        let (state, changed, access) = (state.clone(), changed.clone(), access.clone());
+        connections.spawn(serve(stream, move |request| {
+            let (state, news, access) = (state.clone(), changed.subscribe(), access.subscribe());
+            async move { answer(request, state, news, access).await }
+        }));
+    }
+}
+
+async fn answer(
+    request: Request<Bytes>,
+    state: Arc<Mutex<State>>,
+    news: watch::Receiver<u64>,
+    mut access: watch::Receiver<Access>,
+) -> Reply {
+    lock(&state).calls += 1;
+    let granted = *access.borrow_and_update();
+    let empty = |status| Ok(json_reply(status, &json!({})));
+    match granted {
+        Access::Served => {}
+        Access::Busy => return empty(StatusCode::SERVICE_UNAVAILABLE),
+        Access::Limited => return empty(StatusCode::TOO_MANY_REQUESTS),
+        Access::Reset => return Err(Closed),
+        Access::Silent => std::future::pending().await,
+    }
+    let number = |name| param(&request, name).and_then(|text| text.parse::<u64>().ok());
+    let prefix = param(&request, "prefix")
+        .unwrap_or_default()
+        .replace("%2F", "/");
+    match request.uri().path() {
+        "/-/kv-range" => {
+            let after = param(&request, "after")
+                .unwrap_or_default()
+                .replace("%2F", "/");
+            Ok(range(&lock(&state), &prefix, &after))
+        }
+        "/-/kv-watch" => {
+            let after = number("after").unwrap_or_default();
+            let wait = Duration::from_millis(number("wait_ms").unwrap_or_default());
+            tokio::select! {
+                reply = watch_events(&state, news, &prefix, after, wait) => Ok(reply),
+                // A reader that is refused from now on loses its watch.
+                _ = access.changed() => {
+                    if *access.borrow() == Access::Silent {
+                        std::future::pending::<()>().await;
+                    }
+                    Err(Closed)
+                }
+            }
+        }
+        _ => empty(StatusCode::NOT_FOUND),
+    }
+}
+
+fn range(state: &State, prefix: &str, after: &str) -> Response<Payload> {
+    let wanted = state
+        .items
+        .iter()
+        .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
+    let items: Vec<Value> = wanted
+        .clone()
+        .take(PAGE)
+        .map(|(key, (revision, value))| item(key, *revision, Some(value)))
+        .collect();
+    let more = wanted.count() > items.len();
+    let page = json!({"items": items, "has_more": more, "current_rev": state.revision});
+    json_reply(StatusCode::OK, &page)
+}
+
+async fn watch_events(
+    state: &Mutex<State>,
+    mut news: watch::Receiver<u64>,
+    prefix: &str,
+    after: u64,
+    wait: Duration,
+) -> Response<Payload> {
+    let until = Instant::now() + wait;
+    loop {
+        news.mark_unchanged();
+        {
+            let state = lock(state);
+            if after < state.forgotten {
+                return json_reply(StatusCode::GONE, &json!({}));
+            }
+            let events = state.history.iter();
+            let events: Vec<Value> = events
+                .filter(|event| event.revision > after && event.key.starts_with(prefix))
+                .map(|event| item(&event.key, event.revision, event.value.as_ref()))
+                .collect();
+            if !events.is_empty() || Instant::now() >= until {
+                let body = json!({"events": events, "current_rev": state.revision});
+                return json_reply(StatusCode::OK, &body);
+            }
+        }
+        if timeout_at(until, news.changed()).await.is_err() {
+            sleep_until(until).await;
+        }
+    }
+}
+
+fn item(key: &str, revision: u64, value: Option<&Arc<[u8]>>) -> Value {
+    match value {
+        Some(value) => json!({
+            "key": key, "value": STANDARD.encode(value), "mod_rev": revision, "created": revision, "lease": 0,
+        }),
+        None => json!({"key": key, "mod_rev": revision, "deleted": true}),
+    }
+}
--- a/src/core/placement/gauge.rs
+++ b/src/core/placement/gauge.rs
@@ -19,8 +19,14 @@
 const STALL_RATIO: f64 = 3.0;
 /// Least time without an answer that counts as a stall.
 const STALL_TIME: Duration = Duration::from_millis(12);
-/// Calls in a row without an answer after which a leaf counts as down.
-const DOWN_CALLS: u32 = 2;
+/// Points at which a leaf counts as down; an answer of any kind takes them all away.
+const DOWN_POINTS: u32 = 4;
+/// Points for a refused connection: nothing listens.
+const REFUSED_POINTS: u32 = 4;
+/// Points for a call without an answer.
+const SILENT_POINTS: u32 = 2;
+/// Points for a connection that broke under a call: the leaf may lose single answers and work otherwise.
+const BROKEN_POINTS: u32 = 1;
 /// First time for which a leaf that is down gets no call.
 const DOWN_TIME: Duration = Duration::from_millis(250);
 /// Longest time for which a leaf that is down gets no call.
@@ -43,7 +49,9 @@
     Failed(Duration),
     /// The leaf refused the call without running it.
     Shed,
-    /// The connection broke or could not be opened.
+    /// No connection could be opened.
+    Refused,
+    /// The connection broke under the call.
     Broken,
     /// No answer in time.
     Silent,
@@ -67,8 +75,10 @@
     updated: Time,
     load: LeafLoad,
     loaded: Option<Time>,
-    /// Calls in a row without an answer.
-    unanswered: u32,
+    /// Evidence since the last answer that the leaf is down.
+    points: u32,
+    /// Rests in a row.
+    rests: u32,
     /// Until when a leaf that is down gets no call.
     rest: Option<Time>,
     /// Calls that a cold leaf may get, and when that was counted.
@@ -89,7 +99,8 @@
                 ..LeafLoad::default()
             },
             loaded: None,
-            unanswered: 0,
+            points: 0,
+            rests: 0,
             rest: None,
             cold: (1.0, now),
         }
@@ -108,34 +119,21 @@
     pub fn ended(&mut self, now: Time, token: CallToken, outcome: Outcome, usual: Duration) {
         self.calls.retain(|(call, _)| *call != token);
         self.forget(now);
-        let fault = |gauge: &mut Self, share: f64| {
-            gauge.faults += (share - gauge.faults) * FAULT_WEIGHT;
-        };
         match outcome {
             Outcome::Answered(latency) => {
                 let pace = latency.as_secs_f64() / usual.as_secs_f64().max(1e-4);
                 let pace = pace.clamp(PACE_RANGE.0, PACE_RANGE.1);
                 self.pace += (pace - self.pace) * PACE_WEIGHT;
-                fault(self, 0.0);
-                self.alive();
-            }
-            Outcome::Failed(_) => {
-                fault(self, 1.0);
+                self.fault(0.0);
                 self.alive();
             }
-            Outcome::Shed => {
-                fault(self, 1.0);
+            Outcome::Failed(_) | Outcome::Shed => {
+                self.fault(1.0);
                 self.alive();
             }
-            Outcome::Broken | Outcome::Silent => {
-                fault(self, 1.0);
-                self.unanswered += 1;
-                if self.unanswered >= DOWN_CALLS {
-                    let doublings = (self.unanswered - DOWN_CALLS).min(8);
-                    let rest = (DOWN_TIME * 2_u32.pow(doublings)).min(DOWN_TIME_MAX);
-                    self.rest = Some(now + rest);
-                }
-            }
+            Outcome::Refused => self.unanswered(now, REFUSED_POINTS),
+            Outcome::Silent => self.unanswered(now, SILENT_POINTS),
+            Outcome::Broken => self.unanswered(now, BROKEN_POINTS),
             Outcome::Cancelled => {}
         }
     }
@@ -199,11 +197,27 @@
         pace * (1.0 + queue) + self.faults * keep * 20.0 + stalled + 0.15 * busy / slots
     }
 
+    fn fault(&mut self, share: f64) {
+        self.faults += (share - self.faults) * FAULT_WEIGHT;
+    }
+
     fn alive(&mut self) {
-        self.unanswered = 0;
+        self.points = 0;
+        self.rests = 0;
         self.rest = None;
     }
 
+    fn unanswered(&mut self, now: Time, points: u32) {
+        self.fault(1.0);
+        self.points += points;
+        let on_trial = self.rest.is_some_and(|until| now >= until);
+        if on_trial || (self.rest.is_none() && self.points >= DOWN_POINTS) {
+            let rest = (DOWN_TIME * 2_u32.pow(self.rests.min(8))).min(DOWN_TIME_MAX);
+            self.rests += 1;
+            self.rest = Some(now + rest);
+        }
+    }
+
     fn forget(&mut self, now: Time) {
         let keep = keep(now.since(self.updated));
         self.pace = 1.0 + (self.pace - 1.0) * keep;
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -3,7 +3,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    adapter::http1::{Connection, ExchangeError, Reply},
+    adapter::http1::{Connection, ExchangeError, ExchangeStep, Reply},
     core::{
         Time,
         gather::Failure,
@@ -109,12 +109,13 @@
         let result = match timeout(left, self.exchange(&gateway)).await {
             Ok(Ok(reply)) => self.judge(&gateway, &mut running, reply),
             Ok(Err(error)) => {
-                running.end(Outcome::Broken);
-                let failure = if error.is_unsent() {
-                    Failure::NotRun
-                } else {
-                    Failure::MayHaveRun
+                let (outcome, failure) = match error.step {
+                    ExchangeStep::Connect => (Outcome::Refused, Failure::NotRun),
+                    // An idle connection that had just been closed.
+                    ExchangeStep::Start => (Outcome::Broken, Failure::NotRun),
+                    _ => (Outcome::Broken, Failure::MayHaveRun),
                 };
+                running.end(outcome);
                 Err(CallFailure {
                     failure,
                     reply: None,
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -18,6 +18,8 @@
 const WATCH: Duration = Duration::from_secs(5);
 /// Time for an answer of the store beyond the wait of a watch.
 const ANSWER: Duration = Duration::from_millis(1_000);
+/// Pause after news, in which further changes collect, so that a series of them costs few calls.
+const COLLECT: Duration = Duration::from_millis(200);
 /// Pause after a failed call, drawn up to twice as long, so that nodes do not ask together.
 const RETRY: Duration = Duration::from_millis(250);
 /// Time between two questions to other nodes while the store does not answer this one.
@@ -57,8 +59,12 @@
                             feed.advance(news.changes, news.revision)
                         }
                     };
+                    let changed = !changes.is_empty();
                     whole = false;
                     self.take(changes);
+                    if changed {
+                        sleep(COLLECT).await;
+                    }
                 }
                 Err(error) => {
                     if self.store_lost.get().is_none() {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -129,7 +129,6 @@
             domain: file.zone,
             region: file.region,
             seeds: seeds.filter(|seed| *seed != peer).collect(),
-            regions: file.zones,
             listen: Listen {
                 callers: file.listen.front,
                 ready: file.listen.ready,
@@ -138,10 +137,8 @@
                 metrics: SocketAddr::new(file.ip, METRICS_PORT),
             },
             store: file.platform.address,
-            // No secret is published. The key only keeps the messages of two deployments apart.
-            fleet: FleetKey::new(
-                *blake3::hash(file.platform.address.to_string().as_bytes()).as_bytes(),
-            ),
+            fleet: fleet_key(&file.zones),
+            regions: file.zones,
             bounds: Bounds {
                 stop: Duration::from_secs_f64(file.bounds.grace_s),
                 apply: Duration::from_millis(file.bounds.config_apply_ms),
@@ -157,3 +154,14 @@
         }
     }
 }
+
+/// Returns the key that keeps the messages of two deployments apart. No secret is published, so it follows from
+/// the failure domains, which all nodes of a deployment are told.
+fn fleet_key(domains: &BTreeMap<Domain, Arc<str>>) -> FleetKey {
+    let mut hasher = blake3::Hasher::new();
+    for (domain, region) in domains {
+        hasher.update(domain.as_str().as_bytes()).update(b"/");
+        hasher.update(region.as_bytes()).update(b";");
+    }
+    FleetKey::new(*hasher.finalize().as_bytes())
+}
--- /dev/null
+++ b/tests/gateway/platform.rs
@@ -0,0 +1,237 @@
+use std::{
+    io::Read,
+    process::Stdio,
+    time::{Duration, Instant},
+};
+
+use cranberrychute_emulator::Access;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::site::{Node, Site, until};
+
+/// Time after which an accepted configuration must be in force.
+const APPLY: Duration = Duration::from_secs(3);
+
+async fn is_served(node: &Node, path: &str) -> bool {
+    node.ask(path, "probe").await.status == 200
+}
+
+/// Adds a route that exists from version 9 on.
+fn with_new_route(site: &Site) -> serde_json::Value {
+    let mut config = site.config(9);
+    let mut route = config["routes"][1].clone();
+    route["name"] = json!("new");
+    route["prefix"] = json!("/new/");
+    config["routes"].as_array_mut().unwrap().push(route);
+    config
+}
+
+#[tokio::test]
+async fn a_configuration_comes_into_force_and_never_reverts() {
+    let site = Site::start(1, 1).await;
+    let node = &site.nodes().await[0];
+    assert!(!is_served(node, "/new/x").await);
+    site.store.put("op/config", &with_new_route(&site));
+    until("the new route is served", async || {
+        is_served(node, "/new/x").await
+    })
+    .await;
+    site.store.put("op/config", &site.config(8));
+    sleep(Duration::from_millis(500)).await;
+    assert!(
+        is_served(node, "/new/x").await,
+        "an older version replaced a newer one"
+    );
+}
+
+/// Guards against a node that the store refuses and that goes on with what it knew, in each way of refusing.
+#[tokio::test]
+async fn a_node_that_the_store_refuses_learns_from_the_others() {
+    for access in [Access::Busy, Access::Limited, Access::Reset, Access::Silent] {
+        let site = Site::start(1, 3).await;
+        let nodes = site.nodes().await;
+        site.store.access(0, access);
+        sleep(Duration::from_millis(300)).await;
+        site.store.put("op/config", &with_new_route(&site));
+        let leaving = &site.shards[0][0];
+        site.store
+            .put(&leaving.key(), &leaving.entry("s0", "a", "draining"));
+        let written = Instant::now();
+        until("the new route is served", async || {
+            is_served(&nodes[0], "/new/x").await
+        })
+        .await;
+        let took = written.elapsed();
+        assert!(took < APPLY, "{access:?}: in force after {took:?}");
+        let before = leaving.arrivals();
+        for request in 0..10 {
+            nodes[0].ask("/one/x", &format!("q{request}")).await;
+        }
+        assert_eq!(
+            leaving.arrivals(),
+            before,
+            "{access:?}: calls to a leaving leaf"
+        );
+    }
+}
+
+/// Guards against a node without memory that cannot start while the store is away.
+#[tokio::test]
+async fn a_node_starts_from_the_others_while_the_store_is_down() {
+    let site = Site::start(1, 3).await;
+    let mut nodes = site.nodes().await;
+    nodes[2].kill();
+    site.store.access_all(Access::Silent);
+    nodes[2] = site.node(2);
+    until("the node is ready", async || nodes[2].is_ready().await).await;
+    assert!(is_served(&nodes[2], "/one/x").await);
+}
+
+#[tokio::test]
+async fn a_node_that_knows_no_configuration_refuses() {
+    let site = Site::start(1, 1).await;
+    site.store.access_all(Access::Busy);
+    let node = site.node(0);
+    until("the node answers", async || {
+        crate::site::get(node.callers(), "/one/x", "q")
+            .await
+            .is_ok()
+    })
+    .await;
+    let reply = node.ask("/one/x", "q1").await;
+    assert_eq!(reply.status, 503);
+    assert!(reply.text("retry-after").is_some());
+    assert!(!node.is_ready().await);
+    assert!(node.directory().await.is_empty());
+    site.store.access_all(Access::Served);
+    until("the node is ready", async || node.is_ready().await).await;
+}
+
+/// Guards against a watch that goes on from a history that is gone.
+#[tokio::test]
+async fn a_dropped_history_is_read_again() {
+    let site = Site::start(1, 1).await;
+    let node = &site.nodes().await[0];
+    site.store.access_all(Access::Reset);
+    let gone = &site.shards[0][0];
+    site.store.delete(&gone.key());
+    site.store.put("op/config", &with_new_route(&site));
+    site.store.compact();
+    site.store.access_all(Access::Served);
+    until("the new route is served", async || {
+        is_served(node, "/new/x").await
+    })
+    .await;
+    let before = gone.arrivals();
+    for request in 0..10 {
+        node.ask("/one/x", &format!("q{request}")).await;
+    }
+    assert_eq!(gone.arrivals(), before, "calls to a leaf that is gone");
+}
+
+/// Guards against an outage of the store after which no leaf is left.
+#[tokio::test]
+async fn entries_that_lapse_in_an_outage_do_not_take_the_leafs_away() {
+    let site = Site::start(1, 1).await;
+    let node = &site.nodes().await[0];
+    site.store.access_all(Access::Silent);
+    sleep(Duration::from_millis(1_500)).await;
+    for leaf in &site.shards[0] {
+        site.store.delete(&leaf.key());
+    }
+    site.store.access_all(Access::Served);
+    let back = Instant::now();
+    while back.elapsed() < Duration::from_millis(1_800) {
+        assert!(
+            is_served(node, "/one/x").await,
+            "no leaf {:?} after the outage",
+            back.elapsed()
+        );
+        sleep(Duration::from_millis(100)).await;
+    }
+    site.publish(0, "ready");
+    sleep(Duration::from_millis(2_000)).await;
+    assert!(is_served(node, "/one/x").await);
+}
+
+#[tokio::test]
+async fn a_leaving_leaf_and_an_evacuated_domain_get_nothing() {
+    let site = Site::start(1, 1).await;
+    let node = &site.nodes().await[0];
+    let [a, b] = &site.shards[0];
+    site.store.put("op/evacuate/a", &json!({}));
+    sleep(Duration::from_millis(500)).await;
+    let before = a.arrivals();
+    for request in 0..10 {
+        assert_eq!(node.ask("/one/x", &format!("q{request}")).await.status, 200);
+    }
+    assert_eq!(a.arrivals(), before);
+    site.store.delete("op/evacuate/a");
+    site.store.put(&b.key(), &b.entry("s0", "b", "draining"));
+    sleep(Duration::from_millis(500)).await;
+    let before = b.arrivals();
+    for request in 0..10 {
+        assert_eq!(node.ask("/one/x", &format!("r{request}")).await.status, 200);
+    }
+    assert_eq!(b.arrivals(), before);
+}
+
+/// Guards against one bad entry that takes others with it, and a bad configuration that comes into force in part.
+#[tokio::test]
+async fn entries_that_cannot_be_read_change_nothing() {
+    let site = Site::start(1, 1).await;
+    let node = &site.nodes().await[0];
+    let bad: [&[u8]; 6] = [
+        b"",
+        b"{",
+        b"\xff\xfe",
+        br#"{"service": 7, "address": "127.0.0.1:1", "zone": "a", "state": "ready"}"#,
+        br#"{"service": "s0", "address": "nowhere", "zone": "a", "state": "ready"}"#,
+        br#"{"service": "s0", "address": "127.0.0.1:1", "zone": "a", "state": "odd", "slots": 2}"#,
+    ];
+    for (index, value) in bad.iter().enumerate() {
+        site.store.put_bytes(&format!("servers/bad-{index}"), value);
+    }
+    site.store.put(
+        "op/config",
+        &json!({"config_version": 99, "routes": [{"name": "x"}]}),
+    );
+    sleep(Duration::from_millis(500)).await;
+    for request in 0..10 {
+        assert_eq!(node.ask("/one/x", &format!("q{request}")).await.status, 200);
+    }
+    let log = node.log();
+    assert!(
+        log.contains("configuration rejected"),
+        "the reason is not logged"
+    );
+    assert!(log.contains("leaf entry ignored"));
+}
+
+/// Guards against requests that wait for a reader of the log.
+#[tokio::test]
+async fn a_log_that_nobody_reads_delays_no_request() {
+    let site = Site::start(1, 1).await;
+    let mut node = site.spawn(0, Stdio::piped());
+    let mut output = node.output().unwrap();
+    until("the node is ready", async || node.is_ready().await).await;
+    // More than a pipe holds: each change is a line.
+    for _ in 0..3_000 {
+        site.publish(0, "draining");
+        site.publish(0, "ready");
+    }
+    for request in 0..20 {
+        let asked = Instant::now();
+        assert_eq!(node.ask("/one/x", &format!("q{request}")).await.status, 200);
+        assert!(
+            asked.elapsed() < Duration::from_secs(1),
+            "{:?}",
+            asked.elapsed()
+        );
+    }
+    node.kill();
+    let mut text = String::new();
+    output.read_to_string(&mut text).unwrap();
+    assert!(text.contains("\"message\":\"started\""));
+}
--- /dev/null
+++ b/tests/gateway/site.rs
@@ -0,0 +1,283 @@
+//! A small site: the platform's store, leafs and gateway processes on loopback addresses.
+
+use std::{
+    fs::{self, File},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    process::{Child, ChildStdout, Command, ExitStatus, Stdio},
+    sync::atomic::{AtomicU8, Ordering},
+    time::Duration,
+};
+
+use cranberrychute::adapter::http1::{Connection, ExchangeError, Reply};
+use cranberrychute_emulator::{Store, Worker};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::{
+    sync::{Semaphore, SemaphorePermit},
+    time::{Instant, sleep, timeout},
+};
+
+pub(crate) const HOST: &str = "parts.example";
+/// Longest wait for a state that must be reached. It only ends tests that would hang.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Sites that run at the same time; more would slow each other down.
+static SITES: Semaphore = Semaphore::const_new(2);
+/// Addresses used by this process: each node has a loopback address of its own, since ports are the same.
+static NEXT: AtomicU8 = AtomicU8::new(1);
+
+const CALLERS: u16 = 8_226;
+const READY: u16 = 8_227;
+const CONTROL: u16 = 8_224;
+const DIRECTORY: u16 = 8_225;
+
+/// One gateway process, ended when dropped.
+pub(crate) struct Node {
+    child: Child,
+    pub(crate) ip: IpAddr,
+    log: std::path::PathBuf,
+}
+
+impl Node {
+    pub(crate) fn callers(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, CALLERS)
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+
+    pub(crate) fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Returns the pipe of standard output, which nobody reads.
+    pub(crate) fn output(&mut self) -> Option<ChildStdout> {
+        self.child.stdout.take()
+    }
+
+    pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().unwrap()
+    }
+
+    pub(crate) async fn is_ready(&self) -> bool {
+        let probe = get(SocketAddr::new(self.ip, READY), "/-/ready", "");
+        probe.await.is_ok_and(|reply| reply.status == 200)
+    }
+
+    /// Returns the addresses that the node names.
+    pub(crate) async fn directory(&self) -> Vec<SocketAddr> {
+        let path = format!("/-/resolve?name={HOST}&region=r&zone=a");
+        let reply = get(SocketAddr::new(self.ip, DIRECTORY), &path, "").await;
+        let body: Value = match &reply {
+            Ok(reply) if reply.status == 200 => serde_json::from_slice(&reply.body).unwrap(),
+            _ => return Vec::new(),
+        };
+        let addresses = body["addrs"].as_array().unwrap().iter();
+        addresses
+            .map(|text| text.as_str().unwrap().parse().unwrap())
+            .collect()
+    }
+
+    /// Sends a request of a caller.
+    pub(crate) async fn ask(&self, path: &str, id: &str) -> Reply {
+        get(self.callers(), path, id).await.unwrap()
+    }
+
+    /// Sends a request that must not run twice.
+    pub(crate) async fn order(&self, path: &str, id: &str) -> Reply {
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 2000\r\n\
+             Content-Length: 5\r\n\r\norder"
+        );
+        send(self.callers(), request.as_bytes()).await.unwrap()
+    }
+
+    pub(crate) fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+        if std::thread::panicking() {
+            let log = self.log();
+            let lines: Vec<&str> = log.lines().collect();
+            let tail = lines[lines.len().saturating_sub(40)..].join("\n");
+            println!("--- end of {}\n{tail}", self.log.display());
+        }
+    }
+}
+
+/// Sends a GET request on a new connection.
+pub(crate) async fn get(address: SocketAddr, path: &str, id: &str) -> Result<Reply, ExchangeError> {
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 2000\r\n\r\n"
+    );
+    send(address, request.as_bytes()).await
+}
+
+/// Sends a request on a new connection.
+pub(crate) async fn send(address: SocketAddr, request: &[u8]) -> Result<Reply, ExchangeError> {
+    let mut connection = Connection::open(address).await?;
+    let reply = timeout(PATIENCE, connection.exchange(request, 1 << 20, |_| true));
+    reply.await.expect("an answer")
+}
+
+/// Store, leafs and the settings of nodes.
+pub(crate) struct Site {
+    pub(crate) store: Store,
+    /// Leafs of each service, two in zones a and b.
+    pub(crate) shards: Vec<[Worker; 2]>,
+    pub(crate) folder: TempDir,
+    ips: Vec<IpAddr>,
+    _permit: SemaphorePermit<'static>,
+}
+
+impl Site {
+    /// Starts a store, two leafs for each shard, and lays out `nodes` nodes.
+    pub(crate) async fn start(shards: usize, nodes: usize) -> Self {
+        let permit = SITES.acquire().await.unwrap();
+        let store = Store::start(nodes).await.unwrap();
+        let mut pairs = Vec::new();
+        for shard in 0..shards {
+            let records = |leaf: u8| {
+                let mut record = [leaf; 16];
+                record[0] = shard as u8;
+                record
+            };
+            // Both leafs of a shard hold the same records.
+            let pair = [
+                Worker::start(&format!("i-{shard}a"), &records(7))
+                    .await
+                    .unwrap(),
+                Worker::start(&format!("i-{shard}b"), &records(7))
+                    .await
+                    .unwrap(),
+            ];
+            pairs.push(pair);
+        }
+        let low = std::process::id() as u16;
+        let ips = (0..nodes).map(|_| {
+            let next = NEXT.fetch_add(1, Ordering::Relaxed);
+            Ipv4Addr::new(127, 16 + (low >> 8) as u8 % 200, low as u8, next).into()
+        });
+        let site = Self {
+            ips: ips.collect(),
+            store,
+            shards: pairs,
+            folder: TempDir::new().unwrap(),
+            _permit: permit,
+        };
+        for shard in 0..shards {
+            site.publish(shard, "ready");
+        }
+        site.store.put("op/config", &site.config(7));
+        site
+    }
+
+    /// Publishes both leafs of a shard.
+    pub(crate) fn publish(&self, shard: usize, state: &str) {
+        for (leaf, zone) in self.shards[shard].iter().zip(["a", "b"]) {
+            let entry = leaf.entry(&format!("s{shard}"), zone, state);
+            self.store.put(&leaf.key(), &entry);
+        }
+    }
+
+    /// Returns a configuration: a route over all shards, one to a shard for requests that may be repeated, and one
+    /// for requests that may not.
+    pub(crate) fn config(&self, version: u64) -> Value {
+        let names: Vec<String> = (0..self.shards.len())
+            .map(|shard| format!("s{shard}"))
+            .collect();
+        let services = names.iter().map(|name| {
+            json!({
+                "name": name, "health_path": "/health", "max_connections": 26, "protocol": "h1", "tls": false,
+                "warmup_s": 3.0, "warmup_per_s": 0.0,
+            })
+        });
+        json!({
+            "config_version": version,
+            "routes": [
+                {"name": "all", "hostname": HOST, "prefix": "/all/", "route_type": "idempotent", "timeout_ms": 800,
+                 "target_latency_ms": 200, "priority": 1, "gather": names, "attempts": 2, "top_k": 3,
+                 "min_coverage": 0.7},
+                {"name": "one", "hostname": HOST, "prefix": "/one/", "route_type": "idempotent",
+                 "timeout_ms": 1000, "target_latency_ms": 250, "priority": 2, "service": "s0", "attempts": 2},
+                {"name": "order", "hostname": HOST, "prefix": "/order/", "route_type": "non_idempotent",
+                 "timeout_ms": 1000, "target_latency_ms": 250, "priority": 2, "service": "s0", "attempts": 2},
+            ],
+            "services": services.collect::<Vec<_>>(),
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 4096, "header_timeout_ms": 3000,
+                       "idle_timeout_ms": 15000},
+        })
+    }
+
+    /// Starts a node whose log goes to a file.
+    pub(crate) fn node(&self, index: usize) -> Node {
+        let log = self.folder.path().join(format!("node-{index}.log"));
+        let output = File::options()
+            .create(true)
+            .append(true)
+            .open(&log)
+            .unwrap();
+        self.spawn(index, output.into())
+    }
+
+    /// Starts a node with this standard output.
+    pub(crate) fn spawn(&self, index: usize, output: Stdio) -> Node {
+        let ip = self.ips[index];
+        let settings = self.folder.path().join(format!("node-{index}.toml"));
+        let seeds: Vec<String> = self
+            .ips
+            .iter()
+            .take(3)
+            .map(|ip| format!("\"{ip}:{CONTROL}\""))
+            .collect();
+        let text = format!(
+            "node = \"node-{index}\"\nip = \"{ip}\"\nzone = \"a\"\nregion = \"r\"\ninternal_ports = [7740, 7755]\n\
+             seeds = [{}]\n[zones]\na = \"r\"\nb = \"r\"\n[listen]\nfront = \"{ip}:{CALLERS}\"\n\
+             ready = \"{ip}:{READY}\"\ncontrol = \"{ip}:{CONTROL}\"\ndirectory = \"{ip}:{DIRECTORY}\"\n\
+             [bounds]\ngrace_s = 6\nconfig_apply_ms = 3000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\n\
+             retry_slack = 56\n[platform]\naddress = \"{}\"\n",
+            seeds.join(", "),
+            self.store.address(index),
+        );
+        fs::write(&settings, text).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_cranberrychute"))
+            .arg("gateway")
+            .env("CRANBERRYCHUTE_SETTINGS", settings)
+            .stdin(Stdio::null())
+            .stdout(output)
+            .spawn()
+            .unwrap();
+        Node {
+            child,
+            ip,
+            log: self.folder.path().join(format!("node-{index}.log")),
+        }
+    }
+
+    /// Starts all nodes and waits until each names all.
+    pub(crate) async fn nodes(&self) -> Vec<Node> {
+        let nodes: Vec<Node> = (0..self.ips.len()).map(|index| self.node(index)).collect();
+        for node in &nodes {
+            until("all nodes are named", async || {
+                node.directory().await.len() == nodes.len()
+            })
+            .await;
+        }
+        nodes
+    }
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let start = Instant::now();
+    while !holds().await {
+        assert!(start.elapsed() < PATIENCE, "not reached: {what}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
