Trace spans without a library that calibrates its clock at each start

Cause: a static constructor of fastrace's clock (fastant) loops until it has measured the processor's time stamp counter. That took 20 ms of processor time natively, and 2 s until the first log line on a quarter of a core. Ruled out: dynamic relocations (0.05 ms); building without fastrace's "enable" feature (the constructor stays linked).

The node process keeps its spans and their log format in a type of its own.

--- a/src/adapter/http1/reply.rs
+++ b/src/adapter/http1/reply.rs
@@ -19,11 +19,11 @@
     pub status: u16,
     head: Bytes,
     /// Name and value of each header, as ranges of the head.
-    headers: SmallVec<[(Span, Span); 12]>,
+    headers: SmallVec<[(Range, Range); 12]>,
     pub body: Bytes,
 }
 
-type Span = (u32, u32);
+type Range = (u32, u32);
 
 /// The head of an answer.
 pub(super) struct Head {
@@ -53,7 +53,7 @@
         std::str::from_utf8(self.header(name)?).ok()
     }
 
-    fn span(&self, (from, to): Span) -> &[u8] {
+    fn span(&self, (from, to): Range) -> &[u8] {
         &self.head[from as usize..to as usize]
     }
 }
--- a/src/cli/node.rs
+++ b/src/cli/node.rs
@@ -41,7 +41,6 @@
             super::complain(&format!("{error:#}"));
             return ExitCode::FAILURE;
         }
-        node::start_tracing();
         match serve(settings) {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => {
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -1,9 +1,9 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use fastrace::{Span, collector::SpanContext};
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
 
+use super::span::{Span, SpanContext};
 use crate::{
     adapter::caller::{QueryRequest, Reply},
     core::{
@@ -147,13 +147,10 @@
 ///
 /// Requests without a `traceparent` are traced one in [`SAMPLE_EVERY`].
 pub(super) fn root_span(name: &'static str, request: &QueryRequest) -> Span {
-    let parent = request
-        .trace
-        .as_deref()
-        .and_then(SpanContext::decode_w3c_traceparent);
-    let sampled = || SpanContext::random().sampled(rand::random_ratio(1, SAMPLE_EVERY));
+    let parent = request.trace.as_deref().and_then(SpanContext::decode);
+    let sampled = || SpanContext::random(rand::random_ratio(1, SAMPLE_EVERY));
     let span = Span::root(name, parent.unwrap_or_else(sampled));
-    span.with_properties(|| {
+    span.with(|| {
         [
             ("request", request.request.to_string()),
             ("service", request.service.to_string()),
@@ -163,18 +160,14 @@
 
 /// Starts the owner's span of a batch with one span below it for each leaf call, and lets the leaves continue it.
 pub(super) fn call_spans(batch: &mut LeafBatch) -> Vec<Span> {
-    let parent = batch
-        .trace
-        .as_deref()
-        .and_then(SpanContext::decode_w3c_traceparent);
+    let parent = batch.trace.as_deref().and_then(SpanContext::decode);
     let Some(parent) = parent else {
         return batch.calls.iter().map(|_| Span::noop()).collect();
     };
-    let owner =
-        Span::root("owner", parent).with_property(|| ("request", batch.request.to_string()));
-    batch.trace = SpanContext::from_span(&owner).map(|span| span.encode_w3c_traceparent().into());
+    let owner = Span::root("owner", parent).with(|| [("request", batch.request.to_string())]);
+    batch.trace = owner.context().map(|span| span.to_string().into());
     let start = |call: &LeafCall| {
-        Span::enter_with_parent("leaf_call", &owner).with_properties(|| {
+        Span::child("leaf_call", &owner).with(|| {
             [
                 ("leaf", call.leaf.to_string()),
                 ("shard", call.shard.to_string()),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,13 +15,14 @@
 mod query;
 mod service;
 mod settings;
+mod span;
 mod stop;
 mod telemetry;
 
 pub(crate) use self::telemetry::{log_dispatch, start_metrics};
 pub use self::{
     settings::{Limits, LogFormat, LogSettings, Settings, SettingsError},
-    telemetry::{recent_spans, start_logging, start_tracing},
+    telemetry::{recent_spans, start_logging},
 };
 
 use std::{
@@ -35,14 +36,15 @@
 };
 
 use anyhow::Context as _;
-use fastrace::Span;
 use metrics_exporter_prometheus::PrometheusHandle;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use tokio::sync::{mpsc, watch};
 use tokio_util::task::TaskTracker;
 
-use self::{control::PeerAddress, peers::Peers, ports::NodePorts, service::ServiceState};
+use self::{
+    control::PeerAddress, peers::Peers, ports::NodePorts, service::ServiceState, span::Span,
+};
 use crate::{
     adapter::{
         Clock,
@@ -377,7 +379,7 @@
                     metrics::counter!("cranberrychute_leaf_calls_total", "outcome" => reply.outcome.label())
                         .increment(1);
                     if let Some(span) = open.get_mut(reply.index as usize).and_then(Option::take) {
-                        span.add_property(|| ("outcome", reply.outcome.label()));
+                        drop(span.with(|| [("outcome", reply.outcome.label().to_string())]));
                     }
                     if replies.send(reply).await.is_err() {
                         break;
--- a/src/node/once.rs
+++ b/src/node/once.rs
@@ -3,7 +3,6 @@
     time::{Duration, SystemTime},
 };
 
-use fastrace::Span;
 use http::StatusCode;
 use tokio::sync::watch;
 
@@ -11,6 +10,7 @@
     Node,
     api::{self, KeyAnswer},
     query::{self, Mode},
+    span::Span,
 };
 use crate::{
     adapter::{
--- a/src/node/query.rs
+++ b/src/node/query.rs
@@ -1,13 +1,8 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use fastrace::{
-    Span,
-    future::FutureExt,
-    prelude::{LocalSpan, SpanContext},
-};
 use tokio::{sync::mpsc, task::JoinSet};
 
-use super::{Node, service::Ledger};
+use super::{Node, service::Ledger, span::Span};
 use crate::core::{
     NodeId, PartitionId, ServiceName, Time,
     call::{Failure, LeafBatch, LeafCall, LeafReply, LeafStatus, NotRun, Outcome},
@@ -188,14 +183,14 @@
     }
 
     fn send(&mut self, view: &View, owner: NodeId, calls: Vec<(CallId, LeafCall)>, deadline: Time) {
-        let span = Span::enter_with_parent("leaf_batch", &self.span).with_properties(|| {
+        let span = Span::child("leaf_batch", &self.span).with(|| {
             [
                 ("owner", owner.to_string()),
                 ("calls", calls.len().to_string()),
             ]
         });
         let (ids, calls): (Vec<CallId>, Vec<LeafCall>) = calls.into_iter().unzip();
-        let trace = SpanContext::from_span(&span).map(|span| span.encode_w3c_traceparent().into());
+        let trace = span.context().map(|span| span.to_string().into());
         let batch = LeafBatch {
             request: self.query.request.clone(),
             service: self.query.service.clone(),
@@ -277,7 +272,10 @@
                 });
             }
         };
-        self.batches.spawn(work.in_span(span));
+        self.batches.spawn(async move {
+            work.await;
+            drop(span);
+        });
     }
 }
 
@@ -295,7 +293,6 @@
         service: &ServiceName,
         act: impl FnOnce(&mut Context<'_, Ledger<'_>>) -> T,
     ) -> T {
-        let _span = LocalSpan::enter_with_local_parent("plan");
         let state = self.service(service);
         let mut state = state.lock().expect("no panic while locked");
         let crash = self.crash.lock().expect("no panic while locked");
--- a/src/node/telemetry.rs
+++ b/src/node/telemetry.rs
@@ -1,12 +1,13 @@
 use std::{collections::VecDeque, fmt, sync::Mutex, time::SystemTime};
 
 use anyhow::Context;
-use fastrace::collector::{Config, Reporter, SpanRecord};
 use fern::{Dispatch, FormatCallback};
 use log::{LevelFilter, Record, kv};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use serde_json::{Map, Value, json};
 
+use super::span;
+
 /// Target of the log lines that carry finished trace spans.
 const SPAN_TARGET: &str = "trace";
 /// Spans kept in memory for `GET /v1/state`, over all traces.
@@ -36,11 +37,6 @@
         .format(format)
 }
 
-/// Starts the reporter that writes finished spans to the log.
-pub fn start_tracing() {
-    fastrace::set_reporter(LogReporter, Config::default());
-}
-
 /// Installs the metrics recorder, or returns a handle of its own when one is installed already.
 pub(crate) fn start_metrics() -> PrometheusHandle {
     let recorder = PrometheusBuilder::new().build_recorder();
@@ -104,31 +100,27 @@
     }
 }
 
-struct LogReporter;
-
-impl Reporter for LogReporter {
-    fn report(&mut self, spans: Vec<SpanRecord>) {
-        for span in spans {
-            let fields: Map<String, Value> = span
-                .properties
-                .iter()
-                .map(|(key, value)| (key.to_string(), value.to_string().into()))
-                .collect();
-            let record = json!({
-                "trace": span.trace_id.to_string(),
-                "span": span.span_id.to_string(),
-                "parent": span.parent_id.to_string(),
-                "name": span.name,
-                "start_us": span.begin_time_unix_ns / 1_000,
-                "duration_us": span.duration_ns / 1_000,
-                "fields": fields,
-            });
-            log::debug!(target: SPAN_TARGET, span:serde = record; "span {}", span.name);
-            let mut recent = RECENT.lock().expect("no panic while locked");
-            if recent.len() == KEPT_SPANS {
-                recent.pop_front();
-            }
-            recent.push_back(record);
-        }
+/// Writes a finished span to the log and keeps it for `GET /v1/state`.
+pub(super) fn report(span: &span::Record) {
+    let fields: Map<String, Value> = span
+        .fields
+        .iter()
+        .map(|(key, value)| ((*key).to_owned(), value.as_str().into()))
+        .collect();
+    let start = span.start.duration_since(SystemTime::UNIX_EPOCH);
+    let record = json!({
+        "trace": span.trace_id(),
+        "span": span.span_id(),
+        "parent": format!("{:016x}", span.parent),
+        "name": span.name,
+        "start_us": start.unwrap_or_default().as_micros() as u64,
+        "duration_us": span.duration.as_micros() as u64,
+        "fields": fields,
+    });
+    log::debug!(target: SPAN_TARGET, span:serde = record; "span {}", span.name);
+    let mut recent = RECENT.lock().expect("no panic while locked");
+    if recent.len() == KEPT_SPANS {
+        recent.pop_front();
     }
+    recent.push_back(record);
 }
