Weigh extra sends by purpose; hold removals back after outages only

Cause 1: a watch that waits 5 s without news counted as an outage, so each removal that followed was held back for 2.6 s of the 3 s within which a leaf must get nothing. An outage now begins with a failed call. Cause 2: hedges for parts that may be missing used the budget that requests need when half of the leafs lose two answers in five. Also: answers leave 10 ms before the objective instead of 8, since answers put together at the last moment came late under load.

--- a/src/core/gather/plan.rs
+++ b/src/core/gather/plan.rs
@@ -2,11 +2,14 @@
 
 use smallvec::SmallVec;
 
-use crate::core::Time;
+use crate::core::{Time, retry::Purpose};
 
 /// Time after which a part without a usable leaf is tried again.
 const ROOM_RETRY: Duration = Duration::from_millis(4);
 
+/// Time after which a send that the budget did not allow is considered again.
+const UNPAID_RETRY: Duration = Duration::from_millis(10);
+
 /// Tries of one part that end before anything is sent, such as refused connections.
 const UNSENT_TRIES: u8 = 4;
 
@@ -52,8 +55,8 @@
 /// What to do next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
-    /// Send these parts now. The second field tells whether another send of the part is in progress or was made.
-    Send(SmallVec<[(usize, bool); 8]>),
+    /// Send these parts now. Those with a purpose were sent before.
+    Send(SmallVec<[(usize, Option<Purpose>); 8]>),
     /// Nothing to do before this time unless a call ends.
     Wait(Time),
     Finish(End),
@@ -81,6 +84,19 @@
     next: Time,
 }
 
+impl Part {
+    /// Returns what another send would be for. `fails` tells whether the request fails if a part stays missing.
+    fn purpose(&self, fails: bool) -> Option<Purpose> {
+        let purpose = match (self.open > 0, fails) {
+            (false, true) => Purpose::Rescue,
+            (false, false) => Purpose::Repair,
+            (true, true) => Purpose::Guard,
+            (true, false) => Purpose::Hedge,
+        };
+        (self.sent > 0).then_some(purpose)
+    }
+}
+
 /// The parts of one request.
 #[derive(Debug)]
 pub struct Plan {
@@ -126,12 +142,13 @@
         if done >= needed && now >= self.settings.answer {
             return Step::Finish(End::Answer);
         }
-        let due: SmallVec<[(usize, bool); 8]> = self
+        let fails = self.parts.len() - done > self.parts.len() - needed;
+        let due: SmallVec<[(usize, Option<Purpose>); 8]> = self
             .parts
             .iter()
             .enumerate()
             .filter(|(_, part)| self.may_send(part) && now >= part.next)
-            .map(|(index, part)| (index, part.sent > 0))
+            .map(|(index, part)| (index, part.purpose(fails)))
             .collect();
         if !due.is_empty() {
             return Step::Send(due);
@@ -176,9 +193,11 @@
         }
     }
 
-    /// Records that a second send is not paid for by the budget.
-    pub fn unpaid(&mut self, part: usize) {
+    /// Records that the budget does not allow another send. The part is lost unless a send is in progress.
+    pub fn unpaid(&mut self, part: usize, now: Time) {
         self.no_leaf(part);
+        // Another part's failure may make this one needed.
+        self.parts[part].next = now + UNPAID_RETRY;
     }
 
     /// Records the answer of a part. Returns whether it is the first.
--- a/src/core/registry/mod.rs
+++ b/src/core/registry/mod.rs
@@ -8,9 +8,9 @@
 /// two seconds; the rest covers the way of the news.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_600);
 
-/// Silence of the platform after which entries may have lapsed without their leafs' fault: one missed liveness
-/// report.
-const OUTAGE: Duration = Duration::from_millis(1_200);
+/// Length of an outage, from its first failed call, in which entries may lapse without their leafs' fault: leafs miss
+/// a report.
+const OUTAGE: Duration = Duration::from_millis(1_000);
 
 /// What a leaf publishes.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -42,19 +42,24 @@
     leafs: HashMap<Instance, Arc<LeafRecord>>,
     /// When removals that may only be lapsed entries take effect.
     removals: HashMap<Instance, Time>,
-    /// When the platform last answered.
-    contact: Option<Time>,
+    /// Since when the platform has not answered.
+    lost: Option<Time>,
     /// Until when removals are held back.
     grace: Option<Time>,
 }
 
 impl Registry {
+    /// Records that the platform did not answer.
+    pub fn lost(&mut self, now: Time) {
+        self.lost.get_or_insert(now);
+    }
+
     /// Records an answer of the platform. After an outage, removals are held back for a while.
     pub fn contact(&mut self, now: Time) {
-        if self.contact.is_some_and(|at| now.since(at) > OUTAGE) {
+        let lost = self.lost.take();
+        if lost.is_some_and(|since| now.since(since) > OUTAGE) {
             self.grace = Some(now + LAPSE_GRACE);
         }
-        self.contact = Some(now);
     }
 
     /// Takes a record. Returns the change, if any.
--- a/src/core/retry/mod.rs
+++ b/src/core/retry/mod.rs
@@ -13,7 +13,7 @@
 
 /// Share of the allowed ratio that is used. The rest covers requests that the callers' side counts in the next
 /// window.
-const USED_RATIO: f64 = 0.9;
+const USED_RATIO: f64 = 0.95;
 
 /// What all nodes together may send beyond the first call of each request.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -25,6 +25,33 @@
     pub slack: f64,
 }
 
+/// What an extra send is for.
+///
+/// Speculative sends must not use up what is needed when answers get lost: leafs that lose two answers in five
+/// need all of the budget for requests that fail otherwise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// A send failed, and the request fails without this part.
+    Rescue,
+    /// A send failed, and the answer is incomplete without this part.
+    Repair,
+    /// A send is late, and the request fails without this part.
+    Guard,
+    /// A send is late, and the answer is incomplete without this part.
+    Hedge,
+}
+
+impl Purpose {
+    /// Returns the share of the budget that must be left for more urgent sends.
+    fn reserve(self) -> f64 {
+        match self {
+            Purpose::Rescue => 0.0,
+            Purpose::Repair | Purpose::Guard => 0.25,
+            Purpose::Hedge => 0.45,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Slice {
     start: Time,
@@ -47,24 +74,22 @@
         self.requests += 1;
     }
 
-    /// Returns how many extra sends are left, for `nodes` nodes that share the slack.
-    pub fn left(&mut self, now: Time, bounds: &RetryBounds, nodes: usize) -> f64 {
+    /// Returns whether an extra send may be made, when `nodes` nodes share the slack.
+    pub fn allows(
+        &mut self,
+        now: Time,
+        bounds: &RetryBounds,
+        nodes: usize,
+        purpose: Purpose,
+    ) -> bool {
         self.slice(now, bounds);
         let slack = bounds.slack / nodes.max(1) as f64;
-        bounds.ratio * USED_RATIO * f64::from(self.requests) + slack - f64::from(self.extra)
-    }
-
-    /// Takes one extra send if there is one.
-    pub fn spend(&mut self, now: Time, bounds: &RetryBounds, nodes: usize) -> bool {
-        let paid = self.left(now, bounds, nodes) >= 1.0;
-        if paid {
-            self.force(now, bounds);
-        }
-        paid
+        let budget = bounds.ratio * USED_RATIO * f64::from(self.requests) + slack;
+        budget - f64::from(self.extra) >= (budget * purpose.reserve()).max(1.0)
     }
 
-    /// Counts an extra send that was made in any case.
-    pub fn force(&mut self, now: Time, bounds: &RetryBounds) {
+    /// Counts an extra send.
+    pub fn spend(&mut self, now: Time, bounds: &RetryBounds) {
         self.slice(now, bounds).extra += 1;
         self.extra += 1;
     }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -13,6 +13,7 @@
     core::{
         ServiceName, Time,
         gather::{End, Failure, Plan, PlanSettings, Step, merge_top},
+        retry::Purpose,
         routing::{Gather, Repeat, Route, Target},
     },
     gateway::{
@@ -26,7 +27,7 @@
 
 /// Time before the objective at which an answer leaves with the parts that are there: the way from and to the
 /// caller, up to 2.4 ms each, and the time to put the answer together.
-const ANSWER_MARGIN: Duration = Duration::from_millis(8);
+const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 /// Time before the caller's own limit at which a request ends.
 const END_MARGIN: Duration = Duration::from_millis(6);
 /// Least time for the parts of a request that has missed its objective already.
@@ -82,8 +83,8 @@
         match dispatch.plan.step(now) {
             Step::Finish(end) => break end,
             Step::Send(parts) => {
-                for (part, again) in parts {
-                    if let Some(call) = dispatch.place(now, part, again) {
+                for (part, purpose) in parts {
+                    if let Some(call) = dispatch.place(now, part, purpose) {
                         calls.start(call);
                     }
                 }
@@ -192,20 +193,19 @@
     }
 
     /// Chooses a leaf for a part that is due.
-    fn place(&mut self, now: Time, part: usize, again: bool) -> Option<Call> {
+    fn place(&mut self, now: Time, part: usize, purpose: Option<Purpose>) -> Option<Call> {
         let gateway = self.gateway.clone();
         let bounds = gateway.settings.borrow().bounds.retry;
         let (name, service) = self.services[part].clone();
-        if again
-            && service
-                .budget
-                .borrow_mut()
-                .left(now, &bounds, gateway.planned())
-                < 1.0
-        {
-            self.note(now, "no_budget", part);
-            self.plan.unpaid(part);
-            return None;
+        if let Some(purpose) = purpose {
+            let nodes = gateway.planned();
+            let mut budget = service.budget.borrow_mut();
+            if !budget.allows(now, &bounds, nodes, purpose) {
+                drop(budget);
+                self.note(now, "no_budget", part);
+                self.plan.unpaid(part, now);
+                return None;
+            }
         }
         let tried: SmallVec<[Rc<Leaf>; 2]> = self
             .tried
@@ -231,8 +231,8 @@
             }
         };
         let mut budget = service.budget.borrow_mut();
-        if again {
-            budget.force(now, &bounds);
+        if purpose.is_some() {
+            budget.spend(now, &bounds);
             self.extra += 1;
         } else {
             budget.earn(now, &bounds);
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -38,6 +38,7 @@
         let mut client = StoreClient::new(self.settings.borrow().store);
         let mut whole = true;
         loop {
+            let asked = self.now();
             let read = if whole {
                 client.read_all(ANSWER).await
             } else {
@@ -67,6 +68,11 @@
                     }
                 }
                 Err(error) => {
+                    // A call without any answer may have begun before the store went away.
+                    let silent = matches!(error, StoreError::Timeout);
+                    self.registry
+                        .borrow_mut()
+                        .lost(if silent { asked } else { now });
                     if self.store_lost.get().is_none() {
                         self.store_lost.set(Some(now));
                         let revision = self.feed.borrow().revision();
--- a/tests/decisions/gather.rs
+++ b/tests/decisions/gather.rs
@@ -4,6 +4,7 @@
 use cranberrychute::core::{
     Time,
     gather::{End, Failure, Plan, PlanSettings, RECORD_BYTES, Step, merge_top},
+    retry::Purpose,
 };
 use proptest::{collection::vec, prelude::*};
 
@@ -26,7 +27,7 @@
 }
 
 /// Sends all parts that are due and returns them.
-fn send(plan: &mut Plan, now: Time) -> Vec<(usize, bool)> {
+fn send(plan: &mut Plan, now: Time) -> Vec<(usize, Option<Purpose>)> {
     let Step::Send(due) = plan.step(now) else {
         panic!("nothing is due: {:?}", plan.step(now));
     };
@@ -57,7 +58,7 @@
     send(&mut plan, at(0));
     answer(&mut plan, 0..9);
     assert_eq!(plan.step(at(10)), Step::Wait(at(HEDGE)));
-    assert_eq!(send(&mut plan, at(HEDGE)), [(9, true)]);
+    assert_eq!(send(&mut plan, at(HEDGE)), [(9, Some(Purpose::Hedge))]);
     assert_eq!(plan.step(at(HEDGE + 1)), Step::Wait(at(ANSWER)));
     answer(&mut plan, [9]);
     assert_eq!(plan.step(at(30)), Step::Finish(End::Answer));
@@ -84,7 +85,7 @@
     let Step::Send(due) = plan.step(at(8)) else {
         panic!("the part is not due");
     };
-    assert_eq!(due.as_slice(), [(9, true)]);
+    assert_eq!(due.as_slice(), [(9, Some(Purpose::Repair))]);
     plan.no_leaf(9);
     assert_eq!(plan.step(at(8)), Step::Finish(End::Answer));
 }
@@ -145,7 +146,7 @@
     let mut plan = Plan::new(settings, at(0));
     send(&mut plan, at(0));
     plan.failed(0, at(5), Failure::NotRun);
-    assert_eq!(send(&mut plan, at(5)), [(0, true)]);
+    assert_eq!(send(&mut plan, at(5)), [(0, Some(Purpose::Rescue))]);
     plan.failed(0, at(9), Failure::NotRun);
     assert!(!plan.may_have_run());
     plan.no_leaf(0);
@@ -239,3 +240,25 @@
         prop_assert_eq!(merge_top(parts.iter(), top), all.concat());
     }
 }
+
+/// Guards against a budget that is spent on parts that may be missing while requests fail for want of one.
+#[test]
+fn sends_say_what_they_are_for() {
+    let mut plan = Plan::new(settings(10, 9), at(0));
+    send(&mut plan, at(0));
+    answer(&mut plan, 0..8);
+    plan.failed(8, at(5), Failure::MayHaveRun);
+    assert_eq!(send(&mut plan, at(5)), [(8, Some(Purpose::Rescue))]);
+    assert_eq!(send(&mut plan, at(HEDGE)), [(9, Some(Purpose::Guard))]);
+}
+
+/// The budget allows no second send: the first one is still waited for, and asked about again.
+#[test]
+fn a_late_part_without_budget_is_still_waited_for() {
+    let mut plan = Plan::new(settings(10, 9), at(0));
+    send(&mut plan, at(0));
+    answer(&mut plan, 0..9);
+    plan.unpaid(9, at(HEDGE));
+    assert_eq!(plan.step(at(HEDGE)), Step::Wait(at(HEDGE + 10)));
+    assert_eq!(send(&mut plan, at(HEDGE + 10)), [(9, Some(Purpose::Hedge))]);
+}
--- a/tests/decisions/registry.rs
+++ b/tests/decisions/registry.rs
@@ -21,7 +21,6 @@
 fn registry(leaving: bool) -> Registry {
     let mut registry = Registry::default();
     registry.contact(at(0));
-    registry.contact(at(1_000));
     assert_matches!(registry.put(record(leaving)), Some(LeafChange::Present(_)));
     registry
 }
@@ -42,6 +41,8 @@
 #[test]
 fn entries_that_lapsed_in_an_outage_get_time_to_return() {
     let mut registry = registry(false);
+    registry.lost(at(2_000));
+    registry.lost(at(5_500));
     registry.contact(at(6_000));
     assert_eq!(registry.remove(at(6_001), &"i-1".into()), None);
     assert_eq!(registry.len(), 1);
@@ -56,6 +57,8 @@
 #[test]
 fn entries_that_do_not_return_after_an_outage_are_gone() {
     let mut registry = registry(false);
+    registry.lost(at(2_000));
+    registry.lost(at(5_500));
     registry.contact(at(6_000));
     registry.remove(at(6_001), &"i-1".into());
     assert_matches!(&registry.tick(at(8_600))[..], [LeafChange::Gone(_)]);
@@ -66,6 +69,8 @@
 #[test]
 fn a_leaf_that_was_leaving_has_left() {
     let mut registry = registry(true);
+    registry.lost(at(2_000));
+    registry.lost(at(5_500));
     registry.contact(at(6_000));
     assert_matches!(
         registry.remove(at(6_001), &"i-1".into()),
@@ -83,3 +88,15 @@
     };
     assert_matches!(registry.put(reborn), Some(LeafChange::Present(leaf)) if leaf.born == Some(2));
 }
+
+/// Guards against removals that are held back after every failed call.
+#[test]
+fn one_failed_call_is_no_outage() {
+    let mut registry = registry(false);
+    registry.lost(at(5_000));
+    registry.contact(at(5_400));
+    assert_matches!(
+        registry.remove(at(5_500), &"i-1".into()),
+        Some(LeafChange::Gone(_))
+    );
+}
--- a/tests/decisions/retry.rs
+++ b/tests/decisions/retry.rs
@@ -1,6 +1,9 @@
 use std::time::Duration;
 
-use cranberrychute::core::retry::{RetryBounds, RetryBudget};
+use cranberrychute::core::{
+    Time,
+    retry::{Purpose, RetryBounds, RetryBudget},
+};
 use proptest::{collection::vec, prelude::*};
 
 use crate::{at, seeds};
@@ -13,6 +16,15 @@
 /// Nodes that the slack is split among: eight that are seen and four that are not.
 const PLANNED: usize = 12;
 
+/// Makes an extra send if the budget allows it.
+fn spend(budget: &mut RetryBudget, now: Time, purpose: Purpose) -> bool {
+    let allowed = budget.allows(now, &BOUNDS, PLANNED, purpose);
+    if allowed {
+        budget.spend(now, &BOUNDS);
+    }
+    allowed
+}
+
 proptest! {
     #![proptest_config(seeds::properties())]
 
@@ -36,7 +48,7 @@
                 budgets[node].earn(at(now), &BOUNDS);
                 requests.push(now);
             }
-            while budgets[node].spend(at(now), &BOUNDS, PLANNED) {
+            while spend(&mut budgets[node], at(now), Purpose::Rescue) {
                 extra.push(now);
             }
         }
@@ -65,7 +77,7 @@
 fn a_new_node_starts_with_its_part_of_the_slack() {
     let mut budget = RetryBudget::default();
     let spent = (0..100)
-        .filter(|_| budget.spend(at(0), &BOUNDS, PLANNED))
+        .filter(|_| spend(&mut budget, at(0), Purpose::Rescue))
         .count();
     assert_eq!(spent, 4);
 }
@@ -74,7 +86,30 @@
 #[test]
 fn the_budget_returns_after_a_window() {
     let mut budget = RetryBudget::default();
-    while budget.spend(at(0), &BOUNDS, PLANNED) {}
-    assert!(!budget.spend(at(9_000), &BOUNDS, PLANNED));
-    assert!(budget.spend(at(10_500), &BOUNDS, PLANNED));
+    while spend(&mut budget, at(0), Purpose::Rescue) {}
+    assert!(!spend(&mut budget, at(9_000), Purpose::Rescue));
+    assert!(spend(&mut budget, at(10_500), Purpose::Rescue));
+}
+
+/// Pauses and slow leafs make many late sends before half of the leafs begin to lose answers: the hedges of before
+/// must leave enough for the requests that fail otherwise.
+#[test]
+fn hedges_leave_budget_for_failures() {
+    let mut budget = RetryBudget::default();
+    for _ in 0..200 {
+        budget.earn(at(0), &BOUNDS);
+    }
+    let mut count = |purpose| {
+        (0..)
+            .take_while(|_| spend(&mut budget, at(0), purpose))
+            .count()
+    };
+    let (hedges, repairs, rescues) = (
+        count(Purpose::Hedge),
+        count(Purpose::Repair),
+        count(Purpose::Rescue),
+    );
+    assert!((20..=24).contains(&hedges), "{hedges} hedges");
+    assert!((7..=10).contains(&repairs), "{repairs} repairs");
+    assert!((9..=11).contains(&rescues), "{rescues} rescues");
 }
