Ask again for single pages of the store; send nothing for hopeless requests

Causes: - One lost answer among the pages of a full read cost the whole read, a second each. Pages are asked for again by themselves, first after 120 ms. - Parts that had a leaf were sent although another part already made the request unservable, so that "not run" could not be said. - A leaf that sheds kept getting calls: a node now has fewer calls there, and a part that was shed is sent again 5 ms later instead of being lost.

The long refusals from 34 s on remain to be explained.

--- a/src/core/gather/plan.rs
+++ b/src/core/gather/plan.rs
@@ -7,6 +7,10 @@
 /// Time after which a part without a usable leaf is tried again.
 const ROOM_RETRY: Duration = Duration::from_millis(4);
 
+/// Time after which a part that a leaf shed is sent again, for each time it was shed: a leaf with two slots has
+/// worked off a call or two.
+const SHED_RETRY: Duration = Duration::from_millis(5);
+
 /// Time after which a send that the budget did not allow is considered again.
 const UNPAID_RETRY: Duration = Duration::from_millis(10);
 
@@ -37,6 +41,8 @@
 pub enum Failure {
     /// Nothing was sent, or the leaf says that it ran nothing.
     NotRun,
+    /// The leaf has no room and ran nothing. It may be asked again a little later.
+    Shed,
     /// The leaf may have run the request.
     MayHaveRun,
 }
@@ -179,6 +185,14 @@
         };
     }
 
+    /// Takes back a send that was not made in the end.
+    pub fn unsent(&mut self, part: usize) {
+        let part = &mut self.parts[part];
+        part.open -= 1;
+        part.ran -= 1;
+        part.sent -= 1;
+    }
+
     /// Records that a part that was due has no leaf to go to now.
     pub fn no_room(&mut self, part: usize, now: Time) {
         self.parts[part].next = now + ROOM_RETRY;
@@ -214,10 +228,14 @@
         let (attempts, repeatable) = (self.settings.attempts, self.settings.repeatable);
         let part = &mut self.parts[part];
         part.open = part.open.saturating_sub(1);
+        let mut next = now;
         let again = match failure {
-            Failure::NotRun => {
+            Failure::NotRun | Failure::Shed => {
                 part.ran = part.ran.saturating_sub(1);
                 part.unsent += 1;
+                if failure == Failure::Shed {
+                    next = now + SHED_RETRY * u32::from(part.unsent);
+                }
                 part.unsent < UNSENT_TRIES
             }
             Failure::MayHaveRun => repeatable,
@@ -226,10 +244,11 @@
             return;
         }
         if again && u32::from(part.ran) < attempts {
-            part.next = part.next.min(now);
-            if part.open == 0 {
-                part.next = now;
-            }
+            part.next = if part.open == 0 {
+                next
+            } else {
+                part.next.min(next)
+            };
         } else if part.open == 0 {
             part.state = State::Lost;
         } else {
--- a/src/core/placement/gauge.rs
+++ b/src/core/placement/gauge.rs
@@ -32,6 +32,15 @@
 /// Longest time for which a leaf that is down gets no call.
 const DOWN_TIME_MAX: Duration = Duration::from_millis(2_000);
 
+/// Most calls of one node on one leaf.
+const LIMIT_MAX: f64 = 32.0;
+/// Factor on the calls in progress that gives the limit after a leaf shed one.
+const LIMIT_CUT: f64 = 0.5;
+/// Calls by which the limit grows with as many answers as it has calls.
+const LIMIT_GROWTH: f64 = 0.25;
+/// Rounds of all slots that may wait at a leaf.
+const QUEUE_ROUNDS: u32 = 2;
+
 /// The load that a leaf reports.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LeafLoad {
@@ -81,6 +90,8 @@
     rests: u32,
     /// Until when a leaf that is down gets no call.
     rest: Option<Time>,
+    /// Calls that this node may have on the leaf at a time.
+    limit: f64,
     /// Calls that a cold leaf may get, and when that was counted.
     cold: (f64, Time),
 }
@@ -102,6 +113,7 @@
             points: 0,
             rests: 0,
             rest: None,
+            limit: LIMIT_MAX,
             cold: (1.0, now),
         }
     }
@@ -117,6 +129,7 @@
 
     /// Records the end of a call. `usual` is the latency usual for this kind of call.
     pub fn ended(&mut self, now: Time, token: CallToken, outcome: Outcome, usual: Duration) {
+        let calls = self.calls.len() as f64;
         self.calls.retain(|(call, _)| *call != token);
         self.forget(now);
         match outcome {
@@ -126,10 +139,16 @@
                 self.pace += (pace - self.pace) * PACE_WEIGHT;
                 self.fault(0.0);
                 self.alive();
+                self.limit = (self.limit + LIMIT_GROWTH / self.limit).min(LIMIT_MAX);
+            }
+            Outcome::Failed(_) => {
+                self.fault(1.0);
+                self.alive();
             }
-            Outcome::Failed(_) | Outcome::Shed => {
+            Outcome::Shed => {
                 self.fault(1.0);
                 self.alive();
+                self.limit = (calls * LIMIT_CUT).clamp(1.0, self.limit);
             }
             Outcome::Refused => self.unanswered(now, REFUSED_POINTS),
             Outcome::Silent => self.unanswered(now, SILENT_POINTS),
@@ -145,6 +164,9 @@
             ..load
         };
         self.loaded = Some(now);
+        if load.waiting > load.slots * QUEUE_ROUNDS {
+            self.limit = (self.calls.len() as f64 * LIMIT_CUT).clamp(1.0, self.limit);
+        }
     }
 
     /// Returns the number of this node's calls in progress.
@@ -152,6 +174,13 @@
         self.calls.len()
     }
 
+    /// Returns whether the leaf may get another call as far as its queue is known: nodes that do not see each other
+    /// all send less to a leaf that sheds or that has a long queue, so that calls wait here, where they can go
+    /// elsewhere.
+    pub fn has_room(&self) -> bool {
+        self.calls.is_empty() || self.calls.len() as f64 + 1.0 <= self.limit
+    }
+
     /// Returns whether the leaf counts as down and is not yet due for another try.
     pub fn is_resting(&self, now: Time) -> bool {
         self.rest.is_some_and(|until| now < until)
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -188,8 +188,12 @@
         }
         if answer.not_run {
             running.end(Outcome::Shed);
+            let failure = match answer.misdirected {
+                true => Failure::NotRun,
+                false => Failure::Shed,
+            };
             return Err(CallFailure {
-                failure: Failure::NotRun,
+                failure,
                 reason: format!("refused with {}", reply.status),
                 reply: Some(Box::new(reply)),
             });
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -83,11 +83,18 @@
         match dispatch.plan.step(now) {
             Step::Finish(end) => break end,
             Step::Send(parts) => {
-                for (part, purpose) in parts {
-                    if let Some(call) = dispatch.place(now, part, purpose) {
-                        calls.start(call);
-                    }
+                let placed: SmallVec<[Call; 4]> = parts
+                    .into_iter()
+                    .filter_map(|(part, purpose)| dispatch.place(now, part, purpose))
+                    .collect();
+                if let Step::Finish(end) = dispatch.plan.step(now) {
+                    // Nothing is sent for a request that cannot be served.
+                    placed
+                        .iter()
+                        .for_each(|call| dispatch.plan.unsent(call.part));
+                    break end;
                 }
+                placed.into_iter().for_each(|call| calls.start(call));
             }
             Step::Wait(until) => {
                 timer
@@ -271,7 +278,7 @@
                         route = &*self.inbound.route.name,
                         service:% = self.services[part].0,
                         leaf:% = ended.leaf.instance(),
-                        not_run = failure.failure == Failure::NotRun,
+                        not_run = failure.failure != Failure::MayHaveRun,
                         elapsed_ms = now.since(self.inbound.arrived).as_millis() as u64,
                         suppressed;
                         "leaf call failed: {}",
@@ -284,6 +291,11 @@
                 if failure.failure == Failure::MayHaveRun {
                     self.fallback = failure.reply.or(self.fallback.take());
                 }
+                if failure.failure == Failure::Shed {
+                    let leaf = &ended.leaf;
+                    self.tried
+                        .retain(|(other, tried)| *other != part || !Rc::ptr_eq(tried, leaf));
+                }
                 self.plan.failed(part, now, failure.failure);
             }
         }
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -18,6 +18,13 @@
 const WATCH: Duration = Duration::from_secs(5);
 /// Time for an answer of the store beyond the wait of a watch.
 const ANSWER: Duration = Duration::from_millis(1_000);
+/// Times for a page of the store, which answers within milliseconds and at most some hundred while it is slow.
+const PAGE: [Duration; 4] = [
+    Duration::from_millis(120),
+    Duration::from_millis(250),
+    Duration::from_millis(500),
+    Duration::from_millis(1_000),
+];
 /// Pause after news, in which further changes collect, so that a series of them costs few calls.
 const COLLECT: Duration = Duration::from_millis(200);
 /// Pause after a failed call, drawn up to twice as long, so that nodes do not ask together.
@@ -40,7 +47,7 @@
         loop {
             let asked = self.now();
             let read = if whole {
-                client.read_all(ANSWER).await
+                client.read_all(&PAGE).await
             } else {
                 let after = self.feed.borrow().revision();
                 client.watch(after, WATCH, ANSWER).await
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -301,7 +301,7 @@
             works = true;
             let cold = leaf.is_cold(now);
             let cold_full = cold && cold_rate.is_some_and(|rate| !gauge.has_cold_room(now, rate));
-            if leaf.has_room(share) && !cold_full {
+            if leaf.has_room(share) && gauge.has_room() && !cold_full {
                 usable.push(index);
             }
         }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -95,15 +95,15 @@
     ///
     /// # Errors
     ///
-    /// Fails if a page does not come within `limit`.
-    pub async fn read_all(&mut self, limit: Duration) -> Result<Watched, StoreError> {
+    /// Fails if a page does not come within any of `limits`, which are tried in turn.
+    pub async fn read_all(&mut self, limits: &[Duration]) -> Result<Watched, StoreError> {
         let mut changes = Vec::new();
         let mut first = None;
         for prefix in PREFIXES {
             let mut after = String::new();
             loop {
                 let path = format!("/-/kv-range?prefix={prefix}&after={after}");
-                let reply = self.get(&path, limit).await?;
+                let reply = self.get_patiently(&path, limits).await?;
                 let page: Page = serde_json::from_slice(&reply.body)?;
                 // Pages are no snapshot: what changed since the first one is watched from there.
                 first.get_or_insert(page.current_rev);
@@ -149,6 +149,22 @@
         self.connection = None;
     }
 
+    /// Asks again, on a new connection, where an answer is lost: one of many pages must not cost the others.
+    async fn get_patiently(
+        &mut self,
+        path: &str,
+        limits: &[Duration],
+    ) -> Result<Reply, StoreError> {
+        let mut outcome = Err(StoreError::Timeout);
+        for limit in limits {
+            outcome = self.get(path, *limit).await;
+            if !matches!(outcome, Err(StoreError::Timeout | StoreError::Exchange(_))) {
+                break;
+            }
+        }
+        outcome
+    }
+
     async fn get(&mut self, path: &str, limit: Duration) -> Result<Reply, StoreError> {
         let until = Instant::now() + limit;
         let kept = self.connection.take();
--- a/tests/decisions/gather.rs
+++ b/tests/decisions/gather.rs
@@ -147,7 +147,7 @@
     send(&mut plan, at(0));
     plan.failed(0, at(5), Failure::NotRun);
     assert_eq!(send(&mut plan, at(5)), [(0, Some(Purpose::Rescue))]);
-    plan.failed(0, at(9), Failure::NotRun);
+    plan.failed(0, at(9), Failure::Shed);
     assert!(!plan.may_have_run());
     plan.no_leaf(0);
     assert_eq!(plan.step(at(9)), Step::Finish(End::Unreachable));
@@ -262,3 +262,38 @@
     assert_eq!(plan.step(at(HEDGE)), Step::Wait(at(HEDGE + 10)));
     assert_eq!(send(&mut plan, at(HEDGE + 10)), [(9, Some(Purpose::Hedge))]);
 }
+
+/// All leafs of a shard are full for a moment: the part is sent again a little later, not at once and not for ever.
+#[test]
+fn a_part_that_was_shed_is_sent_again_after_a_pause() {
+    let mut plan = Plan::new(settings(1, 1), at(0));
+    let mut sends = Vec::new();
+    let mut now = 0;
+    let end = loop {
+        match plan.step(at(now)) {
+            Step::Send(_) => {
+                send(&mut plan, at(now));
+                sends.push(now);
+                plan.failed(0, at(now), Failure::Shed);
+            }
+            Step::Wait(until) => now = until.since(at(0)).as_millis() as u64,
+            Step::Finish(end) => break end,
+        }
+    };
+    assert_eq!(sends, [0, 5, 15, 30]);
+    assert_eq!(end, End::Unreachable);
+    assert!(!plan.may_have_run());
+}
+
+/// Guards against parts that run for a request that cannot be served any more, and against "may have run" for them.
+#[test]
+fn sends_that_are_taken_back_did_not_run() {
+    let mut plan = Plan::new(settings(3, 3), at(0));
+    plan.sent(0, at(0));
+    plan.sent(1, at(0));
+    plan.no_leaf(2);
+    assert_eq!(plan.step(at(0)), Step::Finish(End::Unreachable));
+    plan.unsent(0);
+    plan.unsent(1);
+    assert!(!plan.may_have_run());
+}
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -216,3 +216,50 @@
         sends.len()
     );
 }
+
+/// A crowd of nodes fills a leaf's queue: each sends it one call at a time, and more again as it answers.
+#[test]
+fn a_leaf_that_sheds_gets_fewer_calls_at_a_time() {
+    let mut gauge = Gauge::new(at(0), 2);
+    let tokens: Vec<_> = (0..4).map(|_| gauge.sent(at(0))).collect();
+    assert!(gauge.has_room());
+    for token in tokens {
+        gauge.ended(at(3), token, Outcome::Shed, USUAL);
+    }
+    assert!(gauge.has_room());
+    let first = gauge.sent(at(4));
+    assert!(!gauge.has_room());
+    gauge.ended(at(12), first, answered(8), USUAL);
+    for time in (20..100).step_by(10) {
+        let token = gauge.sent(at(time));
+        gauge.ended(at(time + 8), token, answered(8), USUAL);
+    }
+    gauge.sent(at(100));
+    assert!(gauge.has_room());
+}
+
+/// A leaf reports more than two rounds of waiting calls before it sheds any.
+#[test]
+fn a_leaf_with_a_long_queue_gets_fewer_calls_at_a_time() {
+    let mut gauge = Gauge::new(at(0), 2);
+    gauge.sent(at(0));
+    gauge.sent(at(0));
+    gauge.reported(
+        at(8),
+        LeafLoad {
+            running: 2,
+            waiting: 4,
+            slots: 2,
+        },
+    );
+    assert!(gauge.has_room());
+    gauge.reported(
+        at(9),
+        LeafLoad {
+            running: 2,
+            waiting: 5,
+            slots: 2,
+        },
+    );
+    assert!(!gauge.has_room());
+}
