Count a single slow answer as a pause; prefer near leafs; watch for 10 s

Causes: each leaf pauses for 100 ms every few seconds, and one answer of that kind made a node avoid the leaf for four seconds, so that two thirds of the calls went to other failure domains. Watches of 5 s made calls without news.

Keep-alive probes end a silent connection to the store within 3 s, whatever the wait of the watch.

--- a/src/adapter/http1/connection.rs
+++ b/src/adapter/http1/connection.rs
@@ -1,6 +1,7 @@
-use std::{fmt, io, net::SocketAddr};
+use std::{fmt, io, net::SocketAddr, time::Duration};
 
 use bytes::{Buf, Bytes, BytesMut};
+use rustix::net::sockopt;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -16,6 +17,9 @@
 /// First size of a read buffer, bytes: a usual answer in one read.
 const READ_BYTES: usize = 4 << 10;
 
+/// Probes of a silent connection before it counts as dead.
+const KEEPALIVE_PROBES: u32 = 2;
+
 /// The step at which an exchange failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ExchangeStep {
@@ -101,6 +105,24 @@
         })
     }
 
+    /// Lets the system probe the connection when the peer sends nothing for `idle`, and again each such time. After
+    /// [`KEEPALIVE_PROBES`] probes without an answer the exchange fails: a connection may go silent for good without
+    /// a reset.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system does not take the options.
+    pub fn keep_alive(&self, idle: Duration) -> io::Result<()> {
+        let stream = &self.stream;
+        sockopt::set_socket_keepalive(stream, true)?;
+        sockopt::set_tcp_keepidle(stream, idle)?;
+        sockopt::set_tcp_keepintvl(stream, idle)?;
+        sockopt::set_tcp_keepcnt(stream, KEEPALIVE_PROBES)?;
+        let limit = u32::try_from(idle.as_millis()).unwrap_or(u32::MAX);
+        sockopt::set_tcp_user_timeout(stream, limit.saturating_mul(KEEPALIVE_PROBES + 1))?;
+        Ok(())
+    }
+
     /// Returns whether the connection may carry another exchange: the last one ended cleanly, the peer has not
     /// closed it and nothing arrived since.
     pub fn is_at_rest(&mut self) -> bool {
--- a/src/core/placement/gauge.rs
+++ b/src/core/placement/gauge.rs
@@ -8,6 +8,11 @@
 const PACE_WEIGHT: f64 = 0.35;
 /// Bounds of one answer's effect on the pace.
 const PACE_RANGE: (f64, f64) = (0.2, 20.0);
+/// Pace above which an answer is slow. One slow answer may come from a pause that is over; only a second one in a
+/// row shows a slow leaf.
+const SLOW: f64 = 3.0;
+/// What a single slow answer counts as.
+const SLOW_ONCE: f64 = 1.2;
 /// Time after which half of what was learnt about a leaf is forgotten, so that one avoided for its past is tried
 /// again.
 const FORGET: Duration = Duration::from_millis(1_500);
@@ -79,6 +84,8 @@
     next: u32,
     /// Latency as a multiple of the usual one.
     pace: f64,
+    /// The last answer was slow.
+    slow: bool,
     /// Share of calls that failed or were shed.
     faults: f64,
     updated: Time,
@@ -103,6 +110,7 @@
             calls: SmallVec::new(),
             next: 0,
             pace: 1.0,
+            slow: false,
             faults: 0.0,
             updated: now,
             load: LeafLoad {
@@ -135,7 +143,12 @@
         match outcome {
             Outcome::Answered(latency) => {
                 let pace = latency.as_secs_f64() / usual.as_secs_f64().max(1e-4);
-                let pace = pace.clamp(PACE_RANGE.0, PACE_RANGE.1);
+                let mut pace = pace.clamp(PACE_RANGE.0, PACE_RANGE.1);
+                let slow = pace > SLOW;
+                if slow && !self.slow {
+                    pace = SLOW_ONCE;
+                }
+                self.slow = slow;
                 self.pace += (pace - self.pace) * PACE_WEIGHT;
                 self.fault(0.0);
                 self.alive();
--- a/src/core/placement/pick.rs
+++ b/src/core/placement/pick.rs
@@ -8,8 +8,9 @@
 /// choose the leaf that looks best.
 const NOISE: f64 = 0.25;
 
-/// Extra cost of a leaf in another failure domain, as a multiple of the usual latency: the way there and back.
-const FAR: f64 = 0.1;
+/// Extra cost of a leaf in another failure domain, as a multiple of the usual latency: bytes between failure domains
+/// cost, and the way there and back takes time. A near leaf that is slower or busier by more is passed over.
+const FAR: f64 = 0.4;
 
 /// Extra cost of opening a connection first.
 const CONNECT: f64 = 0.6;
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -14,8 +14,8 @@
     platform::{Published, StoreClient, StoreError, decode},
 };
 
-/// Longest wait of a watch. A silent connection is noticed at its end; until then other nodes tell of news.
-const WATCH: Duration = Duration::from_secs(5);
+/// Longest wait of a watch. Keep-alive probes notice a silent connection, and other nodes tell of news meanwhile.
+const WATCH: Duration = Duration::from_secs(10);
 /// Time for an answer of the store beyond the wait of a watch.
 const ANSWER: Duration = Duration::from_millis(1_000);
 /// Times for a page of the store, which answers within milliseconds and at most some hundred while it is slow.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -26,6 +26,10 @@
 /// Longest answer of the store, bytes: a page of 1 MB as base64 in JSON, with room to spare.
 const MAX_ANSWER: usize = 8 << 20;
 
+/// Time without a byte from the store after which the system probes the connection. Two lost probes end it, within
+/// the 4 s after which the users count a node whose connections went silent as in touch again.
+const PROBE_IDLE: Duration = Duration::from_secs(1);
+
 /// Why the store gave no usable answer.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
@@ -171,9 +175,14 @@
         let kept = kept.and_then(|mut kept| kept.is_at_rest().then_some(kept));
         let mut connection = match kept {
             Some(connection) => connection,
-            None => timeout_at(until, Connection::open(self.address))
-                .await
-                .map_err(|_| StoreError::Timeout)??,
+            None => {
+                let opened = timeout_at(until, Connection::open(self.address)).await;
+                let opened = opened.map_err(|_| StoreError::Timeout)??;
+                if let Err(error) = opened.keep_alive(PROBE_IDLE) {
+                    log::warn!(error:% = error; "store connection without keep-alive probes");
+                }
+                opened
+            }
         };
         let address = self.address;
         let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -98,6 +98,20 @@
     assert_eq!(again, 0.0);
 }
 
+/// Every leaf pauses for 100 ms now and then: one late answer must not cost it its share for seconds.
+#[test]
+fn a_pause_that_is_over_costs_a_leaf_little() {
+    let mut shard = Shard::new(3);
+    shard.share(0, 100, |_| answered(8));
+    shard.call(0, answered(104));
+    shard.now = shard.now + Duration::from_millis(100);
+    let after = shard.share(0, 50, |_| answered(8));
+    assert!(
+        after > 0.15,
+        "the leaf gets {after} of the calls in the next second"
+    );
+}
+
 /// A leaf becomes ten times slower for seconds: it loses its share after a few answers, and has it back soon
 /// after it has recovered.
 #[test]
