--- a/src/core/retry/mod.rs
+++ b/src/core/retry/mod.rs
@@ -42,6 +42,16 @@
 }
 
 impl Purpose {
+    /// Returns the label used in logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Purpose::Rescue => "rescue",
+            Purpose::Repair => "repair",
+            Purpose::Guard => "guard",
+            Purpose::Hedge => "hedge",
+        }
+    }
+
     /// Returns the share of the budget that must be left for more urgent sends.
     fn reserve(self) -> f64 {
         match self {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -209,7 +209,7 @@
             let mut budget = service.budget.borrow_mut();
             if !budget.allows(now, &bounds, nodes, purpose) {
                 drop(budget);
-                self.note(now, "no_budget", part);
+                self.note(now, part, "no_budget", Some(purpose));
                 self.plan.unpaid(part, now);
                 return None;
             }
@@ -228,10 +228,12 @@
         let leaf = match chosen {
             Ok(leaf) => leaf,
             Err(NoLeaf::Full) => {
+                self.note(now, part, "no_room", purpose);
                 self.plan.no_room(part, now);
                 return None;
             }
             Err(NoLeaf::Down(until)) => {
+                self.note(now, part, "no_leaf", purpose);
                 self.again = self.again.into_iter().chain(until).min();
                 self.plan.no_leaf(part);
                 return None;
@@ -241,6 +243,7 @@
         if purpose.is_some() {
             budget.spend(now, &bounds);
             self.extra += 1;
+            self.note(now, part, "second_call", purpose);
         } else {
             budget.earn(now, &bounds);
         }
@@ -381,17 +384,37 @@
         until.max(COME_BACK).mul_f64(spread)
     }
 
-    fn note(&self, now: Time, kind: &'static str, part: usize) {
-        metrics::counter!("cranberrychute_decisions_total", "kind" => kind).increment(1);
-        if let Some(suppressed) = self.gateway.journal.admit(now, kind) {
-            log::info!(
-                id = &*self.inbound.caller.id,
-                service:% = self.services[part].0,
-                decision = kind,
-                elapsed_ms = now.since(self.inbound.arrived).as_millis() as u64,
-                suppressed;
-                "no further call"
-            );
-        }
+    /// Counts and logs a decision about a part, with what it rests on.
+    fn note(&self, now: Time, part: usize, decision: &'static str, purpose: Option<Purpose>) {
+        let gateway = &self.gateway;
+        metrics::counter!("cranberrychute_decisions_total", "decision" => decision).increment(1);
+        let Some(suppressed) = gateway.journal.admit(now, decision) else {
+            return;
+        };
+        let (name, service) = &self.services[part];
+        let known = service.leafs.borrow();
+        let resting = known
+            .iter()
+            .filter(|leaf| leaf.gauge.borrow().is_resting(now))
+            .count();
+        let leaving = known
+            .iter()
+            .filter(|leaf| leaf.record.borrow().leaving)
+            .count();
+        log::info!(
+            id = &*self.inbound.caller.id,
+            route = &*self.inbound.route.name,
+            service:% = name,
+            decision,
+            purpose = purpose.map_or("first", Purpose::label),
+            elapsed_ms = now.since(self.inbound.arrived).as_millis() as u64,
+            leafs = known.len(),
+            resting,
+            leaving,
+            revision = gateway.feed.borrow().revision(),
+            news_age_ms = now.since(gateway.informed.get()).as_millis() as u64,
+            suppressed;
+            "decision on a part"
+        );
     }
 }
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -59,6 +59,7 @@
                         log::info!(revision = news.revision; "store regained");
                     }
                     self.registry.borrow_mut().contact(now);
+                    self.informed.set(now);
                     let changes = {
                         let mut feed = self.feed.borrow_mut();
                         if whole {
@@ -127,6 +128,7 @@
             };
             match update {
                 Ok(update) => {
+                    self.informed.set(self.now());
                     let (from, to) = (revision, update.revision);
                     let changes = self.feed.borrow_mut().merge(update);
                     if !changes.is_empty() {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -49,6 +49,8 @@
     pub(super) callers: Cell<usize>,
     /// Since when the store has not answered this node.
     pub(super) store_lost: Cell<Option<Time>>,
+    /// When the store or another node last told what there is.
+    pub(super) informed: Cell<Time>,
     /// Signals that another node's copy of the store's items is ahead.
     pub(super) behind: Notify,
     /// Wakes the connections of callers when the process begins to stop.
@@ -126,6 +128,7 @@
         requests: Cell::new(0),
         callers: Cell::new(0),
         store_lost: Cell::new(None),
+        informed: Cell::new(started),
         behind: Notify::new(),
         stopping: Notify::new(),
         metrics: start_metrics(),
