--- a/src/adapter/http1/connection.rs
+++ b/src/adapter/http1/connection.rs
@@ -77,8 +77,6 @@
     stream: TcpStream,
     peer: SocketAddr,
     buffer: BytesMut,
-    /// Exchanges that were completed.
-    served: u32,
     reusable: bool,
 }
 
@@ -100,7 +98,6 @@
             stream,
             peer,
             buffer: BytesMut::new(),
-            served: 0,
             reusable: true,
         })
     }
@@ -135,11 +132,6 @@
         self.reusable
     }
 
-    /// Returns whether no exchange was completed yet.
-    pub fn is_fresh(&self) -> bool {
-        self.served == 0
-    }
-
     /// Sends a request and returns the answer that `accept` takes for its own; others are dropped.
     ///
     /// After an error the connection must not be used again.
@@ -196,7 +188,6 @@
                 // A peer that answers before it has read the request may read the rest later.
                 self.reusable =
                     !closes && rest.is_empty() && strangers == 0 && self.buffer.is_empty();
-                self.served += 1;
                 return Ok(reply);
             }
             strangers += 1;
--- a/src/core/placement/gauge.rs
+++ b/src/core/placement/gauge.rs
@@ -60,7 +60,7 @@
     /// An answer, after this time.
     Answered(Duration),
     /// The leaf ran the call and failed.
-    Failed(Duration),
+    Failed,
     /// The leaf refused the call without running it.
     Shed,
     /// No connection could be opened.
@@ -154,7 +154,7 @@
                 self.alive();
                 self.limit = (self.limit + LIMIT_GROWTH / self.limit).min(LIMIT_MAX);
             }
-            Outcome::Failed(_) => {
+            Outcome::Failed => {
                 self.fault(1.0);
                 self.alive();
             }
@@ -199,16 +199,16 @@
         self.rest.is_some_and(|until| now < until)
     }
 
+    /// Returns whether the leaf may be tried: one that counted as down gets one call at a time until it answers.
+    pub fn may_try(&self, now: Time) -> bool {
+        !self.is_resting(now) && (self.rest.is_none() || self.calls.is_empty())
+    }
+
     /// Returns when a leaf that counts as down is tried again.
     pub fn rest_until(&self) -> Option<Time> {
         self.rest
     }
 
-    /// Returns whether a leaf that counted as down may be tried by one call.
-    pub fn is_on_trial(&self) -> bool {
-        self.rest.is_some()
-    }
-
     /// Returns whether a cold leaf may get one more call at `rate` calls a second.
     pub fn has_cold_room(&mut self, now: Time, rate: f64) -> bool {
         let (level, at) = self.cold;
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -199,7 +199,7 @@
             });
         }
         if reply.status >= 500 {
-            running.end(Outcome::Failed(latency));
+            running.end(Outcome::Failed);
             return Err(CallFailure {
                 failure: Failure::MayHaveRun,
                 reason: format!("failed with {}", reply.status),
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -293,7 +293,7 @@
                 continue;
             }
             let mut gauge = leaf.gauge.borrow_mut();
-            if gauge.is_resting(now) || gauge.is_on_trial() && gauge.calls() > 0 {
+            if !gauge.may_try(now) {
                 let until = gauge.rest_until().unwrap_or(now).max(now);
                 again = Some(again.map_or(until, |again| again.min(until)));
                 continue;
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -1,4 +1,4 @@
-use std::{cell::Cell, convert::Infallible, pin::pin, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
 
 use anyhow::Context as _;
 use bytes::Bytes;
@@ -126,16 +126,7 @@
         .max_buf_size((limits.header_bytes * 2).max(MIN_BUFFER))
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
-    let mut served = pin!(served);
-    let mut stopping = pin!(gateway.stopping.notified());
-    let ended = tokio::select! {
-        ended = served.as_mut() => ended,
-        () = stopping.as_mut() => {
-            // Each answer tells the caller to use another address; requests that arrive are served.
-            served.await
-        }
-    };
-    if let Err(error) = ended
+    if let Err(error) = served.await
         && let Some(suppressed) = gateway.journal.admit(gateway.now(), "connection")
     {
         log::debug!(port:? = port, suppressed, error:% = error; "connection ended");
@@ -163,7 +154,6 @@
         }
         Port::Directory => match directory_query(request.uri()) {
             Some(query) => gateway.addresses(&query),
-            None if is_ready_probe(request.uri()) => plain(StatusCode::OK),
             None => plain(StatusCode::NOT_FOUND),
         },
         Port::Peer => peer_answer(&gateway, &request),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -9,7 +9,6 @@
     pub name: Arc<str>,
     /// Failure domain of the VM.
     pub domain: Domain,
-    pub region: Arc<str>,
     /// Peer addresses of nodes to ask at the start, which may be stale.
     pub seeds: Vec<SocketAddr>,
     /// Region of each failure domain.
@@ -40,8 +39,6 @@
 pub struct Bounds {
     /// Time between SIGTERM and SIGKILL.
     pub stop: Duration,
-    /// Time after which a new configuration is in force everywhere.
-    pub apply: Duration,
     /// Longest time for which callers may keep an address answer.
     pub answer_life: Duration,
     pub retry: RetryBounds,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -53,8 +53,6 @@
     pub(super) informed: Cell<Time>,
     /// Signals that another node's copy of the store's items is ahead.
     pub(super) behind: Notify,
-    /// Wakes the connections of callers when the process begins to stop.
-    pub(super) stopping: Notify,
     pub(super) metrics: PrometheusHandle,
 }
 
@@ -130,7 +128,6 @@
         store_lost: Cell::new(None),
         informed: Cell::new(started),
         behind: Notify::new(),
-        stopping: Notify::new(),
         metrics: start_metrics(),
         settings: RefCell::new(settings),
     });
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -23,7 +23,6 @@
         log::info!(requests = open, callers = self.callers.get(); "stopping");
         self.leaving.set(true);
         self.announce().await;
-        self.stopping.notify_waiters();
         let addressed = (ANSWER_LIFE * KEPT_LONGER + LAST_ARRIVALS).min(bound);
         let mut quiet_since = begun;
         loop {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -9,7 +9,7 @@
 
 pub use self::{
     settings::{SETTINGS_VARIABLE, SettingsError, load},
-    store::{Published, StoreClient, StoreError, Watched, decode, is_configuration},
+    store::{Published, StoreClient, StoreError, Watched, decode},
     wire::{
         CallRequest, CallerRequest, DirectoryQuery, FinalAnswer, LeafAnswer, directory_answer,
         directory_query, is_ready_probe, leaf_answer, owns_answer,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -39,7 +39,6 @@
     node: Arc<str>,
     ip: IpAddr,
     zone: Domain,
-    region: Arc<str>,
     /// First and last port that is free for traffic between nodes.
     internal_ports: (u16, u16),
     /// Control addresses of up to three nodes, which may be stale.
@@ -71,7 +70,6 @@
 #[serde(default)]
 struct Limits {
     grace_s: f64,
-    config_apply_ms: u64,
     retry_budget_ratio: f64,
     budget_window_s: f64,
     retry_slack: f64,
@@ -85,7 +83,6 @@
     fn default() -> Self {
         Self {
             grace_s: 6.0,
-            config_apply_ms: 3_000,
             retry_budget_ratio: 0.2,
             budget_window_s: 10.0,
             retry_slack: 50.0,
@@ -127,7 +124,6 @@
         Settings {
             name: file.node,
             domain: file.zone,
-            region: file.region,
             seeds: seeds.filter(|seed| *seed != peer).collect(),
             listen: Listen {
                 callers: file.listen.front,
@@ -141,7 +137,6 @@
             regions: file.zones,
             bounds: Bounds {
                 stop: Duration::from_secs_f64(file.bounds.grace_s),
-                apply: Duration::from_millis(file.bounds.config_apply_ms),
                 answer_life: Duration::from_secs_f64(file.bounds.ttl_max_s),
                 retry: RetryBounds {
                     ratio: file.bounds.retry_budget_ratio,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -148,7 +148,7 @@
         })
     }
 
-    /// Drops the connection, for example after the process was paused.
+    /// Drops the connection, after a call that failed.
     pub fn reset(&mut self) {
         self.connection = None;
     }
@@ -235,11 +235,6 @@
     Other,
 }
 
-/// Returns whether an item is the configuration.
-pub fn is_configuration(change: &Change) -> bool {
-    &*change.key == CONFIGURATION
-}
-
 /// Decodes an item of the store.
 pub fn decode(change: &Change) -> Published {
     let key = &*change.key;
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -35,9 +35,7 @@
             .gauges
             .iter()
             .enumerate()
-            .filter(|(_, gauge)| {
-                !gauge.is_resting(now) && !(gauge.is_on_trial() && gauge.calls() > 0)
-            })
+            .filter(|(_, gauge)| gauge.may_try(now))
             .map(|(index, gauge)| {
                 let candidate = Candidate {
                     gauge,
@@ -54,7 +52,7 @@
     fn call(&mut self, leaf: usize, outcome: Outcome) {
         let token = self.gauges[leaf].sent(self.now);
         let took = match outcome {
-            Outcome::Answered(latency) | Outcome::Failed(latency) => latency,
+            Outcome::Answered(latency) => latency,
             _ => Duration::ZERO,
         };
         self.gauges[leaf].ended(self.now + took, token, outcome, USUAL);
@@ -128,7 +126,7 @@
 /// A leaf fails or sheds half of its calls while it seems healthy.
 #[test]
 fn a_failing_leaf_loses_most_of_its_share() {
-    let failing = [Outcome::Failed(Duration::from_millis(1)), Outcome::Shed];
+    let failing = [Outcome::Failed, Outcome::Shed];
     for outcome in failing {
         let mut shard = Shard::new(3);
         let share = shard.share(0, 300, |leaf| if leaf == 0 { outcome } else { answered(8) });
@@ -149,14 +147,17 @@
     }
     assert!(gauge.is_resting(at(200)));
     assert!(!gauge.is_resting(at(300)));
-    assert!(gauge.is_on_trial());
+    assert!(gauge.may_try(at(300)));
     let token = gauge.sent(at(300));
+    assert!(!gauge.may_try(at(301)), "a second call on trial");
     gauge.ended(at(400), token, Outcome::Silent, USUAL);
     assert!(gauge.is_resting(at(800)));
     let token = gauge.sent(at(1_000));
     gauge.ended(at(1_008), token, answered(8), USUAL);
     assert!(!gauge.is_resting(at(1_008)));
-    assert!(!gauge.is_on_trial());
+    let token = gauge.sent(at(1_010));
+    assert!(gauge.may_try(at(1_011)));
+    gauge.ended(at(1_020), token, answered(8), USUAL);
 }
 
 /// Guards against a call that was given up for its caller's reasons and counts as the leaf's silence.
@@ -167,7 +168,7 @@
         let token = gauge.sent(at(time));
         gauge.ended(at(time + 1), token, Outcome::Cancelled, USUAL);
     }
-    assert!(!gauge.is_on_trial());
+    assert!(gauge.may_try(at(20)));
     assert_eq!(gauge.calls(), 0);
 }
 
