Name the remaining figures, split the choice of a leaf and the peer's update

Read as a newcomer: constants for the membership's times and the gauge's costs, one question per function.

--- a/src/core/placement/gauge.rs
+++ b/src/core/placement/gauge.rs
@@ -24,6 +24,14 @@
 const STALL_RATIO: f64 = 3.0;
 /// Least time without an answer that counts as a stall.
 const STALL_TIME: Duration = Duration::from_millis(12);
+/// Cost of a leaf all of whose calls failed of late: above that of any leaf that is only slow.
+const FAULT_COST: f64 = 20.0;
+/// Cost of a leaf that stands still, besides the time that its oldest call has waited.
+const STALL_COST: f64 = 4.0;
+/// Weight of a reported load, part of which has ended by the time the report arrives.
+const REPORT_WEIGHT: f64 = 0.7;
+/// Cost of each call in progress for each slot, so that calls spread before slots are taken.
+const BUSY_COST: f64 = 0.15;
 /// Points at which a leaf counts as down; an answer of any kind takes them all away.
 const DOWN_POINTS: u32 = 4;
 /// Points for a refused connection: nothing listens.
@@ -225,18 +233,19 @@
             .loaded
             .filter(|at| now.since(*at) < LOAD_AGE)
             .map_or(0, |_| self.load.running + self.load.waiting);
-        let busy = (self.calls.len() as f64).max(f64::from(reported) * 0.7);
+        let busy = (self.calls.len() as f64).max(f64::from(reported) * REPORT_WEIGHT);
         let slots = f64::from(self.load.slots.max(1));
         let queue = ((busy + 1.0 - slots) / slots).max(0.0);
         let oldest = self.calls.iter().map(|(_, sent)| now.since(*sent)).max();
         let oldest = oldest.unwrap_or_default();
         let stall = usual.mul_f64(STALL_RATIO * pace).max(STALL_TIME);
         let stalled = if oldest > stall {
-            4.0 + oldest.as_secs_f64() / usual.as_secs_f64().max(1e-4)
+            STALL_COST + oldest.as_secs_f64() / usual.as_secs_f64().max(1e-4)
         } else {
             0.0
         };
-        pace * (1.0 + queue) + self.faults * keep * 20.0 + stalled + 0.15 * busy / slots
+        let faults = self.faults * keep * FAULT_COST;
+        pace * (1.0 + queue) + faults + stalled + BUSY_COST * busy / slots
     }
 
     fn fault(&mut self, share: f64) {
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -22,6 +22,12 @@
 /// Time kept back from what a leaf is told, for the way of its answer.
 const WAY_BACK: Duration = Duration::from_millis(4);
 
+/// Least time without an answer after which a call that is given up counts against its leaf; longer than the
+/// pauses that leafs make.
+const SILENCE: Duration = Duration::from_millis(200);
+/// Multiple of the usual latency for the same purpose.
+const SILENT_RATIO: u32 = 5;
+
 /// One call to one leaf.
 pub(super) struct Call {
     pub(super) part: usize,
@@ -85,12 +91,6 @@
     }
 }
 
-/// Least time without an answer after which a call that is given up counts against its leaf; longer than the
-/// pauses that leafs make.
-const SILENCE: Duration = Duration::from_millis(200);
-/// Multiple of the usual latency for the same purpose.
-const SILENT_RATIO: u32 = 5;
-
 impl Call {
     /// Makes the call.
     pub(super) async fn run(self, gateway: Rc<Gateway>) -> CallEnd {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -112,6 +112,8 @@
 }
 
 /// Calls in progress. Those that are left when the request ends go on for a while.
+///
+/// The future of a call has no name of its own, so the set is generic over the function that makes it.
 struct Calls<F: Future<Output = CallEnd> + 'static, R: Fn(Call, Rc<Gateway>) -> F> {
     gateway: Rc<Gateway>,
     running: FuturesUnordered<F>,
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -1,5 +1,6 @@
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use anyhow::Context as _;
 use rand::Rng;
 use tokio::{
     task::yield_now,
@@ -108,30 +109,12 @@
                 sleep(PEER_DELAY).await;
             }
             let revision = self.feed.borrow().revision();
-            let peer = match self.members.ahead(&self, revision) {
-                Some((peer, _)) => Some(peer),
-                None if self.store_lost.get().is_some() => self.members.any(&self),
-                None => None,
-            };
-            let Some(peer) = peer else {
+            let ahead = self.members.ahead(&self, revision);
+            let lost = self.store_lost.get().is_some();
+            let Some(peer) = ahead.or_else(|| self.members.any(&self).filter(|_| lost)) else {
                 continue;
             };
-            let fetched = timeout(PEER_ANSWER, async {
-                let mut connection = Connection::open(peer).await?;
-                let request =
-                    format!("GET {FEED_PATH}?{revision} HTTP/1.1\r\nHost: {peer}\r\n\r\n");
-                connection
-                    .exchange(request.as_bytes(), MAX_UPDATE, |_| true)
-                    .await
-            });
-            let update = match fetched.await {
-                Ok(Ok(reply)) => {
-                    postcard::from_bytes::<Update>(&reply.body).map_err(anyhow::Error::from)
-                }
-                Ok(Err(error)) => Err(error.into()),
-                Err(_) => Err(anyhow::anyhow!("no answer in time")),
-            };
-            match update {
+            match fetch_update(peer, revision).await {
                 Ok(update) => {
                     self.informed.set(self.now());
                     let (from, to) = (revision, update.revision);
@@ -143,7 +126,7 @@
                 }
                 Err(error) => {
                     if let Some(suppressed) = self.journal.admit(self.now(), "peer_feed") {
-                        log::warn!(peer:% = peer, suppressed, error:% = error; "no update from another node");
+                        log::warn!(peer:% = peer, suppressed, error:% = format!("{error:#}"); "no update from another node");
                     }
                 }
             }
@@ -209,3 +192,18 @@
         *current = Rc::new(routing);
     }
 }
+
+/// Asks another node for what one that is complete up to `revision` lacks.
+async fn fetch_update(peer: SocketAddr, revision: u64) -> anyhow::Result<Update> {
+    let exchange = async {
+        let mut connection = Connection::open(peer).await?;
+        let request = format!("GET {FEED_PATH}?{revision} HTTP/1.1\r\nHost: {peer}\r\n\r\n");
+        connection
+            .exchange(request.as_bytes(), MAX_UPDATE, |_| true)
+            .await
+    };
+    let reply = timeout(PEER_ANSWER, exchange).await;
+    let reply = reply.with_context(|| format!("{peer}: no answer in time"))??;
+    postcard::from_bytes(&reply.body)
+        .with_context(|| format!("{peer}: the update cannot be decoded"))
+}
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -17,7 +17,7 @@
         registry::{LeafChange, LeafRecord},
         retry::RetryBudget,
     },
-    gateway::state::Gateway,
+    gateway::{Settings, state::Gateway},
 };
 
 /// Longest time to open a connection to a leaf: a leaf that stands still accepts after its pause.
@@ -261,6 +261,17 @@
         }
     }
 
+    /// Returns whether a leaf may get new work at all: it is where it says, not leaving, and neither evacuated nor
+    /// outside the regions of the route.
+    fn takes_work(&self, settings: &Settings, leaf: &Leaf, regions: &[Arc<str>]) -> bool {
+        let record = leaf.record.borrow();
+        let domain = &record.domain;
+        let region = settings.regions.get(domain);
+        let allowed = regions.is_empty() || region.is_some_and(|at| regions.contains(at));
+        let out = record.leaving || self.evacuated.borrow().contains(domain);
+        allowed && !out && !leaf.misplaced.get()
+    }
+
     /// Chooses a leaf of a service that is not among `tried`.
     pub(super) fn choose(
         &self,
@@ -286,19 +297,12 @@
                 nodes,
             )
         });
-        let evacuated = self.evacuated.borrow();
         let leafs = service.leafs.borrow();
         let (mut works, mut again) = (false, None::<Time>);
         let mut usable = Vec::with_capacity(leafs.len());
         for (index, leaf) in leafs.iter().enumerate() {
-            let record = leaf.record.borrow();
-            let allowed = regions.is_empty()
-                || settings
-                    .regions
-                    .get(&record.domain)
-                    .is_some_and(|at| regions.contains(at));
-            let out = record.leaving || evacuated.contains(&record.domain) || !allowed;
-            if out || leaf.misplaced.get() || tried.iter().any(|other| Rc::ptr_eq(other, leaf)) {
+            let is_tried = tried.iter().any(|other| Rc::ptr_eq(other, leaf));
+            if is_tried || !self.takes_work(&settings, leaf, regions) {
                 continue;
             }
             let mut gauge = leaf.gauge.borrow_mut();
--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -126,7 +126,7 @@
     }
 }
 
-/// Shares a counter of dropped lines with the metrics page.
+/// Returns the number of lines dropped so far.
 pub(super) fn dropped_lines() -> u64 {
     DROPPED.load(Ordering::Relaxed)
 }
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -22,6 +22,13 @@
 
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(100);
+/// Time between two probes. With it and the next two, a dead node is known within about 3 s; the users' bound for
+/// address answers is 7 s.
+const PERIOD: Duration = Duration::from_millis(500);
+/// Time after which a probe is repeated through other nodes: several times the way across a region.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time that a suspected node has to refute.
+const SUSPICION: Duration = Duration::from_millis(1_500);
 /// Most nodes that are learnt from others.
 const MAX_NODES: usize = 4_096;
 /// Nodes that a message names, so that one that has just started learns of the others.
@@ -65,9 +72,9 @@
     ) -> Self {
         let me: NodeId = settings.listen.peer.to_string().into();
         let member = MemberSettings {
-            period: Duration::from_millis(500),
-            timeout: Duration::from_millis(200),
-            suspicion: Duration::from_millis(1_500),
+            period: PERIOD,
+            timeout: PROBE_TIMEOUT,
+            suspicion: SUSPICION,
             learn: MAX_NODES,
             ..MemberSettings::default()
         };
@@ -101,14 +108,14 @@
         ready.into_iter()
     }
 
-    /// Returns a live node whose copy of the platform's items is ahead of `revision`, or any for revision 0.
-    pub(super) fn ahead(&self, gateway: &Gateway, revision: u64) -> Option<(SocketAddr, u64)> {
+    /// Returns a live node whose copy of the platform's items is ahead of `revision`.
+    pub(super) fn ahead(&self, gateway: &Gateway, revision: u64) -> Option<SocketAddr> {
         let view = self.view.borrow();
         let notes = self.notes.borrow();
         let ahead = notes
             .iter()
             .filter(|(node, (note, _))| note.revision > revision && view.is_alive(node))
-            .filter_map(|(node, (note, _))| Some((address(node)?, note.revision)));
+            .filter_map(|(node, _)| address(node));
         ahead.choose(&mut *gateway.rng.borrow_mut())
     }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -21,7 +21,12 @@
         routing::Routing,
     },
     gateway::{
-        Settings, fleet::Fleet, ingress, journal::Journal, members::Members, routes::RouteBook,
+        Settings,
+        fleet::Fleet,
+        ingress,
+        journal::{Journal, dropped_lines},
+        members::Members,
+        routes::RouteBook,
     },
     node::start_metrics,
 };
@@ -80,8 +85,7 @@
             let removed = self.registry.borrow_mut().tick(now);
             self.fleet.apply(&self, removed);
             self.fleet.sweep(&self);
-            metrics::gauge!("cranberrychute_log_lines_dropped")
-                .set(super::journal::dropped_lines() as f64);
+            metrics::gauge!("cranberrychute_log_lines_dropped").set(dropped_lines() as f64);
             metrics::gauge!("cranberrychute_members_alive").set(self.members.alive_count() as f64);
             metrics::gauge!("cranberrychute_feed_revision")
                 .set(self.feed.borrow().revision() as f64);
