Let two nodes read the store for all

Two nodes, first in a fixed order of the live ones, watch for 1 s at a time and tell the others at once of news, and every 400 ms how old their copy may be. A node whose copy has not been confirmed for 1.6 s reads itself; the number of those who do doubles every 80 ms, so nobody needs to agree on who the readers are. Removals that the readers hold back after an outage are held back by those who learn of them, too.

Ruled out: watches of 2.5 s by every node (three times the calls); one reader for each failure domain (more readers, and membership would have to carry domains).

--- a/src/core/feed/mod.rs
+++ b/src/core/feed/mod.rs
@@ -3,6 +3,10 @@
 //! Every item carries the platform's revision of its last change. A copy is complete up to a revision; an older
 //! page or change, from the platform or from a peer, never replaces a newer one.
 
+mod readers;
+
+pub use self::readers::{Currency, FIRST_READ, READERS, reader_rank, reads_store};
+
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
--- /dev/null
+++ b/src/core/feed/readers.rs
@@ -0,0 +1,64 @@
+use std::time::Duration;
+
+use crate::core::{NodeId, Time, rendezvous::score};
+
+/// Nodes that read the platform's store while all is well. Either may die, freeze or be refused without a delay for
+/// the others; more would only add calls.
+pub const READERS: usize = 2;
+
+/// Age of a node's copy at which it no longer relies on the readers. A reader hears from the store once a second and
+/// tells what it has every 400 ms; the rest is the store's and the network's time.
+const OVERDUE: Duration = Duration::from_millis(1_600);
+
+/// Time after which twice as many nodes read as long as copies stay overdue. With it 100 nodes all read 0.6 s later,
+/// within the users' least bound of 3 s for a configuration.
+const WIDEN: Duration = Duration::from_millis(80);
+
+/// Longest delay of the first read of a node that knows nothing: nodes that start together learn from the first.
+pub const FIRST_READ: Duration = Duration::from_millis(120);
+
+/// Key of the order in which nodes become readers.
+const ORDER: &str = "reader";
+
+/// How long ago a node's copy was known to be complete, by the word of other nodes.
+///
+/// Situation answered here: a node that does not read the store itself must notice within its bound that the readers
+/// are dead, cut off or refused by the store, without agreeing with anyone on who they are.
+#[derive(Clone, Copy, Debug)]
+pub struct Currency {
+    complete: Time,
+}
+
+impl Currency {
+    /// Starts with a copy that counts as complete at `now`.
+    pub fn new(now: Time) -> Self {
+        Self { complete: now }
+    }
+
+    /// Records that this node's copy has all that one had which was complete `age` ago.
+    pub fn confirmed(&mut self, now: Time, age: Duration) {
+        let micros = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        self.complete = self.complete.max(Time(now.0.saturating_sub(micros)));
+    }
+
+    /// Returns for how long the copy may have been incomplete.
+    pub fn age(&self, now: Time) -> Duration {
+        now.since(self.complete)
+    }
+}
+
+/// Returns the place of `me` in the order in which `nodes` become readers, from 0.
+pub fn reader_rank<'a>(me: &NodeId, nodes: impl Iterator<Item = &'a NodeId>) -> usize {
+    let place = |node: &NodeId| score(ORDER, node.as_str());
+    let mine = place(me);
+    nodes.filter(|node| place(node) > mine).count()
+}
+
+/// Returns whether a node reads the store itself, by its rank and the age of its copy as other nodes tell it.
+pub fn reads_store(rank: usize, age: Duration) -> bool {
+    let rounds = age
+        .checked_sub(OVERDUE)
+        .map_or(0, |over| 1 + over.as_millis() / WIDEN.as_millis());
+    let doublings = rounds.min(usize::BITS as u128 / 2) as u32;
+    rank < READERS << doublings
+}
--- a/src/core/member/membership.rs
+++ b/src/core/member/membership.rs
@@ -197,16 +197,15 @@
                 }
             }
             Probe::Ack { seq, node } => self.answer(now, seq, node, payload, out),
+            Probe::News => {}
         }
     }
 
-    /// Sends `payload` to all live nodes at once. Meant for rare news.
+    /// Sends `payload` to all live nodes at once, without asking for answers.
     pub fn broadcast<P: Clone>(&mut self, payload: &P, out: &mut Vec<Outbound<MemberMessage<P>>>) {
         for node in self.alive() {
             if node != self.me {
-                self.seq += 1;
-                let seq = self.seq;
-                self.send(&node, Probe::Ping { seq }, payload, out);
+                self.send(&node, Probe::News, payload, out);
             }
         }
     }
--- a/src/core/member/message.rs
+++ b/src/core/member/message.rs
@@ -24,6 +24,8 @@
     PingFor { seq: u64, target: NodeId },
     /// `node` answered.
     Ack { seq: u64, node: NodeId },
+    /// Only the payload matters; no answer.
+    News,
 }
 
 /// A change of one node's state.
--- a/src/core/registry/mod.rs
+++ b/src/core/registry/mod.rs
@@ -62,6 +62,17 @@
         }
     }
 
+    /// Returns for how long removals are still held back.
+    pub fn grace_left(&self, now: Time) -> Duration {
+        self.grace.map_or(Duration::ZERO, |until| until.since(now))
+    }
+
+    /// Holds removals back for `grace`: another node noticed an outage, which this one may have missed.
+    pub fn distrust(&mut self, now: Time, grace: Duration) {
+        let until = now + grace.min(LAPSE_GRACE);
+        self.grace = self.grace.max(Some(until));
+    }
+
     /// Takes a record. Returns the change, if any.
     pub fn put(&mut self, record: LeafRecord) -> Option<LeafChange> {
         self.removals.remove(&record.instance);
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -2,6 +2,7 @@
 
 use anyhow::Context as _;
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 use tokio::{
     task::yield_now,
     time::{sleep, timeout},
@@ -11,17 +12,21 @@
     adapter::http1::Connection,
     core::{
         Time,
-        feed::{Change, Update},
+        feed::{Change, FIRST_READ, Update, reads_store},
         routing::Routing,
     },
-    gateway::{ingress::FEED_PATH, state::Gateway},
+    gateway::{ingress::FEED_PATH, members::millis, state::Gateway},
     platform::{Published, StoreClient, StoreError, decode},
 };
 
-/// Longest wait of a watch. Keep-alive probes notice a silent connection, and other nodes tell of news meanwhile.
-const WATCH: Duration = Duration::from_secs(10);
+/// Longest wait of a watch. The answer to each one shows other nodes that this one still hears from the store.
+const WATCH: Duration = Duration::from_millis(1_000);
 /// Time for an answer of the store beyond the wait of a watch.
 const ANSWER: Duration = Duration::from_millis(1_000);
+/// Time between two looks of a node that does not read the store at whether it must.
+const FOLLOW_CHECK: Duration = Duration::from_millis(80);
+/// Longest delay before a node that does not read the store asks one that is ahead, so that not all ask together.
+const FOLLOW_SPREAD: Duration = Duration::from_millis(40);
 /// Times for a page of the store, which answers within milliseconds and at most some hundred while it is slow.
 const PAGE: [Duration; 4] = [
     Duration::from_millis(120),
@@ -50,7 +55,17 @@
         tokio::task::spawn_local(self.clone().follow_peers());
         let mut client = StoreClient::new(self.settings.borrow().store);
         let mut whole = true;
+        let first = self
+            .rng
+            .borrow_mut()
+            .random_range(Duration::ZERO..FIRST_READ);
+        sleep(first).await;
         loop {
+            if !self.must_read() {
+                self.follow().await;
+                client.reset();
+                whole = self.feed.borrow().revision() == 0;
+            }
             let asked = self.now();
             let read = if whole {
                 client.read_all(&PAGE).await
@@ -65,7 +80,8 @@
                         log::info!(revision = news.revision; "store regained");
                     }
                     self.registry.borrow_mut().contact(now);
-                    self.informed.set(now);
+                    self.answered.set(Some(now));
+                    self.reading.set(true);
                     let changes = {
                         let mut feed = self.feed.borrow_mut();
                         if whole {
@@ -78,10 +94,12 @@
                     whole = false;
                     self.take(changes).await;
                     if changed {
+                        self.news.notify_one();
                         sleep(COLLECT).await;
                     }
                 }
                 Err(error) => {
+                    self.reading.set(false);
                     // A call without any answer may have begun before the store went away.
                     let silent = matches!(error, StoreError::Timeout);
                     self.registry
@@ -101,12 +119,39 @@
         }
     }
 
+    /// Returns whether this node has to read the store itself.
+    fn must_read(&self) -> bool {
+        let known = self.feed.borrow().revision() > 0;
+        let age = self.currency.borrow().age(self.now());
+        !known || reads_store(self.members.reader_rank(), age)
+    }
+
+    /// Leaves reading to other nodes until this one has to.
+    async fn follow(&self) {
+        let revision = self.feed.borrow().revision();
+        self.reading.set(false);
+        log::info!(revision; "other nodes read the store");
+        while !self.must_read() {
+            sleep(FOLLOW_CHECK).await;
+        }
+        let age_ms = self.news_age(self.now()).as_millis() as u64;
+        let (revision, rank) = (self.feed.borrow().revision(), self.members.reader_rank());
+        log::info!(revision, rank, age_ms; "this node reads the store");
+    }
+
     /// Asks other nodes for what this one lacks: when they are ahead, and regularly while the store is lost.
     async fn follow_peers(self: Rc<Self>) {
         loop {
             let told = timeout(PEER_INTERVAL, self.behind.notified()).await.is_ok();
             if told {
-                sleep(PEER_DELAY).await;
+                let delay = if self.reading.get() {
+                    PEER_DELAY
+                } else {
+                    self.rng
+                        .borrow_mut()
+                        .random_range(Duration::ZERO..FOLLOW_SPREAD)
+                };
+                sleep(delay).await;
             }
             let revision = self.feed.borrow().revision();
             let ahead = self.members.ahead(&self, revision);
@@ -115,9 +160,21 @@
                 continue;
             };
             match fetch_update(peer, revision).await {
-                Ok(update) => {
-                    self.informed.set(self.now());
+                Ok(PeerNews {
+                    update,
+                    age_ms,
+                    grace_ms,
+                }) => {
+                    let now = self.now();
                     let (from, to) = (revision, update.revision);
+                    let grace = Duration::from_millis(grace_ms.into());
+                    if !grace.is_zero() {
+                        self.registry.borrow_mut().distrust(now, grace);
+                    }
+                    if to >= self.feed.borrow().revision() {
+                        let age = Duration::from_millis(age_ms.into());
+                        self.currency.borrow_mut().confirmed(now, age);
+                    }
                     let changes = self.feed.borrow_mut().merge(update);
                     if !changes.is_empty() {
                         log::info!(peer:% = peer, from, to, changes = changes.len(); "caught up from another node");
@@ -193,8 +250,30 @@
     }
 }
 
+/// What a node tells another one that asks for changes.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct PeerNews {
+    update: Update,
+    /// How long ago the sender's copy was known to be complete, milliseconds.
+    age_ms: u32,
+    /// For how long the sender holds back removals after an outage, milliseconds.
+    grace_ms: u32,
+}
+
+impl Gateway {
+    /// Returns what a node that is complete up to `after` lacks.
+    pub(super) fn news_since(&self, after: u64) -> PeerNews {
+        let now = self.now();
+        PeerNews {
+            update: self.feed.borrow().since(after),
+            age_ms: millis(self.news_age(now)),
+            grace_ms: millis(self.registry.borrow().grace_left(now)),
+        }
+    }
+}
+
 /// Asks another node for what one that is complete up to `revision` lacks.
-async fn fetch_update(peer: SocketAddr, revision: u64) -> anyhow::Result<Update> {
+async fn fetch_update(peer: SocketAddr, revision: u64) -> anyhow::Result<PeerNews> {
     let exchange = async {
         let mut connection = Connection::open(peer).await?;
         let request = format!("GET {FEED_PATH}?{revision} HTTP/1.1\r\nHost: {peer}\r\n\r\n");
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -12,7 +12,6 @@
 };
 
 use crate::{
-    core::feed::Update,
     gateway::{
         Listen,
         dispatch::{Inbound, dispatch},
@@ -179,8 +178,7 @@
     let Some(after) = after.filter(|_| request.uri().path() == FEED_PATH) else {
         return plain(StatusCode::NOT_FOUND);
     };
-    let update: Update = gateway.feed.borrow().since(after);
-    match postcard::to_allocvec(&update) {
+    match postcard::to_allocvec(&gateway.news_since(after)) {
         Ok(bytes) => Response::new(Full::new(bytes.into())),
         Err(error) => {
             log::error!(error:% = error; "update for a peer cannot be encoded");
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -9,12 +9,13 @@
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     adapter::peer::ControlSocket,
     core::{
         Incarnation, NodeId, Outbound, Time,
+        feed::{READERS, reader_rank},
         member::{MemberMessage, MemberSettings, Membership},
     },
     gateway::{Settings, state::Gateway},
@@ -35,6 +36,8 @@
 const NAMED: usize = 8;
 /// Time after which what a node said about itself no longer counts.
 const NOTE_AGE: Duration = Duration::from_secs(10);
+/// Time between two announcements of a node that reads the store to those that do not.
+const ANNOUNCE: Duration = Duration::from_millis(400);
 /// Time between two tries to reach seeds that are not known as nodes.
 const SEED_RETRY: Duration = Duration::from_secs(1);
 
@@ -45,6 +48,8 @@
     ready: bool,
     /// Revision up to which its copy of the platform's items is complete.
     revision: u64,
+    /// How long ago that was known for certain, milliseconds.
+    age_ms: u32,
     /// Peer addresses of nodes that it holds for alive.
     others: SmallVec<[SocketAddr; NAMED]>,
 }
@@ -108,6 +113,12 @@
         ready.into_iter()
     }
 
+    /// Returns this node's place in the order in which nodes become readers of the store.
+    pub(super) fn reader_rank(&self) -> usize {
+        let view = self.view.borrow();
+        reader_rank(&self.me, view.alive().iter())
+    }
+
     /// Returns a live node whose copy of the platform's items is ahead of `revision`.
     pub(super) fn ahead(&self, gateway: &Gateway, revision: u64) -> Option<SocketAddr> {
         let view = self.view.borrow();
@@ -128,6 +139,11 @@
     }
 }
 
+/// Returns whole milliseconds, as messages between nodes carry them.
+pub(super) fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn address(node: &NodeId) -> Option<SocketAddr> {
     node.as_str().parse().ok()
 }
@@ -141,6 +157,7 @@
         Note {
             ready: self.is_ready(),
             revision: self.feed.borrow().revision(),
+            age_ms: millis(self.news_age(self.now())),
             others: others.into_iter().filter_map(address).collect(),
         }
     }
@@ -191,19 +208,22 @@
                 }
                 view.receive(now, &incoming.from, incoming.message, &own, &mut out);
             }
-            let ahead = note.revision > own.revision;
+            let (revision, age) = (note.revision, Duration::from_millis(note.age_ms.into()));
             self.members
                 .notes
                 .borrow_mut()
                 .insert(incoming.from, (note, now));
-            if ahead {
+            if revision > own.revision {
                 self.behind.notify_one();
+            } else {
+                // The sender was complete with what this node has, too.
+                self.currency.borrow_mut().confirmed(now, age);
             }
             self.send(out).await;
         }
     }
 
-    /// Tells all nodes at once that this one is leaving.
+    /// Tells all nodes at once what this one says about itself.
     pub(super) async fn announce(&self) {
         let note = self.note();
         let mut out = Vec::new();
@@ -211,6 +231,18 @@
         self.send(out).await;
     }
 
+    /// Tells the nodes that do not read the store what this one has, at once when there is news and regularly, as
+    /// long as the process runs.
+    pub(super) async fn tell_followers(self: Rc<Self>) {
+        loop {
+            // A timeout only means that there was no news.
+            let _ = timeout(ANNOUNCE, self.news.notified()).await;
+            if self.reading.get() && self.members.alive_count() > READERS {
+                self.announce().await;
+            }
+        }
+    }
+
     fn ask_seeds(&self, now: Time) {
         let due = self
             .members
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,7 +17,10 @@
 use crate::{
     adapter::{Clock, peer::ControlSocket},
     core::{
-        Incarnation, Time, feed::Feed, placement::planned_nodes, registry::Registry,
+        Incarnation, Time,
+        feed::{Currency, Feed},
+        placement::planned_nodes,
+        registry::Registry,
         routing::Routing,
     },
     gateway::{
@@ -54,8 +57,14 @@
     pub(super) callers: Cell<usize>,
     /// Since when the store has not answered this node.
     pub(super) store_lost: Cell<Option<Time>>,
-    /// When the store or another node last told what there is.
-    pub(super) informed: Cell<Time>,
+    /// Whether this node reads the store, and the store answered its last call.
+    pub(super) reading: Cell<bool>,
+    /// When the store last answered this node.
+    pub(super) answered: Cell<Option<Time>>,
+    /// What other nodes say of how current this node's copy of the store's items is.
+    pub(super) currency: RefCell<Currency>,
+    /// Signals that this node's own read of the store brought changes.
+    pub(super) news: Notify,
     /// Signals that another node's copy of the store's items is ahead.
     pub(super) behind: Notify,
     pub(super) metrics: PrometheusHandle,
@@ -71,6 +80,13 @@
         planned_nodes(self.members.alive_count())
     }
 
+    /// Returns how long ago this node's copy of the store's items was known to be complete.
+    pub(super) fn news_age(&self, now: Time) -> Duration {
+        let told = self.currency.borrow().age(now);
+        let read = self.answered.get().map(|at| now.since(at));
+        read.map_or(told, |read| read.min(told))
+    }
+
     /// Returns whether the node takes requests.
     pub(super) fn is_ready(&self) -> bool {
         !self.leaving.get()
@@ -130,7 +146,10 @@
         requests: Cell::new(0),
         callers: Cell::new(0),
         store_lost: Cell::new(None),
-        informed: Cell::new(started),
+        reading: Cell::new(false),
+        answered: Cell::new(None),
+        currency: RefCell::new(Currency::new(started)),
+        news: Notify::new(),
         behind: Notify::new(),
         metrics: start_metrics(),
         settings: RefCell::new(settings),
@@ -145,6 +164,7 @@
     tokio::task::spawn_local(gateway.clone().watch_store());
     tokio::task::spawn_local(gateway.clone().gossip());
     tokio::task::spawn_local(gateway.clone().receive_gossip());
+    tokio::task::spawn_local(gateway.clone().tell_followers());
     tokio::task::spawn_local(gateway.clone().upkeep());
     ingress::serve(&gateway, listeners);
     let mut terminate = signal(SignalKind::terminate()).context("watch for SIGTERM")?;
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod feed;
 mod gather;
 mod placement;
+mod readers;
 mod registry;
 mod retry;
 mod routing;
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -4,6 +4,7 @@
 };
 
 use cranberrychute_emulator::Access;
+use rustix::process::Signal;
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -13,6 +14,11 @@
 const PIPE_BYTES: usize = 64 << 10;
 /// Time of a request that was held up by something else than its leaf.
 const HELD_UP: Duration = Duration::from_secs(1);
+/// Changes in a row, and the time between two: longer than the pause in which a node collects changes.
+const CHANGES: u64 = 12;
+const CHANGE_GAP: Duration = Duration::from_millis(400);
+/// Time after a disturbance of the store from which on its bounds hold again.
+const STABLE: Duration = Duration::from_secs(4);
 /// Time after which an accepted configuration must be in force.
 const APPLY: Duration = Duration::from_secs(3);
 
@@ -79,6 +85,90 @@
     }
 }
 
+/// Guards against a change that nobody learns of for seconds because the store lost the answers to all waiting watches
+/// before.
+#[tokio::test]
+async fn lost_answers_of_watches_are_noticed() {
+    let site = Site::start(1, 3).await;
+    let nodes = site.nodes().await;
+    site.store.access_all(Access::Silent);
+    sleep(Duration::from_millis(300)).await;
+    site.store.put("op/config", &with_new_route(&site));
+    site.store.access_all(Access::Served);
+    let back = Instant::now();
+    for node in &nodes {
+        until("the new route is served", async || {
+            is_served(node, "/new/x").await
+        })
+        .await;
+    }
+    let took = back.elapsed();
+    assert!(took < STABLE, "in force {took:?} after the store's return");
+}
+
+/// Guards against nodes that rely on readers of the store which are gone, frozen or refused by it.
+#[tokio::test]
+async fn nodes_read_the_store_when_its_readers_fail() {
+    for trouble in [Signal::KILL, Signal::STOP] {
+        let site = Site::start(1, 6).await;
+        let mut nodes = site.nodes().await;
+        let reads = |node: &Node| {
+            let log = node.log();
+            let role = |line: &&str| line.contains("the store\",");
+            !log.lines()
+                .rfind(role)
+                .is_some_and(|line| line.contains("other nodes read"))
+        };
+        until("two nodes read the store", async || {
+            nodes.iter().filter(|node| reads(node)).count() == 2
+        })
+        .await;
+        let (readers, others): (Vec<&Node>, Vec<&Node>) =
+            nodes.iter().partition(|node| reads(node));
+        readers.iter().for_each(|node| node.signal(trouble));
+        site.store.put("op/config", &with_new_route(&site));
+        let written = Instant::now();
+        for node in &others {
+            until("the new route is served", async || {
+                is_served(node, "/new/x").await
+            })
+            .await;
+        }
+        let took = written.elapsed();
+        assert!(took < APPLY, "{trouble:?}: in force after {took:?}");
+        nodes.iter_mut().for_each(Node::kill);
+    }
+}
+
+/// Guards against one call to the store for each node and change.
+#[tokio::test]
+async fn calls_to_the_store_do_not_grow_with_the_fleet() {
+    let site = Site::start(1, 6).await;
+    let nodes = site.nodes().await;
+    until("all nodes are ready", async || {
+        let mut ready = 0;
+        for node in &nodes {
+            ready += usize::from(node.is_ready().await);
+        }
+        ready == nodes.len()
+    })
+    .await;
+    // Nodes that read at their start have seen by then that others do.
+    sleep(Duration::from_secs(3)).await;
+    let before = site.store.calls();
+    for version in 0..CHANGES {
+        site.store.put("op/config", &site.config(8 + version));
+        sleep(CHANGE_GAP).await;
+    }
+    let calls = site.store.calls() - before;
+    let seconds = (CHANGE_GAP * CHANGES as u32).as_secs();
+    let two_nodes = 2 * (CHANGES + seconds + 2);
+    assert!(
+        calls <= two_nodes,
+        "{calls} calls of 6 nodes for {CHANGES} changes in {seconds} s"
+    );
+}
+
 /// Guards against a node without memory that cannot start while the store is away.
 #[tokio::test]
 async fn a_node_starts_from_the_others_while_the_store_is_down() {
