Keep connections to a stable part of a shard's leafs

A node now keeps connections to as many leafs of a service as its share of all connections allows, in an order of its own. Another leaf gets a call only when those stand still, and its connection is closed afterwards.

Ruled out: counting half as many unseen nodes again for connections, which leaves one leaf for each shard and none for second calls.

Also in calls.rs: "not run" follows ExchangeError::is_unsent, and one method sets how long a leaf stays cold.

--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -13,5 +13,5 @@
     contention::Contention,
     gauge::{CallToken, Gauge, LeafLoad, Outcome},
     pick::{Candidate, pick},
-    share::{cold_share, connection_share, planned_nodes},
+    share::{ConnectionShare, cold_share, connected_nodes, connection_share, planned_nodes},
 };
--- a/src/core/placement/pick.rs
+++ b/src/core/placement/pick.rs
@@ -12,6 +12,9 @@
 /// cost, and the way there and back takes time. A near leaf that is slower or busier by more is passed over.
 const FAR: f64 = 0.4;
 
+/// Extra cost of a leaf to which this node keeps no connections: below that of one that stands still.
+const AWAY: f64 = 2.0;
+
 /// Extra cost of opening a connection first.
 const CONNECT: f64 = 0.6;
 
@@ -24,6 +27,8 @@
     pub gauge: &'a Gauge,
     /// It is in this node's failure domain.
     pub near: bool,
+    /// This node keeps no connections to it, since the leaf accepts too few for all nodes.
+    pub away: bool,
     /// It is slower than it will be, since it has just started.
     pub cold: bool,
     /// A connection is open already.
@@ -42,6 +47,7 @@
             let mut cost = candidate.gauge.cost(now, usual);
             cost *= 1.0 + rng.random_range(0.0..NOISE);
             cost += if candidate.near { 0.0 } else { FAR };
+            cost += if candidate.away { AWAY } else { 0.0 };
             cost += if candidate.cold { COLD } else { 0.0 };
             cost += if candidate.connected { 0.0 } else { CONNECT };
             (index, cost)
--- a/src/core/placement/share.rs
+++ b/src/core/placement/share.rs
@@ -7,9 +7,33 @@
     alive + UNSEEN.max(alive / 2)
 }
 
-/// Returns how many connections one node may keep to a leaf that accepts `limit` from all nodes.
-pub fn connection_share(limit: u32, nodes: usize) -> usize {
-    (limit as usize / nodes.max(1)).max(1)
+/// Returns the number of nodes among which connections to leafs are split. A leaf resets those beyond its limit, which
+/// costs the time to open them again but no request, so only a few unseen nodes are counted.
+pub fn connected_nodes(alive: usize) -> usize {
+    alive + UNSEEN
+}
+
+/// The connections that one node keeps to the leafs of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionShare {
+    /// Leafs to which it keeps connections.
+    pub leafs: usize,
+    /// Connections to each of them.
+    pub each: usize,
+}
+
+/// Returns the share of one of `nodes` nodes in the connections to `leafs` leafs that accept `limit` each from all
+/// nodes.
+///
+/// Situation answered here: more nodes than a leaf accepts connections. Each node then keeps to a part of a shard's
+/// leafs, at least one.
+pub fn connection_share(limit: u32, leafs: usize, nodes: usize) -> ConnectionShare {
+    let own = limit as usize * leafs / nodes.max(1);
+    let used = own.clamp(1, leafs.max(1));
+    ConnectionShare {
+        leafs: used,
+        each: (own / used).max(1),
+    }
 }
 
 /// Returns the calls a second that one node may send to a cold leaf that bears `rate`, with `overshoot` and
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -109,15 +109,15 @@
         let result = match timeout(left, self.exchange(&gateway)).await {
             Ok(Ok(reply)) => self.judge(&gateway, &mut running, reply),
             Ok(Err(error)) => {
-                let (outcome, failure) = match error.step {
-                    ExchangeStep::Connect => (Outcome::Refused, Failure::NotRun),
-                    // An idle connection that had just been closed.
-                    ExchangeStep::Start => (Outcome::Broken, Failure::NotRun),
-                    _ => (Outcome::Broken, Failure::MayHaveRun),
-                };
-                running.end(outcome);
+                running.end(match error.step {
+                    ExchangeStep::Connect => Outcome::Refused,
+                    _ => Outcome::Broken,
+                });
                 Err(CallFailure {
-                    failure,
+                    failure: match error.is_unsent() {
+                        true => Failure::NotRun,
+                        false => Failure::MayHaveRun,
+                    },
                     reply: None,
                     reason: error.to_string(),
                 })
@@ -179,8 +179,7 @@
             self.leaf.gauge.borrow_mut().reported(now, load);
         }
         if let Some(cold) = answer.cold {
-            let until = (!cold.is_zero()).then(|| now + cold);
-            self.leaf.cold_until.set(until);
+            self.leaf.set_cold(now, cold);
         }
         if answer.misdirected {
             log::info!(leaf:% = self.leaf.instance(), id = &*self.id; "another leaf has the address");
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -13,9 +13,12 @@
     adapter::http1::Connection,
     core::{
         Domain, Instance, ServiceName, Time,
-        placement::{Candidate, Contention, Gauge, cold_share, connection_share, pick},
+        placement::{
+            Candidate, Contention, Gauge, cold_share, connected_nodes, connection_share, pick,
+        },
         registry::{LeafChange, LeafRecord},
         retry::RetryBudget,
+        score,
     },
     gateway::{Settings, state::Gateway},
 };
@@ -37,20 +40,32 @@
     open: Cell<usize>,
     /// Another leaf has its address.
     pub(super) misplaced: Cell<bool>,
-    pub(super) cold_until: Cell<Option<Time>>,
+    cold_until: Cell<Option<Time>>,
+    /// This node keeps connections to it.
+    kept: Cell<bool>,
+    /// Place among the leafs of its service in this node's order.
+    place: u64,
 }
 
 impl Leaf {
-    fn new(now: Time, record: Arc<LeafRecord>) -> Self {
-        let cold = (!record.cold.is_zero()).then(|| now + record.cold);
-        Self {
+    fn new(now: Time, record: Arc<LeafRecord>, node: &str) -> Self {
+        let leaf = Self {
             gauge: RefCell::new(Gauge::new(now, record.slots)),
             idle: RefCell::default(),
             open: Cell::new(0),
             misplaced: Cell::new(false),
-            cold_until: Cell::new(cold),
+            cold_until: Cell::new(None),
+            kept: Cell::new(false),
+            place: score(node, record.instance.as_str()),
             record: RefCell::new(record),
-        }
+        };
+        leaf.set_cold(now, leaf.record.borrow().cold);
+        leaf
+    }
+
+    /// Records that the leaf stays cold for `left`, warm if that is zero.
+    pub(super) fn set_cold(&self, now: Time, left: Duration) {
+        self.cold_until.set((!left.is_zero()).then(|| now + left));
     }
 
     pub(super) fn instance(&self) -> Instance {
@@ -87,11 +102,11 @@
         !self.idle.borrow().is_empty()
     }
 
-    /// Drops idle connections that their peer closed.
+    /// Drops idle connections that their peer closed, or all if none are kept.
     fn sweep(&self) {
         let mut idle = self.idle.borrow_mut();
         let before = idle.len();
-        idle.retain_mut(Connection::is_at_rest);
+        idle.retain_mut(|connection| self.kept.get() && connection.is_at_rest());
         self.open.set(self.open.get() - (before - idle.len()));
     }
 }
@@ -133,6 +148,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Service {
     pub(super) leafs: RefCell<Vec<Rc<Leaf>>>,
+    /// Connections that this node may have to each leaf.
+    share: Cell<usize>,
     pub(super) budget: RefCell<RetryBudget>,
     pub(super) contention: Cell<Contention>,
 }
@@ -207,8 +224,7 @@
                     log::info!(leaf:% = leaf, leaving, suppressed; "leaf changed state");
                 }
                 if record.cold != before.cold {
-                    let cold = (!record.cold.is_zero()).then(|| now + record.cold);
-                    leaf.cold_until.set(cold);
+                    leaf.set_cold(now, record.cold);
                 }
                 *leaf.record.borrow_mut() = record;
                 return;
@@ -225,7 +241,8 @@
                 "leaf present"
             );
         }
-        let leaf = Rc::new(Leaf::new(now, record.clone()));
+        let node = gateway.settings.borrow().name.clone();
+        let leaf = Rc::new(Leaf::new(now, record.clone(), &node));
         let service = self.service(&record.service);
         service.leafs.borrow_mut().push(leaf.clone());
         self.leafs
@@ -249,12 +266,33 @@
         leaf.misplaced.set(true);
     }
 
-    /// Drops connections that their peers closed.
+    /// Chooses the leafs to which connections are kept, and drops idle connections to others and those that their
+    /// peers closed.
     pub(super) fn sweep(&self, gateway: &Gateway) {
         let now = gateway.now();
+        let nodes = connected_nodes(gateway.members.alive_count());
+        for (name, service) in &*self.services.borrow() {
+            let limit = gateway
+                .routing
+                .borrow()
+                .service(name)
+                .map(|spec| spec.connections);
+            let mut usable: Vec<Rc<Leaf>> = service.leafs.borrow().clone();
+            usable.retain(|leaf| {
+                leaf.kept.set(false);
+                !leaf.misplaced.get() && !leaf.record.borrow().leaving
+            });
+            usable.sort_unstable_by_key(|leaf| leaf.place);
+            let share = connection_share(limit.unwrap_or(1), usable.len(), nodes);
+            service.share.set(share.each);
+            usable
+                .iter()
+                .take(share.leafs)
+                .for_each(|leaf| leaf.kept.set(true));
+        }
         for leaf in self.leafs.borrow().values() {
             leaf.sweep();
-            let useful = !leaf.misplaced.get() && !leaf.gauge.borrow().is_resting(now);
+            let useful = leaf.kept.get() && !leaf.gauge.borrow().is_resting(now);
             if leaf.open.get() == 0 && useful {
                 tokio::task::spawn_local(warm_up(leaf.clone(), Duration::ZERO));
             }
@@ -287,7 +325,7 @@
         let nodes = gateway.planned();
         let routing = gateway.routing.borrow();
         let spec = routing.service(name);
-        let share = spec.map_or(1, |spec| connection_share(spec.connections, nodes));
+        let share = service.share.get().max(1);
         let cold_rate = spec.and_then(|spec| {
             let bounds = &settings.bounds;
             cold_share(
@@ -327,6 +365,7 @@
             let candidate = Candidate {
                 gauge,
                 near: leaf.record.borrow().domain == settings.domain,
+                away: !leaf.kept.get(),
                 cold: leaf.is_cold(now),
                 connected: leaf.has_idle(),
             };
@@ -344,7 +383,7 @@
 /// Opens a connection before the first call needs it.
 async fn warm_up(leaf: Rc<Leaf>, delay: Duration) {
     sleep(delay).await;
-    if leaf.misplaced.get() || leaf.open.get() >= SPARE_CONNECTIONS {
+    if !leaf.kept.get() || leaf.open.get() >= SPARE_CONNECTIONS {
         return;
     }
     let mut lease = leaf.reserve();
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -3,8 +3,10 @@
 use cranberrychute::core::{
     Time,
     placement::{
-        Candidate, Gauge, LeafLoad, Outcome, cold_share, connection_share, pick, planned_nodes,
+        Candidate, Gauge, LeafLoad, Outcome, cold_share, connected_nodes, connection_share, pick,
+        planned_nodes,
     },
+    score,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
@@ -40,6 +42,7 @@
                 let candidate = Candidate {
                     gauge,
                     near: false,
+                    away: false,
                     cold: false,
                     connected: true,
                 };
@@ -193,9 +196,14 @@
     for alive in 1..300 {
         let nodes = planned_nodes(alive);
         assert!(nodes >= alive + 4);
-        for limit in [26, 52, 110, 540] {
-            let share = connection_share(limit, nodes);
-            assert!(share == 1 || share * nodes <= limit as usize);
+        for limit in [26, 52, 72, 110, 540] {
+            for leafs in 1..6 {
+                let share = connection_share(limit, leafs, nodes);
+                assert!((1..=leafs).contains(&share.leafs) && share.each > 0);
+                let all = share.leafs * share.each * nodes;
+                let least = share.leafs == 1 && share.each == 1;
+                assert!(least || all <= limit as usize * leafs);
+            }
         }
         let cold = cold_share(3.0, 1.5, 5.0, nodes).expect("there is a limit");
         assert!(cold * nodes as f64 <= 9.5 + 1e-9);
@@ -203,6 +211,54 @@
     assert_eq!(cold_share(0.0, 1.5, 5.0, 12), None);
 }
 
+/// Guards against a leaf that gets connections from all of more nodes than it accepts, and resets them.
+#[test]
+fn nodes_that_keep_to_a_part_of_the_leafs_stay_within_their_limit() {
+    let (nodes, leafs, limit) = (80, 3, 72_u32);
+    let share = connection_share(limit, leafs, connected_nodes(nodes));
+    assert_eq!((share.leafs, share.each), (2, 1));
+    for shard in 0..90 {
+        let names: Vec<String> = (0..leafs).map(|leaf| format!("i-{shard}-{leaf}")).collect();
+        let mut connections = vec![0_usize; leafs];
+        for node in 0..nodes {
+            let node = format!("node-{node}");
+            let mut order: Vec<usize> = (0..leafs).collect();
+            order.sort_by_key(|leaf| score(&node, &names[*leaf]));
+            order[..share.leafs]
+                .iter()
+                .for_each(|leaf| connections[*leaf] += share.each);
+        }
+        assert!(
+            connections.iter().all(|count| *count <= limit as usize),
+            "{connections:?}"
+        );
+    }
+}
+
+/// A node keeps connections to a part of the leafs: another one gets a call only when all of these stand still.
+#[test]
+fn a_leaf_without_connections_steps_in_for_those_that_stand_still() {
+    let mut rng = Pcg64::seed_from_u64(1);
+    let mut gauges = [Gauge::new(at(0), 2), Gauge::new(at(0), 2)];
+    let mut choose = |gauges: &[Gauge], now| {
+        let candidates = gauges.iter().enumerate().map(|(index, gauge)| {
+            let candidate = Candidate {
+                gauge,
+                near: false,
+                away: index == 1,
+                cold: false,
+                connected: index == 0,
+            };
+            (index, candidate)
+        });
+        pick(now, USUAL, candidates, &mut rng)
+    };
+    assert_eq!(choose(&gauges, at(0)), Some(0));
+    gauges[0].sent(at(0));
+    assert_eq!(choose(&gauges, at(10)), Some(0));
+    assert_eq!(choose(&gauges, at(60)), Some(1));
+}
+
 /// All leafs of a zone return cold: a node sends no more than its share, in any second.
 #[test]
 fn a_cold_leaf_gets_its_rate_at_most() {
