Do not send calls on connections that leafs may have forgotten

Cause: a leaf may forget a connection after a short rest and reset what comes next on it. With many leafs every connection rests for seconds, so each call to such a leaf fails once and takes a second call from the budget, and an order is lost with its connection: the new test sees 502 on the parent.

Two resets after a rest within half a second end the use of connections that rested for half as long, for 4 s. A request that must not run twice takes a connection only within 100 ms of its last use.

Also: when refused callers return is decided in one place (core::retry::come_back), by the urgency of the route and not before a leaf is tried again; counters of a route are made once.

--- a/emulator/src/worker.rs
+++ b/emulator/src/worker.rs
@@ -8,7 +8,11 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode};
 use serde_json::{Value, json};
-use tokio::{net::TcpListener, task::JoinSet, time::sleep};
+use tokio::{
+    net::TcpListener,
+    task::JoinSet,
+    time::{Instant, sleep},
+};
 
 use crate::http::{Closed, Payload, Reply, raw, serve};
 
@@ -25,8 +29,13 @@
     Loses,
     /// Answers nothing and runs nothing.
     Silent,
+    /// Closes connections that rested when the next request comes, and runs nothing.
+    Forgets,
 }
 
+/// Rest after which [`Conduct::Forgets`] closes a connection.
+const FORGOTTEN: Duration = Duration::from_millis(300);
+
 #[derive(Debug, Default)]
 struct State {
     id: String,
@@ -135,9 +144,20 @@
     let mut connections = JoinSet::new();
     while let Ok((stream, _)) = listener.accept().await {
         let state = state.clone();
+        let used = Arc::new(Mutex::new(Instant::now()));
         connections.spawn(serve(stream, move |request| {
-            let state = state.clone();
-            async move { answer(request, state).await }
+            let (state, used) = (state.clone(), used.clone());
+            async move {
+                let before = std::mem::replace(
+                    &mut *used.lock().expect("no panic while locked"),
+                    Instant::now(),
+                );
+                let forgets = lock(&state).conduct == Conduct::Forgets;
+                if forgets && before.elapsed() >= FORGOTTEN {
+                    return Err(Closed);
+                }
+                answer(request, state).await
+            }
         }));
     }
 }
@@ -184,7 +204,7 @@
             return Ok(build(StatusCode::SERVICE_UNAVAILABLE, &headers, b""));
         }
         Conduct::Silent => std::future::pending().await,
-        Conduct::Works | Conduct::Fails | Conduct::Loses => {}
+        Conduct::Works | Conduct::Fails | Conduct::Loses | Conduct::Forgets => {}
     }
     let count = {
         let mut state = lock(&state);
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -7,11 +7,13 @@
 mod contention;
 mod gauge;
 mod pick;
+mod rest;
 mod share;
 
 pub use self::{
     contention::Contention,
     gauge::{CallToken, Gauge, LeafLoad, Outcome},
     pick::{Candidate, pick},
+    rest::{LEAST_REST, RestLimit},
     share::{ConnectionShare, cold_share, connected_nodes, connection_share, planned_nodes},
 };
--- a/src/core/retry/mod.rs
+++ b/src/core/retry/mod.rs
@@ -4,6 +4,10 @@
 //! and its fixed part of the slack. Nodes need no agreement: a node that is cut off or has just started earns by
 //! its own requests, too.
 
+mod come_back;
+
+pub use self::come_back::come_back;
+
 use std::{collections::VecDeque, time::Duration};
 
 use crate::core::Time;
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -7,7 +7,7 @@
     core::{
         Time,
         gather::Failure,
-        placement::{CallToken, Outcome},
+        placement::{CallToken, LEAST_REST, Outcome},
     },
     gateway::{
         fleet::{CONNECT_LIMIT, Leaf},
@@ -38,6 +38,8 @@
     /// When the caller's request ends.
     pub(super) end: Time,
     pub(super) objective: Duration,
+    /// The request may run more than once.
+    pub(super) repeatable: bool,
     pub(super) stats: Rc<RefCell<RouteStats>>,
 }
 
@@ -143,14 +145,20 @@
             let record = self.leaf.record.borrow();
             (record.address, record.instance.clone())
         };
-        let mut lease = match self.leaf.take_idle() {
-            Some(lease) => lease,
+        let now = gateway.now();
+        // A request that must not run twice is lost with its connection.
+        let allows = |rested| {
+            rested < LEAST_REST
+                || self.repeatable && gateway.rest_limit.borrow().allows(now, rested)
+        };
+        let (mut lease, rested) = match self.leaf.take_idle(now, allows) {
+            Some((lease, rested)) => (lease, Some(rested)),
             None => {
                 let mut lease = self.leaf.reserve();
                 let opened = timeout(CONNECT_LIMIT, Connection::open(address)).await;
                 lease.connection =
                     Some(opened.unwrap_or_else(|_| Err(ExchangeError::no_connection(address)))?);
-                lease
+                (lease, None)
             }
         };
         let left = self.end.since(gateway.now()).saturating_sub(WAY_BACK);
@@ -161,9 +169,15 @@
             .expect("the lease was just filled");
         let reply = connection
             .exchange(&bytes, MAX_BODY, |reply| owns_answer(reply, &self.id))
-            .await?;
-        lease.release();
-        Ok(reply)
+            .await;
+        match (&reply, rested) {
+            (Ok(_), _) => lease.release(gateway.now()),
+            (Err(error), Some(rested)) if error.step != ExchangeStep::Body => {
+                gateway.rest_limit.borrow_mut().reset(now, rested);
+            }
+            (Err(_), _) => {}
+        }
+        reply
     }
 
     fn judge(
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -1,7 +1,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use http::StatusCode;
-use rand::{Rng, seq::SliceRandom};
+use rand::seq::SliceRandom;
 
 use crate::{
     gateway::{
@@ -16,9 +16,6 @@
 pub(super) const ANSWER_LIFE: Duration = Duration::from_secs(1);
 /// Most addresses in one answer.
 const MAX_ADDRESSES: usize = 64;
-/// Shortest and longest time after which a refused caller may come back while nothing is configured,
-/// milliseconds.
-const COME_BACK_MS: (u64, u64) = (150, 400);
 
 impl Gateway {
     /// Answers a caller that asks which addresses to use: all nodes that take requests.
@@ -41,13 +38,4 @@
         let life = ANSWER_LIFE.min(self.settings.borrow().bounds.answer_life);
         directory_answer(&addresses, life)
     }
-
-    /// Returns when a caller may come back that was refused since nothing is configured yet.
-    pub(super) fn come_back(&self) -> Duration {
-        let millis = self
-            .rng
-            .borrow_mut()
-            .random_range(COME_BACK_MS.0..COME_BACK_MS.1);
-        Duration::from_millis(millis)
-    }
 }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -4,7 +4,6 @@
 use futures::{StreamExt, stream::FuturesUnordered};
 use http::{Response, StatusCode};
 use http_body_util::Full;
-use rand::Rng;
 use smallvec::SmallVec;
 use tokio::time::{sleep, timeout};
 
@@ -13,13 +12,13 @@
     core::{
         ServiceName, Time,
         gather::{End, Failure, Plan, PlanSettings, Step, merge_top},
-        retry::Purpose,
+        retry::{Purpose, come_back},
         routing::{Gather, Repeat, Route, Target},
     },
     gateway::{
         calls::{Call, CallEnd},
         fleet::{Leaf, NoLeaf, Service},
-        routes::RouteStats,
+        routes::{RequestOutcome, RouteStats},
         state::Gateway,
     },
     platform::{CallRequest, CallerRequest, FinalAnswer},
@@ -35,10 +34,6 @@
 /// Time for which calls go on that are no longer waited for. A leaf that only paused answers within it, and its
 /// connection stays open.
 const LINGER: Duration = Duration::from_millis(300);
-/// Time after which a refused caller may come back when nothing tells when a leaf is usable again.
-const COME_BACK: Duration = Duration::from_millis(100);
-/// Factor up to which that time is drawn, so that refused callers do not return together.
-const COME_BACK_SPREAD: f64 = 2.0;
 
 /// A caller's request on its way through the tier.
 pub(super) struct Inbound {
@@ -270,6 +265,7 @@
             id: self.inbound.caller.id.clone(),
             end: self.end,
             objective: self.inbound.route.objective,
+            repeatable: self.inbound.route.repeat == Repeat::Idempotent,
             stats: self.stats.clone(),
         })
     }
@@ -324,20 +320,14 @@
         let id = &*self.inbound.caller.id;
         let missing = self.services.len() - self.plan.done();
         let outcome = match end {
-            End::Answer if missing > 0 => "partial",
-            End::Answer => "answered",
-            End::Unreachable => "unreachable",
-            End::Timeout => "timeout",
+            End::Answer if missing > 0 => RequestOutcome::Partial,
+            End::Answer => RequestOutcome::Answered,
+            End::Unreachable => RequestOutcome::Unreachable,
+            End::Timeout => RequestOutcome::Timeout,
         };
-        let labels = [
-            ("route", self.inbound.route.name.to_string()),
-            ("outcome", outcome.to_owned()),
-        ];
-        metrics::counter!("cranberrychute_requests_total", &labels).increment(1);
-        metrics::counter!("cranberrychute_extra_calls_total").increment(self.extra.into());
-        metrics::histogram!("cranberrychute_request_seconds").record(elapsed.as_secs_f64());
-        if outcome != "answered"
-            && let Some(suppressed) = self.gateway.journal.admit(now, outcome)
+        self.stats.borrow().count(outcome, elapsed, self.extra);
+        if outcome != RequestOutcome::Answered
+            && let Some(suppressed) = self.gateway.journal.admit(now, outcome.label())
         {
             let absent = (0..self.services.len()).filter(|part| !self.plan.is_done(*part));
             let absent: Vec<_> = absent.map(|part| self.services[part].0.as_str()).collect();
@@ -345,7 +335,7 @@
                 id,
                 route = &*self.inbound.route.name,
                 version = self.gateway.routing.borrow().version(),
-                outcome,
+                outcome = outcome.label(),
                 elapsed_ms = elapsed.as_millis() as u64,
                 extra_calls = self.extra,
                 missing = absent.join(","),
@@ -377,7 +367,9 @@
             return FinalAnswer::Leaf(reply).response(id);
         }
         if !self.plan.may_have_run() {
-            let again = self.come_back(now);
+            let earliest = self.again.map_or(Duration::ZERO, |again| again.since(now));
+            let rank = self.inbound.route.rank;
+            let again = come_back(earliest, rank, &mut *self.gateway.rng.borrow_mut());
             return FinalAnswer::Refused { again }.response(id);
         }
         let status = match end {
@@ -387,17 +379,6 @@
         FinalAnswer::Lost(status).response(id)
     }
 
-    /// Returns when a refused caller may come back: when a leaf is tried again, spread.
-    fn come_back(&self, now: Time) -> Duration {
-        let until = self.again.map_or(Duration::ZERO, |again| again.since(now));
-        let spread = self
-            .gateway
-            .rng
-            .borrow_mut()
-            .random_range(1.0..COME_BACK_SPREAD);
-        until.max(COME_BACK).mul_f64(spread)
-    }
-
     /// Counts and logs a decision about a part, with what it rests on.
     fn note(&self, now: Time, part: usize, decision: &'static str, purpose: Option<Purpose>) {
         let gateway = &self.gateway;
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -35,7 +35,8 @@
 pub(super) struct Leaf {
     pub(super) record: RefCell<Arc<LeafRecord>>,
     pub(super) gauge: RefCell<Gauge>,
-    idle: RefCell<Vec<Connection>>,
+    /// Idle connections, and since when they rest.
+    idle: RefCell<Vec<(Connection, Time)>>,
     /// Connections, idle ones and those being opened included.
     open: Cell<usize>,
     /// Another leaf has its address.
@@ -76,14 +77,20 @@
         self.cold_until.get().is_some_and(|until| now < until)
     }
 
-    /// Takes an idle connection. It counts as open until it is released or the lease is dropped.
-    pub(super) fn take_idle(self: &Rc<Self>) -> Option<ConnectionLease> {
+    /// Takes an idle connection that has rested for a time that `allows`, with that time. Others are closed. It counts
+    /// as open until it is released or the lease is dropped.
+    pub(super) fn take_idle(
+        self: &Rc<Self>,
+        now: Time,
+        allows: impl Fn(Duration) -> bool,
+    ) -> Option<(ConnectionLease, Duration)> {
         loop {
-            let mut connection = self.idle.borrow_mut().pop()?;
+            let (mut connection, since) = self.idle.borrow_mut().pop()?;
+            let rested = now.since(since);
             let mut lease = ConnectionLease::of(self);
-            if connection.is_at_rest() {
+            if allows(rested) && connection.is_at_rest() {
                 lease.connection = Some(connection);
-                return Some(lease);
+                return Some((lease, rested));
             }
         }
     }
@@ -106,7 +113,7 @@
     fn sweep(&self) {
         let mut idle = self.idle.borrow_mut();
         let before = idle.len();
-        idle.retain_mut(|connection| self.kept.get() && connection.is_at_rest());
+        idle.retain_mut(|(connection, _)| self.kept.get() && connection.is_at_rest());
         self.open.set(self.open.get() - (before - idle.len()));
     }
 }
@@ -127,11 +134,11 @@
     }
 
     /// Gives the connection back for the next call if it is at rest.
-    pub(super) fn release(mut self) {
+    pub(super) fn release(mut self, now: Time) {
         if let Some(mut connection) = self.connection.take()
             && connection.is_at_rest()
         {
-            self.leaf.idle.borrow_mut().push(connection);
+            self.leaf.idle.borrow_mut().push((connection, now));
             // The place stays taken by the idle connection.
             self.leaf.open.set(self.leaf.open.get() + 1);
         }
@@ -252,7 +259,7 @@
             .rng
             .borrow_mut()
             .random_range(Duration::ZERO..FIRST_CONNECTIONS);
-        tokio::task::spawn_local(warm_up(leaf, delay));
+        tokio::task::spawn_local(warm_up(gateway.clone(), leaf, delay));
     }
 
     fn detach(&self, leaf: &Rc<Leaf>) {
@@ -268,7 +275,7 @@
 
     /// Chooses the leafs to which connections are kept, and drops idle connections to others and those that their
     /// peers closed.
-    pub(super) fn sweep(&self, gateway: &Gateway) {
+    pub(super) fn sweep(&self, gateway: &Rc<Gateway>) {
         let now = gateway.now();
         let nodes = connected_nodes(gateway.members.alive_count());
         for (name, service) in &*self.services.borrow() {
@@ -294,7 +301,7 @@
             leaf.sweep();
             let useful = leaf.kept.get() && !leaf.gauge.borrow().is_resting(now);
             if leaf.open.get() == 0 && useful {
-                tokio::task::spawn_local(warm_up(leaf.clone(), Duration::ZERO));
+                tokio::task::spawn_local(warm_up(gateway.clone(), leaf.clone(), Duration::ZERO));
             }
         }
     }
@@ -381,7 +388,7 @@
 }
 
 /// Opens a connection before the first call needs it.
-async fn warm_up(leaf: Rc<Leaf>, delay: Duration) {
+async fn warm_up(gateway: Rc<Gateway>, leaf: Rc<Leaf>, delay: Duration) {
     sleep(delay).await;
     if !leaf.kept.get() || leaf.open.get() >= SPARE_CONNECTIONS {
         return;
@@ -391,7 +398,7 @@
     match timeout(CONNECT_LIMIT, Connection::open(address)).await {
         Ok(Ok(connection)) => {
             lease.connection = Some(connection);
-            lease.release();
+            lease.release(gateway.now());
         }
         // A call finds out whether the leaf is down.
         Ok(Err(error)) => {
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::{
+    core::retry::come_back,
     gateway::{
         Listen,
         dispatch::{Inbound, dispatch},
@@ -24,6 +25,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Smallest buffer that hyper allows.
 const MIN_BUFFER: usize = 8 << 10;
+/// Time in which a node that has just started learns the configuration.
+const NO_CONFIGURATION: Duration = Duration::from_millis(150);
 /// Path at which other nodes ask for what they lack.
 pub(super) const FEED_PATH: &str = "/v1/feed";
 /// Path of the metrics page.
@@ -207,7 +210,7 @@
         FinalAnswer::Rejected(status).response(&caller.id)
     };
     if routing.is_empty() {
-        let again = gateway.come_back();
+        let again = come_back(NO_CONFIGURATION, 0, &mut *gateway.rng.borrow_mut());
         let _ = reject(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet");
         return FinalAnswer::Refused { again }.response(&caller.id);
     }
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -1,4 +1,6 @@
-use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::RefCell, collections::HashMap, fmt, rc::Rc, sync::Arc, time::Duration};
+
+use metrics::{Counter, Histogram};
 
 use crate::core::{
     leaf::LatencyWindow,
@@ -20,8 +22,35 @@
 /// Calls after which quantiles are computed again.
 const REFRESH: u32 = 16;
 
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RequestOutcome {
+    Answered,
+    Partial,
+    Unreachable,
+    Timeout,
+}
+
+impl RequestOutcome {
+    const ALL: [Self; 4] = [
+        Self::Answered,
+        Self::Partial,
+        Self::Unreachable,
+        Self::Timeout,
+    ];
+
+    /// Returns the label used in logs and metrics.
+    pub(super) fn label(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Partial => "partial",
+            Self::Unreachable => "unreachable",
+            Self::Timeout => "timeout",
+        }
+    }
+}
+
 /// What is measured for one route.
-#[derive(Debug)]
 pub(super) struct RouteStats {
     window: LatencyWindow,
     since: u32,
@@ -32,11 +61,35 @@
     /// Longest time that a caller of the route said to wait.
     pub(super) patience: Duration,
     pub(super) spread: Spread,
+    /// Requests by outcome, in the order of [`RequestOutcome::ALL`].
+    requests: [Counter; 4],
+    extra: Counter,
+    seconds: Histogram,
+}
+
+impl fmt::Debug for RouteStats {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RouteStats")
+            .field("usual", &self.usual)
+            .field("hedge", &self.hedge)
+            .finish_non_exhaustive()
+    }
 }
 
 impl RouteStats {
-    fn new(objective: Duration) -> Self {
+    fn new(route: &Route) -> Self {
+        let objective = route.objective;
+        let requests = RequestOutcome::ALL.map(|outcome| {
+            let labels = [
+                ("route", route.name.to_string()),
+                ("outcome", outcome.label().to_owned()),
+            ];
+            metrics::counter!("cranberrychute_requests_total", &labels)
+        });
         Self {
+            requests,
+            extra: metrics::counter!("cranberrychute_extra_calls_total"),
+            seconds: metrics::histogram!("cranberrychute_request_seconds"),
             window: LatencyWindow::default(),
             since: 0,
             usual: objective.mul_f64(FIRST_USUAL),
@@ -46,6 +99,13 @@
         }
     }
 
+    /// Counts a request that ended after `elapsed`, with `extra` calls beyond the first for each part.
+    pub(super) fn count(&self, outcome: RequestOutcome, elapsed: Duration, extra: u32) {
+        self.requests[outcome as usize].increment(1);
+        self.extra.increment(extra.into());
+        self.seconds.record(elapsed.as_secs_f64());
+    }
+
     /// Records the latency of a leaf call, one of a call that lost against another leaf's included.
     pub(super) fn record(&mut self, latency: Duration, objective: Duration) {
         let micros = u32::try_from(latency.as_micros()).unwrap_or(u32::MAX);
@@ -73,7 +133,7 @@
         if let Some(known) = stats.get(&route.name) {
             return known.clone();
         }
-        let new = Rc::new(RefCell::new(RouteStats::new(route.objective)));
+        let new = Rc::new(RefCell::new(RouteStats::new(route)));
         stats.insert(route.name.clone(), new.clone());
         new
     }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -3,11 +3,13 @@
 #[path = "../seeds/mod.rs"]
 mod seeds;
 
+mod come_back;
 mod feed;
 mod gather;
 mod placement;
 mod readers;
 mod registry;
+mod rest;
 mod retry;
 mod routing;
 
--- a/tests/gateway/requests.rs
+++ b/tests/gateway/requests.rs
@@ -1,6 +1,7 @@
 use std::time::{Duration, Instant};
 
 use cranberrychute_emulator::Conduct;
+use tokio::time::sleep;
 
 use crate::site::{HOST, Site, send, until};
 
@@ -56,6 +57,23 @@
     assert!(moved.arrivals() <= 1, "the address is asked again");
 }
 
+/// Guards against an order that is lost with a connection that its leaf has forgotten while it rested.
+#[tokio::test]
+async fn an_order_never_goes_out_on_a_connection_that_may_be_forgotten() {
+    let site = Site::start(1, 1).await;
+    let node = &site.nodes().await[0];
+    for leaf in &site.shards[0] {
+        leaf.conduct(Conduct::Forgets);
+    }
+    for order in 0..4 {
+        let id = format!("o{order}");
+        assert_eq!(node.order("/order/x", &id).await.status, 200);
+        let runs: u32 = site.shards[0].iter().map(|leaf| leaf.runs(&id)).sum();
+        assert_eq!(runs, 1);
+        sleep(Duration::from_millis(400)).await;
+    }
+}
+
 /// Guards against an answer that is held up by a leaf that stands still.
 #[tokio::test]
 async fn a_silent_leaf_delays_no_query_beyond_its_objective() {
