Fetch large changes from the store and decode them apart

A node answers a question for changes only up to the size that the asking one takes, 64 KB; beyond that it is sent on to the store. Values above 32 KB are decoded on another thread, and changes are put into force in order, whoever brought them: the wait for the decoder would otherwise let a later removal of a leaf overtake its entry.

Ruled out: a longer time-out for fetches, which only fills the readers' links for longer.

--- a/src/core/feed/mod.rs
+++ b/src/core/feed/mod.rs
@@ -27,6 +27,13 @@
     pub value: Option<Bytes>,
 }
 
+impl Change {
+    /// Returns the size of key and value, bytes.
+    pub fn size(&self) -> usize {
+        self.key.len() + self.value.as_ref().map_or(0, Bytes::len)
+    }
+}
+
 /// What a node sends to a peer that is behind.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Update {
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -4,7 +4,7 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use tokio::{
-    task::yield_now,
+    task::{JoinError, spawn_blocking, yield_now},
     time::{sleep, timeout},
 };
 
@@ -46,6 +46,11 @@
 const PEER_ANSWER: Duration = Duration::from_millis(400);
 /// Changes that are put into force before waiting requests get their turn.
 const BATCH: usize = 64;
+/// Changes above which a node reads the store rather than asks another node, bytes: on a link of 20 Mbit/s each such
+/// answer takes 25 ms, and all nodes may ask the same one.
+const LARGE: usize = 64 << 10;
+/// Value above which decoding leaves the thread that serves requests, bytes.
+const DECODE_APART: usize = 32 << 10;
 /// Longest answer of another node, bytes.
 const MAX_UPDATE: usize = 64 << 20;
 
@@ -81,6 +86,7 @@
                     }
                     self.registry.borrow_mut().contact(now);
                     self.answered.set(Some(now));
+                    self.catch_up.set(false);
                     self.reading.set(true);
                     let changes = {
                         let mut feed = self.feed.borrow_mut();
@@ -121,9 +127,11 @@
 
     /// Returns whether this node has to read the store itself.
     fn must_read(&self) -> bool {
-        let known = self.feed.borrow().revision() > 0;
+        if self.feed.borrow().revision() == 0 || self.catch_up.get() {
+            return true;
+        }
         let age = self.currency.borrow().age(self.now());
-        !known || reads_store(self.members.reader_rank(), age)
+        reads_store(self.members.reader_rank(), age)
     }
 
     /// Leaves reading to other nodes until this one has to.
@@ -159,9 +167,14 @@
             let Some(peer) = ahead.or_else(|| self.members.any(&self).filter(|_| lost)) else {
                 continue;
             };
-            match fetch_update(peer, revision).await {
+            let limit = if lost { MAX_UPDATE } else { LARGE };
+            match fetch_update(peer, revision, limit).await {
+                Ok(PeerNews { update: None, .. }) => {
+                    log::info!(peer:% = peer, revision; "too much for another node, the store is read");
+                    self.catch_up.set(true);
+                }
                 Ok(PeerNews {
-                    update,
+                    update: Some(update),
                     age_ms,
                     grace_ms,
                 }) => {
@@ -192,12 +205,22 @@
 
     /// Puts changes of the store's items into force.
     async fn take(self: &Rc<Self>, changes: Vec<Change>) {
+        // The store's and other nodes' changes must not overtake each other while one of them is decoded.
+        let _order = self.taking.lock().await;
         for (index, change) in changes.into_iter().enumerate() {
             if index % BATCH == BATCH - 1 {
                 yield_now().await;
             }
             let now = self.now();
-            match decode(&change) {
+            let revision = change.revision;
+            let (change, published) = match decode_apart(change).await {
+                Ok(decoded) => decoded,
+                Err(error) => {
+                    log::error!(revision, error:% = error; "change lost: its decoder failed");
+                    continue;
+                }
+            };
+            match published {
                 Published::Routing(Ok(routing)) => self.take_routing(now, routing, change.revision),
                 Published::Routing(Err(error)) => {
                     log::error!(revision = change.revision, error; "configuration rejected");
@@ -250,10 +273,24 @@
     }
 }
 
+/// Decodes a change, a large one without holding up requests.
+async fn decode_apart(change: Change) -> Result<(Change, Published), JoinError> {
+    let large = change.size() >= DECODE_APART;
+    let run = move || {
+        let published = decode(&change);
+        (change, published)
+    };
+    if large {
+        return spawn_blocking(run).await;
+    }
+    Ok(run())
+}
+
 /// What a node tells another one that asks for changes.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct PeerNews {
-    update: Update,
+    /// None if it is larger than the node that asks takes.
+    update: Option<Update>,
     /// How long ago the sender's copy was known to be complete, milliseconds.
     age_ms: u32,
     /// For how long the sender holds back removals after an outage, milliseconds.
@@ -261,11 +298,13 @@
 }
 
 impl Gateway {
-    /// Returns what a node that is complete up to `after` lacks.
-    pub(super) fn news_since(&self, after: u64) -> PeerNews {
+    /// Returns what a node that is complete up to `after` lacks, if that takes at most `limit` bytes.
+    pub(super) fn news_since(&self, after: u64, limit: usize) -> PeerNews {
         let now = self.now();
+        let update = self.feed.borrow().since(after);
+        let size: usize = update.changes.iter().map(Change::size).sum();
         PeerNews {
-            update: self.feed.borrow().since(after),
+            update: (size <= limit).then_some(update),
             age_ms: millis(self.news_age(now)),
             grace_ms: millis(self.registry.borrow().grace_left(now)),
         }
@@ -273,10 +312,11 @@
 }
 
 /// Asks another node for what one that is complete up to `revision` lacks.
-async fn fetch_update(peer: SocketAddr, revision: u64) -> anyhow::Result<PeerNews> {
+async fn fetch_update(peer: SocketAddr, revision: u64, limit: usize) -> anyhow::Result<PeerNews> {
     let exchange = async {
         let mut connection = Connection::open(peer).await?;
-        let request = format!("GET {FEED_PATH}?{revision} HTTP/1.1\r\nHost: {peer}\r\n\r\n");
+        let request =
+            format!("GET {FEED_PATH}?{revision},{limit} HTTP/1.1\r\nHost: {peer}\r\n\r\n");
         connection
             .exchange(request.as_bytes(), MAX_UPDATE, |_| true)
             .await
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -172,16 +172,16 @@
     response
 }
 
-/// Returns what a peer that is complete up to the revision in the query lacks.
+/// Returns what a peer lacks that is complete up to the revision in the query, if it takes that many bytes.
 fn peer_answer(gateway: &Gateway, request: &Request<Incoming>) -> Answer {
-    let after = request
-        .uri()
-        .query()
-        .and_then(|query| query.parse::<u64>().ok());
-    let Some(after) = after.filter(|_| request.uri().path() == FEED_PATH) else {
+    let query = request.uri().query().and_then(|query| {
+        let (after, limit) = query.split_once(',')?;
+        Some((after.parse().ok()?, limit.parse().ok()?))
+    });
+    let Some((after, limit)) = query.filter(|_| request.uri().path() == FEED_PATH) else {
         return plain(StatusCode::NOT_FOUND);
     };
-    match postcard::to_allocvec(&gateway.news_since(after)) {
+    match postcard::to_allocvec(&gateway.news_since(after, limit)) {
         Ok(bytes) => Response::new(Full::new(bytes.into())),
         Err(error) => {
             log::error!(error:% = error; "update for a peer cannot be encoded");
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,7 +10,7 @@
 use rand_pcg::Pcg64;
 use tokio::{
     signal::unix::{SignalKind, signal},
-    sync::Notify,
+    sync::{Mutex, Notify},
     time::sleep,
 };
 
@@ -60,6 +60,10 @@
     pub(super) store_lost: Cell<Option<Time>>,
     /// Whether this node reads the store, and the store answered its last call.
     pub(super) reading: Cell<bool>,
+    /// Held while changes are put into force.
+    pub(super) taking: Mutex<()>,
+    /// This node lacks more than another node can pass on, and reads the store once.
+    pub(super) catch_up: Cell<bool>,
     /// When the store last answered this node.
     pub(super) answered: Cell<Option<Time>>,
     /// What other nodes say of how current this node's copy of the store's items is.
@@ -149,6 +153,8 @@
         callers: Cell::new(0),
         store_lost: Cell::new(None),
         reading: Cell::new(false),
+        taking: Mutex::default(),
+        catch_up: Cell::new(false),
         answered: Cell::new(None),
         currency: RefCell::new(Currency::new(started)),
         news: Notify::new(),
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -14,6 +14,8 @@
 const PIPE_BYTES: usize = 64 << 10;
 /// Time of a request that was held up by something else than its leaf.
 const HELD_UP: Duration = Duration::from_secs(1);
+/// Routes of a configuration of some 500 KB.
+const LARGE_ROUTES: usize = 2_000;
 /// Changes in a row, and the time between two: longer than the pause in which a node collects changes.
 const CHANGES: u64 = 12;
 const CHANGE_GAP: Duration = Duration::from_millis(400);
@@ -169,6 +171,35 @@
     );
 }
 
+/// Guards against a large configuration that all nodes fetch from the same few others, or that holds up requests while
+/// it is decoded.
+#[tokio::test]
+async fn a_large_configuration_comes_from_the_store() {
+    let site = Site::start(1, 6).await;
+    let nodes = site.nodes().await;
+    let mut config = with_new_route(&site);
+    let routes = config["routes"].as_array_mut().unwrap();
+    let route = routes[0].clone();
+    routes.extend((0..LARGE_ROUTES).map(|number| {
+        let mut route = route.clone();
+        route["name"] = json!(format!("r{number}"));
+        route["prefix"] = json!(format!("/large/{number}/"));
+        route
+    }));
+    site.store.put("op/config", &config);
+    let written = Instant::now();
+    for node in &nodes {
+        until("the new route is served", async || {
+            is_served(node, "/new/x").await
+        })
+        .await;
+    }
+    let took = written.elapsed();
+    assert!(took < APPLY, "in force after {took:?}");
+    let sent_on = |node: &Node| node.log().contains("too much for another node");
+    assert!(nodes.iter().any(sent_on), "nobody was sent on to the store");
+}
+
 /// Guards against a node without memory that cannot start while the store is away.
 #[tokio::test]
 async fn a_node_starts_from_the_others_while_the_store_is_down() {
