Trust no copy that nobody confirmed, and none from before a pause

Causes, found while reading the change: a node that had just started counted its empty copy as complete since its start and vouched for the copies of others; nodes that the store does not answer retried as often however many they are, 240 calls a second with 80; a node that went on to follow others kept counting the store as lost.

And one found by a test: a frozen node was named again 25 ms before it had caught up, and one call reached a leaf that was leaving (a_frozen_node_is_not_named_and_catches_up_when_it_wakes).

A copy counts as current only by somebody's word; messages that waited in the socket during a pause are no word; a node that woke takes no new callers until it has learnt something, for 1 s at most. Pauses after failed calls grow with the number of nodes, since the first that reaches the store tells the rest.

Ruled out: unready whenever the copy is old, which would empty all address answers while the store is away.

--- a/src/core/feed/mod.rs
+++ b/src/core/feed/mod.rs
@@ -4,8 +4,12 @@
 //! page or change, from the platform or from a peer, never replaces a newer one.
 
 mod readers;
+mod wake;
 
-pub use self::readers::{Currency, FIRST_READ, OVERDUE, READERS, reader_rank, reads_store};
+pub use self::{
+    readers::{Currency, FIRST_READ, OVERDUE, READERS, reader_rank, reads_store, retry_pause},
+    wake::Wake,
+};
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
--- a/src/core/feed/readers.rs
+++ b/src/core/feed/readers.rs
@@ -17,6 +17,13 @@
 /// Longest delay of the first read of a node that knows nothing: nodes that start together learn from the first.
 pub const FIRST_READ: Duration = Duration::from_millis(120);
 
+/// Pause of one node after a call that the store did not answer, with few nodes.
+const RETRY: Duration = Duration::from_millis(250);
+
+/// Nodes up to which each one makes that pause. More of them share its rate: the first that reaches the store tells the
+/// others.
+const RETRY_NODES: usize = 8;
+
 /// Key of the order in which nodes become readers.
 const ORDER: &str = "reader";
 
@@ -24,26 +31,22 @@
 ///
 /// Situation answered here: a node that does not read the store itself must notice within its bound that the readers
 /// are dead, cut off or refused by the store, without agreeing with anyone on who they are.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Currency {
-    complete: Time,
+    complete: Option<Time>,
 }
 
 impl Currency {
-    /// Starts with a copy that counts as complete at `now`.
-    pub fn new(now: Time) -> Self {
-        Self { complete: now }
-    }
-
     /// Records that this node's copy has all that one had which was complete `age` ago.
     pub fn confirmed(&mut self, now: Time, age: Duration) {
         let micros = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
-        self.complete = self.complete.max(Time(now.0.saturating_sub(micros)));
+        self.complete = self.complete.max(now.0.checked_sub(micros).map(Time));
     }
 
-    /// Returns for how long the copy may have been incomplete.
+    /// Returns for how long the copy may have been incomplete, for good as long as nobody has confirmed it.
     pub fn age(&self, now: Time) -> Duration {
-        now.since(self.complete)
+        self.complete
+            .map_or(Duration::MAX, |complete| now.since(complete))
     }
 }
 
@@ -62,3 +65,8 @@
     let doublings = rounds.min(usize::BITS as u128 / 2) as u32;
     rank < READERS << doublings
 }
+
+/// Returns the shortest pause after a call that the store did not answer, for each of `nodes` live nodes.
+pub fn retry_pause(nodes: usize) -> Duration {
+    RETRY.mul_f64((nodes as f64 / RETRY_NODES as f64).max(1.0))
+}
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -12,7 +12,7 @@
     adapter::http1::Connection,
     core::{
         Time,
-        feed::{Change, FIRST_READ, OVERDUE, Update, reads_store},
+        feed::{Change, FIRST_READ, OVERDUE, Update, reads_store, retry_pause},
         routing::Routing,
     },
     gateway::{ingress::FEED_PATH, members::millis, state::Gateway},
@@ -37,8 +37,8 @@
 ];
 /// Pause after news, in which further changes collect, so that a series of them costs few calls.
 const COLLECT: Duration = Duration::from_millis(200);
-/// Pause after a failed call, drawn up to twice as long, so that nodes do not ask together.
-const RETRY: Duration = Duration::from_millis(250);
+/// Factor up to which the pause after a failed call is drawn, so that nodes do not ask together.
+const RETRY_SPREAD: f64 = 2.0;
 /// Time between two questions to other nodes while the store does not answer this one or others are ahead.
 const PEER_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two looks at whether others are ahead, besides their messages.
@@ -123,8 +123,8 @@
                     }
                     whole |= matches!(error, StoreError::Compacted);
                     client.reset();
-                    let pause = RETRY.mul_f64(self.rng.borrow_mut().random_range(1.0..2.0));
-                    sleep(pause).await;
+                    let spread = self.rng.borrow_mut().random_range(1.0..RETRY_SPREAD);
+                    sleep(retry_pause(self.members.alive_count()).mul_f64(spread)).await;
                 }
             }
         }
@@ -143,6 +143,10 @@
     async fn follow(&self) {
         let revision = self.feed.borrow().revision();
         self.reading.set(false);
+        if self.store_lost.replace(None).is_some() {
+            self.registry.borrow_mut().contact(self.now());
+            log::info!(revision; "store regained through other nodes");
+        }
         log::info!(revision; "other nodes read the store");
         while !self.must_read() {
             let age = self.currency.borrow().age(self.now());
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -177,6 +177,9 @@
     pub(super) async fn gossip(self: Rc<Self>) {
         loop {
             let now = self.now();
+            let mut wake = self.wake.get();
+            wake.tick(now);
+            self.wake.set(wake);
             self.ask_seeds(now);
             let note = self.note();
             let mut out = Vec::new();
@@ -226,7 +229,7 @@
                 .insert(incoming.from, (note, now));
             if revision > own.revision {
                 self.behind.notify_one();
-            } else {
+            } else if !self.wake.get().reads_old_messages(now) {
                 // The sender was complete with what this node has, too.
                 self.currency.borrow_mut().confirmed(now, age);
             }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,7 +18,7 @@
     adapter::{Clock, peer::ControlSocket},
     core::{
         Incarnation, Time,
-        feed::{Currency, Feed},
+        feed::{Currency, Feed, Wake},
         gather::Lateness,
         placement::{RestLimit, planned_nodes},
         registry::Registry,
@@ -75,6 +75,8 @@
     pub(super) too_much: Notify,
     /// Signals that this node's own read of the store brought changes.
     pub(super) news: Notify,
+    /// Whether this process was paused and has learnt nothing since.
+    pub(super) wake: Cell<Wake>,
     /// Signals that another node's copy of the store's items is ahead.
     pub(super) behind: Notify,
     pub(super) metrics: PrometheusHandle,
@@ -99,7 +101,9 @@
 
     /// Returns whether the node takes requests.
     pub(super) fn is_ready(&self) -> bool {
+        let now = self.now();
         !self.leaving.get()
+            && !self.wake.get().is_outdated(now, self.news_age(now))
             && !self.routing.borrow().is_empty()
             && !self.registry.borrow().is_empty()
     }
@@ -162,7 +166,8 @@
         taking: Mutex::default(),
         catch_up: Cell::new(false),
         answered: Cell::new(None),
-        currency: RefCell::new(Currency::new(started)),
+        currency: RefCell::default(),
+        wake: Cell::new(Wake::new(started)),
         too_much: Notify::new(),
         news: Notify::new(),
         behind: Notify::new(),
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -13,6 +13,7 @@
 mod rest;
 mod retry;
 mod routing;
+mod wake;
 
 use cranberrychute::core::Time;
 
--- a/tests/decisions/readers.rs
+++ b/tests/decisions/readers.rs
@@ -2,7 +2,7 @@
 
 use cranberrychute::core::{
     NodeId,
-    feed::{Currency, READERS, reader_rank, reads_store},
+    feed::{Currency, READERS, reader_rank, reads_store, retry_pause},
 };
 use proptest::prelude::*;
 
@@ -45,7 +45,7 @@
 /// Guards against a node that takes old word for new: only how old the word is counts, not when it came.
 #[test]
 fn late_word_does_not_make_a_copy_current() {
-    let mut currency = Currency::new(at(0));
+    let mut currency = Currency::default();
     currency.confirmed(at(5_000), Duration::from_millis(4_000));
     assert_eq!(currency.age(at(5_000)), Duration::from_millis(4_000));
     currency.confirmed(at(5_100), Duration::from_millis(200));
@@ -53,6 +53,30 @@
     assert_eq!(currency.age(at(5_200)), Duration::from_millis(300));
 }
 
+/// Guards against a node that has just started and vouches for the copies of others, although it knows nothing.
+#[test]
+fn a_copy_that_nobody_confirmed_is_not_current() {
+    let mut currency = Currency::default();
+    assert_eq!(currency.age(at(10)), Duration::MAX);
+    assert!(reads_store(79, currency.age(at(10))));
+    currency.confirmed(at(10), Duration::MAX);
+    assert_eq!(currency.age(at(10)), Duration::MAX);
+}
+
+/// Guards against a flood of calls to a store that is away, which grows with the fleet.
+#[test]
+fn nodes_retry_less_often_the_more_they_are() {
+    let calls = |nodes: usize| nodes as f64 / retry_pause(nodes).as_secs_f64();
+    assert_eq!(retry_pause(1), retry_pause(8));
+    for nodes in [8, 80, 2_800] {
+        assert!(
+            calls(nodes) <= calls(8) + 1.0,
+            "{} calls a second",
+            calls(nodes)
+        );
+    }
+}
+
 proptest! {
     #![proptest_config(seeds::properties())]
 
