--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -433,7 +433,7 @@
             resting,
             leaving,
             revision = gateway.feed.borrow().revision(),
-            news_age_ms = gateway.news_age(now).as_millis() as u64,
+            news_age_ms = gateway.news.age(now).as_millis() as u64,
             suppressed;
             "decision on a part"
         );
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -84,14 +84,14 @@
             let now = self.now();
             match read {
                 Ok(news) => {
-                    if self.store_lost.replace(None).is_some() {
+                    if self.news.lost.replace(None).is_some() {
                         log::info!(revision = news.revision; "store regained");
                     }
                     self.registry.borrow_mut().contact(now);
-                    self.answered.set(Some(now));
-                    self.catch_up.set(false);
-                    if !self.reading.replace(true) {
-                        self.news.notify_one();
+                    self.news.answered.set(Some(now));
+                    self.news.catch_up.set(false);
+                    if !self.news.reading.replace(true) {
+                        self.news.fresh.notify_one();
                     }
                     let changes = {
                         let mut feed = self.feed.borrow_mut();
@@ -105,19 +105,19 @@
                     whole = false;
                     self.take(changes).await;
                     if changed {
-                        self.news.notify_one();
+                        self.news.fresh.notify_one();
                         sleep(COLLECT).await;
                     }
                 }
                 Err(error) => {
-                    self.reading.set(false);
+                    self.news.reading.set(false);
                     // A call without any answer may have begun before the store went away.
                     let silent = matches!(error, StoreError::Timeout);
                     self.registry
                         .borrow_mut()
                         .lost(if silent { asked } else { now });
-                    if self.store_lost.get().is_none() {
-                        self.store_lost.set(Some(now));
+                    if self.news.lost.get().is_none() {
+                        self.news.lost.set(Some(now));
                         let revision = self.feed.borrow().revision();
                         log::warn!(revision, error:% = error; "store lost");
                     }
@@ -132,31 +132,31 @@
 
     /// Returns whether this node has to read the store itself.
     fn must_read(&self) -> bool {
-        if self.feed.borrow().revision() == 0 || self.catch_up.get() {
+        if self.feed.borrow().revision() == 0 || self.news.catch_up.get() {
             return true;
         }
-        let age = self.currency.borrow().age(self.now());
+        let age = self.news.currency.borrow().age(self.now());
         reads_store(self.members.reader_rank(), age)
     }
 
     /// Leaves reading to other nodes until this one has to.
     async fn follow(&self) {
         let revision = self.feed.borrow().revision();
-        self.reading.set(false);
-        if self.store_lost.replace(None).is_some() {
+        self.news.reading.set(false);
+        if self.news.lost.replace(None).is_some() {
             self.registry.borrow_mut().contact(self.now());
             log::info!(revision; "store regained through other nodes");
         }
         log::info!(revision; "other nodes read the store");
         while !self.must_read() {
-            let age = self.currency.borrow().age(self.now());
+            let age = self.news.currency.borrow().age(self.now());
             let pause = OVERDUE
                 .saturating_sub(age)
                 .clamp(FOLLOW_CHECK.0, FOLLOW_CHECK.1);
             // Whether time is up or there is too much for another node makes no difference here.
-            let _ = timeout(pause, self.too_much.notified()).await;
+            let _ = timeout(pause, self.news.too_much.notified()).await;
         }
-        let age_ms = self.news_age(self.now()).as_millis() as u64;
+        let age_ms = self.news.age(self.now()).as_millis() as u64;
         let (revision, rank) = (self.feed.borrow().revision(), self.members.reader_rank());
         log::info!(revision, rank, age_ms; "this node reads the store");
     }
@@ -164,13 +164,13 @@
     /// Asks other nodes for what this one lacks: when they are ahead, and regularly while the store is lost.
     async fn follow_peers(self: Rc<Self>) {
         loop {
-            let lost = self.store_lost.get().is_some();
+            let lost = self.news.lost.get().is_some();
             let known = self.feed.borrow().revision();
             let urgent = lost || self.members.ahead(&self, known).is_some();
             let pause = if urgent { PEER_INTERVAL } else { PEER_CHECK };
-            let told = timeout(pause, self.behind.notified()).await.is_ok();
+            let told = timeout(pause, self.news.behind.notified()).await.is_ok();
             if told {
-                let delay = if self.reading.get() {
+                let delay = if self.news.reading.get() {
                     PEER_DELAY
                 } else {
                     self.rng
@@ -181,7 +181,7 @@
             }
             let revision = self.feed.borrow().revision();
             let ahead = self.members.ahead(&self, revision);
-            let lost = self.store_lost.get().is_some();
+            let lost = self.news.lost.get().is_some();
             let Some(peer) = ahead.or_else(|| self.members.any(&self).filter(|_| lost)) else {
                 continue;
             };
@@ -189,8 +189,8 @@
             match fetch_update(peer, revision, limit).await {
                 Ok(PeerNews { update: None, .. }) => {
                     log::info!(peer:% = peer, revision; "too much for another node, the store is read");
-                    self.catch_up.set(true);
-                    self.too_much.notify_one();
+                    self.news.catch_up.set(true);
+                    self.news.too_much.notify_one();
                 }
                 Ok(PeerNews {
                     update: Some(update),
@@ -205,7 +205,7 @@
                     }
                     if to >= self.feed.borrow().revision() {
                         let age = Duration::from_millis(age_ms.into());
-                        self.currency.borrow_mut().confirmed(now, age);
+                        self.news.currency.borrow_mut().confirmed(now, age);
                     }
                     let changes = self.feed.borrow_mut().merge(update);
                     if !changes.is_empty() {
@@ -225,7 +225,7 @@
     /// Puts changes of the store's items into force.
     async fn take(self: &Rc<Self>, changes: Vec<Change>) {
         // The store's and other nodes' changes must not overtake each other while one of them is decoded.
-        let _order = self.taking.lock().await;
+        let _order = self.news.order.lock().await;
         for (index, change) in changes.into_iter().enumerate() {
             if index % BATCH == BATCH - 1 {
                 yield_now().await;
@@ -324,7 +324,7 @@
         let size: usize = update.changes.iter().map(Change::size).sum();
         PeerNews {
             update: (size <= limit).then_some(update),
-            age_ms: millis(self.news_age(now)),
+            age_ms: millis(self.news.age(now)),
             grace_ms: millis(self.registry.borrow().grace_left(now)),
         }
     }
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -168,7 +168,7 @@
         Note {
             ready: self.is_ready(),
             revision: self.feed.borrow().revision(),
-            age_ms: millis(self.news_age(self.now())),
+            age_ms: millis(self.news.age(self.now())),
             others: self.members.named.borrow().clone(),
         }
     }
@@ -177,9 +177,7 @@
     pub(super) async fn gossip(self: Rc<Self>) {
         loop {
             let now = self.now();
-            let mut wake = self.wake.get();
-            wake.tick(now);
-            self.wake.set(wake);
+            self.news.tick(now);
             self.ask_seeds(now);
             let note = self.note();
             let mut out = Vec::new();
@@ -228,10 +226,10 @@
                 .borrow_mut()
                 .insert(incoming.from, (note, now));
             if revision > own.revision {
-                self.behind.notify_one();
-            } else if !self.wake.get().reads_old_messages(now) {
+                self.news.behind.notify_one();
+            } else if !self.news.wake.get().reads_old_messages(now) {
                 // The sender was complete with what this node has, too.
-                self.currency.borrow_mut().confirmed(now, age);
+                self.news.currency.borrow_mut().confirmed(now, age);
             }
             self.send(out).await;
         }
@@ -249,13 +247,13 @@
     /// long as the process runs.
     pub(super) async fn tell_followers(self: Rc<Self>) {
         loop {
-            if self.reading.get() {
+            if self.news.reading.get() {
                 // A timeout only means that there was no news.
-                let _ = timeout(ANNOUNCE, self.news.notified()).await;
+                let _ = timeout(ANNOUNCE, self.news.fresh.notified()).await;
             } else {
-                self.news.notified().await;
+                self.news.fresh.notified().await;
             }
-            if self.reading.get() && self.members.alive_count() > READERS {
+            if self.news.reading.get() && self.members.alive_count() > READERS {
                 self.announce().await;
             }
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod ingress;
 mod journal;
 mod members;
+mod news;
 mod routes;
 mod settings;
 mod state;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,7 +10,6 @@
 use rand_pcg::Pcg64;
 use tokio::{
     signal::unix::{SignalKind, signal},
-    sync::{Mutex, Notify},
     time::sleep,
 };
 
@@ -18,7 +17,7 @@
     adapter::{Clock, peer::ControlSocket},
     core::{
         Incarnation, Time,
-        feed::{Currency, Feed, Wake},
+        feed::Feed,
         gather::Lateness,
         placement::{RestLimit, planned_nodes},
         registry::Registry,
@@ -30,6 +29,7 @@
         ingress,
         journal::{Journal, dropped_lines},
         members::Members,
+        news::News,
         routes::RouteBook,
     },
     node::start_metrics,
@@ -59,26 +59,7 @@
     pub(super) requests: Cell<usize>,
     /// Connections of callers.
     pub(super) callers: Cell<usize>,
-    /// Since when the store has not answered this node.
-    pub(super) store_lost: Cell<Option<Time>>,
-    /// Whether this node reads the store, and the store answered its last call.
-    pub(super) reading: Cell<bool>,
-    /// Held while changes are put into force.
-    pub(super) taking: Mutex<()>,
-    /// This node lacks more than another node can pass on, and reads the store once.
-    pub(super) catch_up: Cell<bool>,
-    /// When the store last answered this node.
-    pub(super) answered: Cell<Option<Time>>,
-    /// What other nodes say of how current this node's copy of the store's items is.
-    pub(super) currency: RefCell<Currency>,
-    /// Signals that `catch_up` is set.
-    pub(super) too_much: Notify,
-    /// Signals that this node's own read of the store brought changes.
-    pub(super) news: Notify,
-    /// Whether this process was paused and has learnt nothing since.
-    pub(super) wake: Cell<Wake>,
-    /// Signals that another node's copy of the store's items is ahead.
-    pub(super) behind: Notify,
+    pub(super) news: News,
     pub(super) metrics: PrometheusHandle,
 }
 
@@ -92,18 +73,11 @@
         planned_nodes(self.members.alive_count())
     }
 
-    /// Returns how long ago this node's copy of the store's items was known to be complete.
-    pub(super) fn news_age(&self, now: Time) -> Duration {
-        let told = self.currency.borrow().age(now);
-        let read = self.answered.get().map(|at| now.since(at));
-        read.map_or(told, |read| read.min(told))
-    }
-
     /// Returns whether the node takes requests.
     pub(super) fn is_ready(&self) -> bool {
         let now = self.now();
         !self.leaving.get()
-            && !self.wake.get().is_outdated(now, self.news_age(now))
+            && !self.news.is_outdated(now)
             && !self.routing.borrow().is_empty()
             && !self.registry.borrow().is_empty()
     }
@@ -161,16 +135,7 @@
         leaving: Cell::new(false),
         requests: Cell::new(0),
         callers: Cell::new(0),
-        store_lost: Cell::new(None),
-        reading: Cell::new(false),
-        taking: Mutex::default(),
-        catch_up: Cell::new(false),
-        answered: Cell::new(None),
-        currency: RefCell::default(),
-        wake: Cell::new(Wake::new(started)),
-        too_much: Notify::new(),
-        news: Notify::new(),
-        behind: Notify::new(),
+        news: News::new(started),
         metrics: start_metrics(),
         settings: RefCell::new(settings),
     });
