Leave room for the connections of a node's last life

A reset counted as a leaf that is down: 256 of 440 unreachable queries in a sample gave only "Connect: Connection reset by peer", with all leafs of a shard resting.

A node keeps connections to half as many leafs in the first 10 s of its life. A leaf that resets a new connection is not down; it is asked for another one 100 ms later.

--- a/src/adapter/http1/connection.rs
+++ b/src/adapter/http1/connection.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Returns whether the peer reset the connection.
+    pub fn is_reset(&self) -> bool {
+        matches!(&self.reason, Reason::Io(error) if error.kind() == io::ErrorKind::ConnectionReset)
+    }
+
     /// Returns whether no byte of the request can have reached the peer.
     pub fn is_unsent(&self) -> bool {
         matches!(self.step, ExchangeStep::Connect | ExchangeStep::Start)
--- a/src/core/placement/gauge.rs
+++ b/src/core/placement/gauge.rs
@@ -73,6 +73,8 @@
     Shed,
     /// No connection could be opened.
     Refused,
+    /// The leaf reset a new connection: it has as many as it accepts.
+    Crowded,
     /// The connection broke under the call.
     Broken,
     /// No answer in time.
@@ -174,7 +176,8 @@
             Outcome::Refused => self.unanswered(now, REFUSED_POINTS),
             Outcome::Silent => self.unanswered(now, SILENT_POINTS),
             Outcome::Broken => self.unanswered(now, BROKEN_POINTS),
-            Outcome::Cancelled => {}
+            // Other nodes' connections say nothing about whether the leaf works.
+            Outcome::Crowded | Outcome::Cancelled => {}
         }
     }
 
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -15,5 +15,8 @@
     gauge::{CallToken, Gauge, LeafLoad, Outcome},
     pick::{Candidate, pick},
     rest::{LEAST_REST, RestLimit},
-    share::{ConnectionShare, cold_share, connected_nodes, connection_share, planned_nodes},
+    share::{
+        ConnectionShare, OLD_CONNECTIONS, cold_share, connected_nodes, connection_share,
+        planned_nodes,
+    },
 };
--- a/src/core/placement/share.rs
+++ b/src/core/placement/share.rs
@@ -1,6 +1,15 @@
+use std::time::Duration;
+
 /// Nodes that may join or restart without being seen yet, at least.
 const UNSEEN: usize = 4;
 
+/// Time after a node's start in which leafs may still count the connections of its last life: after a loss of power they
+/// notice within some seconds.
+pub const OLD_CONNECTIONS: Duration = Duration::from_secs(10);
+
+/// Lives of a node that share its connections in that time.
+const LIVES: usize = 2;
+
 /// Returns the number of nodes among which limits on all nodes are split: the live ones, and half as many again
 /// (four at least) that may run unseen, such as added ones, restarted ones and the other side of a partition.
 pub fn planned_nodes(alive: usize) -> usize {
@@ -25,11 +34,13 @@
 /// Returns the share of one of `nodes` nodes in the connections to `leafs` leafs that accept `limit` each from all
 /// nodes.
 ///
-/// Situation answered here: more nodes than a leaf accepts connections. Each node then keeps to a part of a shard's
-/// leafs, at least one.
-pub fn connection_share(limit: u32, leafs: usize, nodes: usize) -> ConnectionShare {
+/// Situations answered here: more nodes than a leaf accepts connections, so that each keeps to a part of a shard's
+/// leafs, at least one; and all nodes lost at once, whose connections leafs count for seconds beside the new ones, so
+/// that a node of this `age` keeps to half as many leafs.
+pub fn connection_share(limit: u32, leafs: usize, nodes: usize, age: Duration) -> ConnectionShare {
     let own = limit as usize * leafs / nodes.max(1);
-    let used = own.clamp(1, leafs.max(1));
+    let lives = if age < OLD_CONNECTIONS { LIVES } else { 1 };
+    let used = (own / lives).clamp(1, leafs.max(1));
     ConnectionShare {
         leafs: used,
         each: (own / used).max(1),
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -112,6 +112,7 @@
             Ok(Ok(reply)) => self.judge(&gateway, &mut running, reply),
             Ok(Err(error)) => {
                 running.end(match error.step {
+                    ExchangeStep::Connect if error.is_reset() => Outcome::Crowded,
                     ExchangeStep::Connect => Outcome::Refused,
                     _ => Outcome::Broken,
                 });
@@ -156,8 +157,11 @@
             None => {
                 let mut lease = self.leaf.reserve();
                 let opened = timeout(CONNECT_LIMIT, Connection::open(address)).await;
-                lease.connection =
-                    Some(opened.unwrap_or_else(|_| Err(ExchangeError::no_connection(address)))?);
+                let opened = opened.unwrap_or_else(|_| Err(ExchangeError::no_connection(address)));
+                if opened.as_ref().is_err_and(ExchangeError::is_reset) {
+                    self.leaf.set_crowded(now);
+                }
+                lease.connection = Some(opened?);
                 (lease, None)
             }
         };
@@ -175,6 +179,7 @@
             (Err(error), Some(rested)) if error.step != ExchangeStep::Body => {
                 gateway.rest_limit.borrow_mut().reset(now, rested);
             }
+            (Err(error), None) if error.is_reset() => self.leaf.set_crowded(now),
             (Err(_), _) => {}
         }
         reply
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -27,6 +27,8 @@
 pub(super) const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 /// Time over which the first connections to leafs are spread, so that nodes do not all connect at once.
 const FIRST_CONNECTIONS: Duration = Duration::from_millis(600);
+/// Time for which a leaf that reset a new connection is not asked for another one.
+const CROWDED: Duration = Duration::from_millis(100);
 /// Connections to each leaf that are kept open beside those in use.
 const SPARE_CONNECTIONS: usize = 1;
 
@@ -42,6 +44,8 @@
     /// Another leaf has its address.
     pub(super) misplaced: Cell<bool>,
     cold_until: Cell<Option<Time>>,
+    /// Until when it is not asked for another connection, since it has reset a new one.
+    crowded: Cell<Option<Time>>,
     /// This node keeps connections to it.
     kept: Cell<bool>,
     /// Place among the leafs of its service in this node's order.
@@ -56,6 +60,7 @@
             open: Cell::new(0),
             misplaced: Cell::new(false),
             cold_until: Cell::new(None),
+            crowded: Cell::new(None),
             kept: Cell::new(false),
             place: score(node, record.instance.as_str()),
             record: RefCell::new(record),
@@ -101,8 +106,14 @@
         ConnectionLease::of(self)
     }
 
-    fn has_room(&self, share: usize) -> bool {
-        !self.idle.borrow().is_empty() || self.open.get() < share
+    /// Records that the leaf reset a new connection: it has as many as it accepts, and works otherwise.
+    pub(super) fn set_crowded(&self, now: Time) {
+        self.crowded.set(Some(now + CROWDED));
+    }
+
+    fn has_room(&self, now: Time, share: usize) -> bool {
+        let crowded = self.crowded.get().is_some_and(|until| now < until);
+        !self.idle.borrow().is_empty() || !crowded && self.open.get() < share
     }
 
     fn has_idle(&self) -> bool {
@@ -278,6 +289,7 @@
     pub(super) fn sweep(&self, gateway: &Rc<Gateway>) {
         let now = gateway.now();
         let nodes = connected_nodes(gateway.members.alive_count());
+        let age = now.since(gateway.started);
         for (name, service) in &*self.services.borrow() {
             let limit = gateway
                 .routing
@@ -290,7 +302,7 @@
                 !leaf.misplaced.get() && !leaf.record.borrow().leaving
             });
             usable.sort_unstable_by_key(|leaf| leaf.place);
-            let share = connection_share(limit.unwrap_or(1), usable.len(), nodes);
+            let share = connection_share(limit.unwrap_or(1), usable.len(), nodes, age);
             service.share.set(share.each);
             usable
                 .iter()
@@ -359,7 +371,7 @@
             works = true;
             let cold = leaf.is_cold(now);
             let cold_full = cold && cold_rate.is_some_and(|rate| !gauge.has_cold_room(now, rate));
-            if leaf.has_room(share) && gauge.has_room() && !cold_full {
+            if leaf.has_room(now, share) && gauge.has_room() && !cold_full {
                 usable.push(index);
             }
         }
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -3,8 +3,8 @@
 use cranberrychute::core::{
     Time,
     placement::{
-        Candidate, Gauge, LeafLoad, Outcome, cold_share, connected_nodes, connection_share, pick,
-        planned_nodes,
+        Candidate, Gauge, LeafLoad, OLD_CONNECTIONS, Outcome, cold_share, connected_nodes,
+        connection_share, pick, planned_nodes,
     },
     score,
 };
@@ -198,7 +198,7 @@
         assert!(nodes >= alive + 4);
         for limit in [26, 52, 72, 110, 540] {
             for leafs in 1..6 {
-                let share = connection_share(limit, leafs, nodes);
+                let share = connection_share(limit, leafs, nodes, OLD_CONNECTIONS);
                 assert!((1..=leafs).contains(&share.leafs) && share.each > 0);
                 let all = share.leafs * share.each * nodes;
                 let least = share.leafs == 1 && share.each == 1;
@@ -215,7 +215,7 @@
 #[test]
 fn nodes_that_keep_to_a_part_of_the_leafs_stay_within_their_limit() {
     let (nodes, leafs, limit) = (80, 3, 72_u32);
-    let share = connection_share(limit, leafs, connected_nodes(nodes));
+    let share = connection_share(limit, leafs, connected_nodes(nodes), OLD_CONNECTIONS);
     assert_eq!((share.leafs, share.each), (2, 1));
     for shard in 0..90 {
         let names: Vec<String> = (0..leafs).map(|leaf| format!("i-{shard}-{leaf}")).collect();
@@ -235,6 +235,28 @@
     }
 }
 
+/// Guards against nodes that all return from a loss of power and find the leafs full of their old connections.
+#[test]
+fn a_node_that_has_just_started_leaves_room_for_its_old_connections() {
+    let nodes = connected_nodes(80);
+    let share = connection_share(72, 3, nodes, Duration::from_secs(2));
+    assert_eq!(share.leafs, 1);
+    let share = connection_share(26, 3, connected_nodes(8), Duration::from_secs(2));
+    assert_eq!(share.leafs, 3, "eight nodes leave room for twice as many");
+}
+
+/// Guards against leafs that count as down because other nodes, or this node before a loss of power, have all their
+/// connections.
+#[test]
+fn a_leaf_that_accepts_no_more_connections_is_not_down() {
+    let mut gauge = Gauge::new(at(0), 2);
+    for time in 0..20 {
+        let token = gauge.sent(at(time));
+        gauge.ended(at(time), token, Outcome::Crowded, USUAL);
+    }
+    assert!(gauge.may_try(at(20)));
+}
+
 /// A node keeps connections to a part of the leafs: another one gets a call only when all of these stand still.
 #[test]
 fn a_leaf_without_connections_steps_in_for_those_that_stand_still() {
