--- a/tests/gateway/requests.rs
+++ b/tests/gateway/requests.rs
@@ -1,9 +1,10 @@
 use std::time::{Duration, Instant};
 
 use cranberrychute_emulator::Conduct;
+use serde_json::json;
 use tokio::time::sleep;
 
-use crate::site::{HOST, Site, send, until};
+use crate::site::{HOST, Node, Site, send, until};
 
 /// Time after a caller's close by which its leafs must have stopped.
 const CLOSE_BOUND: Duration = Duration::from_millis(500);
@@ -12,6 +13,9 @@
 /// The moment itself is tested in virtual time; here the machine's own delays count, too.
 const WAITED: Duration = Duration::from_millis(400);
 
+/// Queries to each node around a repartition, 5 ms apart and longer than its time to come into force.
+const REPARTITION_ROUNDS: usize = 200;
+
 #[tokio::test]
 async fn a_query_returns_the_greatest_records_of_all_shards() {
     let site = Site::start(4, 1).await;
@@ -57,6 +61,46 @@
     assert!(moved.arrivals() <= 1, "the address is asked again");
 }
 
+/// Guards against answers with parts of two sets of shards, and against a node that goes back to the old set.
+#[tokio::test]
+async fn a_repartition_mixes_no_shards_and_fails_no_query() {
+    let site = Site::start(4, 3).await;
+    let set = |version, shards: [&str; 2]| {
+        let mut config = site.config(version);
+        config["routes"][0]["gather"] = json!(shards);
+        config
+    };
+    site.store.put("op/config", &set(8, ["s0", "s1"]));
+    let nodes = site.nodes().await;
+    let shards = async |node: &Node, id: &str| {
+        let reply = node.ask("/all/x", id).await;
+        assert_eq!(reply.status, 200);
+        assert_eq!(reply.text("missing-parts"), Some("0"));
+        let mut shards: Vec<u8> = reply.body.chunks(16).map(|record| record[0]).collect();
+        shards.sort_unstable();
+        shards
+    };
+    for node in &nodes {
+        until("the first set is in force", async || {
+            shards(node, "q").await == [0, 1]
+        })
+        .await;
+    }
+    site.store.put("op/config", &set(9, ["s2", "s3"]));
+    let mut moved = vec![false; nodes.len()];
+    for round in 0..REPARTITION_ROUNDS {
+        for (node, moved) in nodes.iter().zip(&mut moved) {
+            let shards = shards(node, &format!("r{round}")).await;
+            let new = shards == [2, 3];
+            assert!(new || shards == [0, 1], "{shards:?} of two sets");
+            assert!(new || !*moved, "back to the old set");
+            *moved |= new;
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    assert!(moved.iter().all(|moved| *moved), "{moved:?}");
+}
+
 /// Guards against an order that is lost with a connection that its leaf has forgotten while it rested.
 #[tokio::test]
 async fn an_order_never_goes_out_on_a_connection_that_may_be_forgotten() {
