Say each thing of the gateway once

Found while reading the whole change; no behaviour changes and no test was touched.

* Wake counted ticks itself; it uses PauseDetector, as the node does.
* Whether the store is lost was kept in Registry and in News; Registry tells.
* A request's end, answer time and repeatability stood in Dispatch and in its plan; the plan tells.
* Opening a connection to a leaf in time was written for calls and for connections in advance; Leaf::connect is one.
* The id of a node by its address was built in four places; node_id is one.
* "No configuration yet" built an answer only to log it.
* Two stand-ins had the same lock function.
* Choosing a leaf allocated two short lists for each call; they are on the stack now.
* A comment on bodies taken off the buffer said the opposite of what happens.

Ruled out: one token bucket for log lines and cold leafs (the one's capacity is its rate, and it is asked without being spent), and one budget for node and gateway (a debt in the long run, a sliding window).

--- a/emulator/src/http.rs
+++ b/emulator/src/http.rs
@@ -3,6 +3,7 @@
     io,
     net::SocketAddr,
     pin::Pin,
+    sync::{Mutex, MutexGuard},
     task::{Context, Poll},
 };
 
@@ -26,6 +27,11 @@
 /// Largest request body. The platform holds values of up to 1 MB and JSON quoting may double them.
 const MAX_BODY_BYTES: usize = 4 << 20;
 
+/// Locks the state that the connections of a stand-in share.
+pub(crate) fn lock<T>(state: &Mutex<T>) -> MutexGuard<'_, T> {
+    state.lock().expect("no panic while locked")
+}
+
 /// Ends the connection without an answer.
 #[derive(Debug)]
 pub(crate) struct Closed;
--- a/emulator/src/store.rs
+++ b/emulator/src/store.rs
@@ -1,7 +1,7 @@
 use std::{
     collections::{BTreeMap, VecDeque},
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -16,7 +16,7 @@
     time::{Instant, sleep_until, timeout_at},
 };
 
-use crate::http::{Closed, Payload, Reply, json as json_reply, param, serve};
+use crate::http::{Closed, Payload, Reply, json as json_reply, lock, param, serve};
 
 /// Items of one page.
 const PAGE: usize = 7;
@@ -158,10 +158,6 @@
     }
 }
 
-fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
-    state.lock().expect("no panic while locked")
-}
-
 async fn accept(
     listener: TcpListener,
     state: Arc<Mutex<State>>,
--- a/emulator/src/worker.rs
+++ b/emulator/src/worker.rs
@@ -14,7 +14,7 @@
     time::{Instant, sleep},
 };
 
-use crate::http::{Closed, Payload, Reply, raw, serve};
+use crate::http::{Closed, Payload, Reply, lock, raw, serve};
 
 /// How a worker treats requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -136,10 +136,6 @@
     }
 }
 
-fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
-    state.lock().expect("no panic while locked")
-}
-
 async fn accept(listener: TcpListener, state: Arc<Mutex<State>>) {
     let mut connections = JoinSet::new();
     while let Ok((stream, _)) = listener.accept().await {
@@ -148,10 +144,7 @@
         connections.spawn(serve(stream, move |request| {
             let (state, used) = (state.clone(), used.clone());
             async move {
-                let before = std::mem::replace(
-                    &mut *used.lock().expect("no panic while locked"),
-                    Instant::now(),
-                );
+                let before = std::mem::replace(&mut *lock(&used), Instant::now());
                 let forgets = lock(&state).conduct == Conduct::Forgets;
                 if forgets && before.elapsed() >= FORGOTTEN {
                     return Err(Closed);
--- a/src/adapter/http1/connection.rs
+++ b/src/adapter/http1/connection.rs
@@ -306,7 +306,7 @@
         }
     }
 
-    /// Takes a body off the buffer. Its memory is its own, so that a kept answer does not hold the buffer.
+    /// Takes a body off the buffer: all of it with its memory, a part as a copy that does not hold the rest.
     fn take(&mut self, length: usize) -> Bytes {
         if length == self.buffer.len() {
             let body = std::mem::take(&mut self.buffer);
--- a/src/core/feed/wake.rs
+++ b/src/core/feed/wake.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use crate::core::Time;
+use crate::core::{PauseDetector, Time};
 
 /// Gap between two ticks above which the process was paused: several ticks long.
 const PAUSE: Duration = Duration::from_millis(900);
@@ -17,7 +17,7 @@
 /// Situation answered here: a process that stood still wakes, believes what it knew before, and vouches for it.
 #[derive(Clone, Copy, Debug)]
 pub struct Wake {
-    tick: Time,
+    ticks: PauseDetector,
     woke: Option<Time>,
 }
 
@@ -25,36 +25,30 @@
     /// Starts with a process that runs.
     pub fn new(now: Time) -> Self {
         Self {
-            tick: now,
+            ticks: PauseDetector::new(PAUSE, now),
             woke: None,
         }
     }
 
     /// Records a regular tick.
     pub fn tick(&mut self, now: Time) {
-        if self.is_asleep(now) {
-            log::warn!(pause_ms = now.since(self.tick).as_millis() as u64; "the process was paused");
+        if let Some(pause) = self.ticks.tick(now) {
+            log::warn!(pause_ms = pause.as_millis() as u64; "the process was paused");
             self.woke = Some(now);
         }
-        self.tick = now;
     }
 
     /// Returns whether messages that are read now may be from before a pause.
     pub fn reads_old_messages(&self, now: Time) -> bool {
-        self.is_asleep(now) || self.woke.is_some_and(|woke| now.since(woke) < OLD_MESSAGES)
+        self.ticks.is_late(now) || self.woke.is_some_and(|woke| now.since(woke) < OLD_MESSAGES)
     }
 
     /// Returns whether a node whose copy was complete `age` ago still acts on what it knew before a pause.
     pub fn is_outdated(&self, now: Time, age: Duration) -> bool {
-        self.is_asleep(now)
+        self.ticks.is_late(now)
             || self.woke.is_some_and(|woke| {
                 let awake = now.since(woke);
                 awake < PATIENCE && age > awake
             })
     }
-
-    /// Returns whether the first tick after a pause has not come yet.
-    fn is_asleep(&self, now: Time) -> bool {
-        now.since(self.tick) > PAUSE
-    }
 }
--- a/src/core/gather/plan.rs
+++ b/src/core/gather/plan.rs
@@ -134,6 +134,11 @@
         }
     }
 
+    /// Returns what bounds the request.
+    pub fn settings(&self) -> &PlanSettings {
+        &self.settings
+    }
+
     /// Returns what to do at `now`.
     pub fn step(&self, now: Time) -> Step {
         let Settled { done, open } = self.settled();
--- a/src/core/registry/mod.rs
+++ b/src/core/registry/mod.rs
@@ -49,17 +49,26 @@
 }
 
 impl Registry {
-    /// Records that the platform did not answer.
-    pub fn lost(&mut self, now: Time) {
+    /// Records that the platform did not answer. Returns whether it did before.
+    pub fn lost(&mut self, now: Time) -> bool {
+        let first = self.lost.is_none();
         self.lost.get_or_insert(now);
+        first
     }
 
-    /// Records an answer of the platform. After an outage, removals are held back for a while.
-    pub fn contact(&mut self, now: Time) {
+    /// Records an answer of the platform. After an outage, removals are held back for a while. Returns whether the
+    /// platform did not answer before.
+    pub fn contact(&mut self, now: Time) -> bool {
         let lost = self.lost.take();
         if lost.is_some_and(|since| now.since(since) > OUTAGE) {
             self.grace = Some(now + LAPSE_GRACE);
         }
+        lost.is_some()
+    }
+
+    /// Returns whether the platform does not answer.
+    pub fn is_lost(&self) -> bool {
+        self.lost.is_some()
     }
 
     /// Returns for how long removals are still held back.
--- a/src/core/time.rs
+++ b/src/core/time.rs
@@ -35,7 +35,7 @@
 }
 
 /// Detects that the process was paused, from the gap between regular ticks.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct PauseDetector {
     limit: Duration,
     last: Time,
@@ -47,6 +47,11 @@
         Self { limit, last: now }
     }
 
+    /// Returns whether the next tick is late by a pause, before it comes.
+    pub fn is_late(&self, now: Time) -> bool {
+        now.since(self.last) > self.limit
+    }
+
     /// Records a tick and returns the length of the pause before it, if there was one.
     pub fn tick(&mut self, now: Time) -> Option<Duration> {
         let gap = now.since(self.last);
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -3,17 +3,13 @@
 use tokio::time::timeout;
 
 use crate::{
-    adapter::http1::{Connection, ExchangeError, ExchangeStep, Reply},
+    adapter::http1::{ExchangeError, ExchangeStep, Reply},
     core::{
         Time,
         gather::Failure,
         placement::{CallToken, LEAST_REST, Outcome},
     },
-    gateway::{
-        fleet::{CONNECT_LIMIT, Leaf},
-        routes::RouteStats,
-        state::Gateway,
-    },
+    gateway::{fleet::Leaf, routes::RouteStats, state::Gateway},
     platform::{CallRequest, LeafAnswer, leaf_answer, owns_answer},
 };
 
@@ -142,10 +138,6 @@
     }
 
     async fn exchange(&self, gateway: &Gateway) -> Result<Reply, ExchangeError> {
-        let (address, instance) = {
-            let record = self.leaf.record.borrow();
-            (record.address, record.instance.clone())
-        };
         let now = gateway.now();
         // A request that must not run twice is lost with its connection.
         let allows = |rested| {
@@ -155,18 +147,15 @@
         let (mut lease, rested) = match self.leaf.take_idle(now, allows) {
             Some((lease, rested)) => (lease, Some(rested)),
             None => {
-                let mut lease = self.leaf.reserve();
-                let opened = timeout(CONNECT_LIMIT, Connection::open(address)).await;
-                let opened = opened.unwrap_or_else(|_| Err(ExchangeError::no_connection(address)));
+                let opened = self.leaf.connect().await;
                 if opened.as_ref().is_err_and(ExchangeError::is_reset) {
                     self.leaf.set_crowded(now);
                 }
-                lease.connection = Some(opened?);
-                (lease, None)
+                (opened?, None)
             }
         };
         let left = self.end.since(gateway.now()).saturating_sub(WAY_BACK);
-        let bytes = self.request.encode(&instance, left);
+        let bytes = self.request.encode(&self.leaf.instance(), left);
         let connection = lease
             .connection
             .as_mut()
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -54,9 +54,6 @@
     inbound: Inbound,
     stats: Rc<RefCell<RouteStats>>,
     services: SmallVec<[(ServiceName, Rc<Service>); 16]>,
-    end: Time,
-    /// When the answer goes out with the parts that are there.
-    answer: Time,
     plan: Plan,
     replies: SmallVec<[Option<Reply>; 16]>,
     stamps: SmallVec<[Option<Bytes>; 16]>,
@@ -109,7 +106,7 @@
             }
         }
     };
-    let (planned, missing) = (dispatch.answer, dispatch.missing());
+    let (planned, missing) = (dispatch.plan.settings().answer, dispatch.missing());
     let response = dispatch.finish(end);
     let now = gateway.now();
     if end == End::Answer && missing > 0 && now >= planned {
@@ -192,13 +189,10 @@
             answer: arrived + left.max(LATE_WAIT),
             end,
         };
-        let answer = settings.answer;
         Self {
             plan: Plan::new(settings, arrived),
             stats,
             services,
-            end,
-            answer,
             replies: SmallVec::from_elem(None, parts),
             stamps: SmallVec::from_elem(None, parts),
             tried: SmallVec::new(),
@@ -284,14 +278,17 @@
         }
         self.plan.sent(part, now);
         self.tried.push((part, leaf.clone()));
+        let PlanSettings {
+            end, repeatable, ..
+        } = *self.plan.settings();
         Some(Call {
             part,
             leaf,
             request: self.inbound.request.clone(),
             id: self.inbound.caller.id.clone(),
-            end: self.end,
+            end,
             objective: self.inbound.route.objective,
-            repeatable: self.inbound.route.repeat == Repeat::Idempotent,
+            repeatable,
             stats: self.stats.clone(),
         })
     }
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -84,10 +84,9 @@
             let now = self.now();
             match read {
                 Ok(news) => {
-                    if self.news.lost.replace(None).is_some() {
+                    if self.registry.borrow_mut().contact(now) {
                         log::info!(revision = news.revision; "store regained");
                     }
-                    self.registry.borrow_mut().contact(now);
                     self.news.answered.set(Some(now));
                     self.news.catch_up.set(false);
                     if !self.news.reading.replace(true) {
@@ -113,11 +112,8 @@
                     self.news.reading.set(false);
                     // A call without any answer may have begun before the store went away.
                     let silent = matches!(error, StoreError::Timeout);
-                    self.registry
-                        .borrow_mut()
-                        .lost(if silent { asked } else { now });
-                    if self.news.lost.get().is_none() {
-                        self.news.lost.set(Some(now));
+                    let since = if silent { asked } else { now };
+                    if self.registry.borrow_mut().lost(since) {
                         let revision = self.feed.borrow().revision();
                         log::warn!(revision, error:% = error; "store lost");
                     }
@@ -143,8 +139,7 @@
     async fn follow(&self) {
         let revision = self.feed.borrow().revision();
         self.news.reading.set(false);
-        if self.news.lost.replace(None).is_some() {
-            self.registry.borrow_mut().contact(self.now());
+        if self.registry.borrow_mut().contact(self.now()) {
             log::info!(revision; "store regained through other nodes");
         }
         log::info!(revision; "other nodes read the store");
@@ -164,7 +159,7 @@
     /// Asks other nodes for what this one lacks: when they are ahead, and regularly while the store is lost.
     async fn follow_peers(self: Rc<Self>) {
         loop {
-            let lost = self.news.lost.get().is_some();
+            let lost = self.registry.borrow().is_lost();
             let known = self.feed.borrow().revision();
             let urgent = lost || self.members.ahead(&self, known).is_some();
             let pause = if urgent { PEER_INTERVAL } else { PEER_CHECK };
@@ -181,7 +176,7 @@
             }
             let revision = self.feed.borrow().revision();
             let ahead = self.members.ahead(&self, revision);
-            let lost = self.news.lost.get().is_some();
+            let lost = self.registry.borrow().is_lost();
             let Some(peer) = ahead.or_else(|| self.members.any(&self).filter(|_| lost)) else {
                 continue;
             };
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -7,10 +7,11 @@
 };
 
 use rand::Rng;
+use smallvec::SmallVec;
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    adapter::http1::Connection,
+    adapter::http1::{Connection, ExchangeError},
     core::{
         Domain, Instance, ServiceName, Time,
         placement::{
@@ -24,7 +25,7 @@
 };
 
 /// Longest time to open a connection to a leaf: a leaf that stands still accepts after its pause.
-pub(super) const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 /// Time over which the first connections to leafs are spread, so that nodes do not all connect at once.
 const FIRST_CONNECTIONS: Duration = Duration::from_millis(600);
 /// Time for which a leaf that reset a new connection is not asked for another one.
@@ -100,10 +101,19 @@
         }
     }
 
-    /// Reserves a new connection.
-    pub(super) fn reserve(self: &Rc<Self>) -> ConnectionLease {
+    /// Opens a new connection, which counts as open from now on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the leaf refuses it or takes longer than a pause.
+    pub(super) async fn connect(self: &Rc<Self>) -> Result<ConnectionLease, ExchangeError> {
         self.open.set(self.open.get() + 1);
-        ConnectionLease::of(self)
+        let mut lease = ConnectionLease::of(self);
+        let address = self.record.borrow().address;
+        let opened = timeout(CONNECT_LIMIT, Connection::open(address)).await;
+        let opened = opened.unwrap_or_else(|_| Err(ExchangeError::no_connection(address)));
+        lease.connection = Some(opened?);
+        Ok(lease)
     }
 
     /// Records that the leaf reset a new connection: it has as many as it accepts, and works otherwise.
@@ -356,7 +366,7 @@
         });
         let leafs = service.leafs.borrow();
         let (mut works, mut again) = (false, None::<Time>);
-        let mut usable = Vec::with_capacity(leafs.len());
+        let mut usable = SmallVec::<[usize; 8]>::new();
         for (index, leaf) in leafs.iter().enumerate() {
             let is_tried = tried.iter().any(|other| Rc::ptr_eq(other, leaf));
             if is_tried || !self.takes_work(&settings, leaf, regions) {
@@ -375,7 +385,7 @@
                 usable.push(index);
             }
         }
-        let gauges: Vec<_> = usable
+        let gauges: SmallVec<[_; 8]> = usable
             .iter()
             .map(|index| (*index, leafs[*index].gauge.borrow()))
             .collect();
@@ -405,17 +415,11 @@
     if !leaf.kept.get() || leaf.open.get() >= SPARE_CONNECTIONS {
         return;
     }
-    let mut lease = leaf.reserve();
-    let address = leaf.record.borrow().address;
-    match timeout(CONNECT_LIMIT, Connection::open(address)).await {
-        Ok(Ok(connection)) => {
-            lease.connection = Some(connection);
-            lease.release(gateway.now());
-        }
+    match leaf.connect().await {
+        Ok(lease) => lease.release(gateway.now()),
         // A call finds out whether the leaf is down.
-        Ok(Err(error)) => {
+        Err(error) => {
             log::debug!(leaf:% = leaf.instance(), error:% = error; "no connection in advance")
         }
-        Err(_) => log::debug!(leaf:% = leaf.instance(); "no connection in advance in time"),
     }
 }
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -195,7 +195,7 @@
     let (parts, body) = request.into_parts();
     let caller = CallerRequest::read(&parts);
     let routing = gateway.routing.borrow().clone();
-    let reject = |status: StatusCode, reason: &str| {
+    let note = |status: StatusCode, reason: &str| {
         let labels = [("status", status.as_str().to_owned())];
         metrics::counter!("cranberrychute_rejected_total", &labels).increment(1);
         if let Some(suppressed) = gateway.journal.admit(arrived, "rejected") {
@@ -207,11 +207,14 @@
                 "request rejected: {reason}"
             );
         }
+    };
+    let reject = |status: StatusCode, reason: &str| {
+        note(status, reason);
         FinalAnswer::Rejected(status).response(&caller.id)
     };
     if routing.is_empty() {
         let again = come_back(NO_CONFIGURATION, 0, &mut *gateway.rng.borrow_mut());
-        let _ = reject(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet");
+        note(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet");
         return FinalAnswer::Refused { again }.response(&caller.id);
     }
     let host = parts
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -79,7 +79,7 @@
         incarnation: Incarnation,
         now: Time,
     ) -> Self {
-        let me: NodeId = settings.listen.peer.to_string().into();
+        let me = node_id(settings.listen.peer);
         let member = MemberSettings {
             period: PERIOD,
             timeout: PROBE_TIMEOUT,
@@ -159,6 +159,11 @@
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
+/// Returns the id of the node with a peer address: without a VM list the address is its name.
+pub(super) fn node_id(address: SocketAddr) -> NodeId {
+    address.to_string().into()
+}
+
 fn address(node: &NodeId) -> Option<SocketAddr> {
     node.as_str().parse().ok()
 }
@@ -216,7 +221,7 @@
             {
                 let mut view = self.members.view.borrow_mut();
                 for other in &note.others {
-                    view.introduce(now, &other.to_string().as_str().into());
+                    view.introduce(now, &node_id(*other));
                 }
                 view.receive(now, &incoming.from, incoming.message, &own, &mut out);
             }
@@ -272,7 +277,7 @@
         let settings = self.settings.borrow();
         let mut view = self.members.view.borrow_mut();
         for seed in &settings.seeds {
-            view.introduce(now, &seed.to_string().as_str().into());
+            view.introduce(now, &node_id(*seed));
         }
     }
 
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -17,8 +17,6 @@
     pub(super) reading: Cell<bool>,
     /// When the store last answered this node.
     pub(super) answered: Cell<Option<Time>>,
-    /// Since when the store has not answered this node.
-    pub(super) lost: Cell<Option<Time>>,
     /// What other nodes say of how current the copy is.
     pub(super) currency: RefCell<Currency>,
     /// Whether this process was paused and has learnt nothing since.
@@ -40,7 +38,6 @@
         Self {
             reading: Cell::new(false),
             answered: Cell::new(None),
-            lost: Cell::new(None),
             currency: RefCell::default(),
             wake: Cell::new(Wake::new(now)),
             catch_up: Cell::new(false),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -28,7 +28,7 @@
         fleet::Fleet,
         ingress,
         journal::{Journal, dropped_lines},
-        members::Members,
+        members::{Members, node_id},
         news::News,
         routes::RouteBook,
     },
@@ -113,7 +113,7 @@
     let mut rng = Pcg64::from_os_rng();
     let incarnation = Incarnation(rng.random());
     let listen = settings.listen;
-    let me = listen.peer.to_string().as_str().into();
+    let me = node_id(listen.peer);
     let socket = ControlSocket::bind(listen.peer, me, incarnation, &settings.fleet)
         .await
         .with_context(|| format!("bind the peer socket {}", listen.peer))?;
