Keep replaced VM lists until newer ones displace them

Change: a replaced list leaves the buffer only when 32 newer ones have replaced it. The sets taken from it still expire as before, once their voters confirm a newer list or most of them are removed.

Ruled out: a longer timer, which only moves the fault.

--- a/src/core/lease/voters.rs
+++ b/src/core/lease/voters.rs
@@ -25,8 +25,8 @@
 /// permanently gone would block a partition permanently.
 const REPORT_TTL: Duration = Duration::from_secs(60);
 
-/// Maximum number of replaced lists that are kept. They are needed for partitions that are first used within the joint
-/// period.
+/// Maximum number of replaced lists that are kept. The voters of a partition that is first used later may still hold it
+/// under one of them, on the other side of a network partition.
 const MAX_REPLACED_LISTS: usize = 32;
 
 /// The active voter sets of each partition that this node holds, requests or votes on.
@@ -262,8 +262,6 @@
 
     /// Removes expired and unused state.
     pub(crate) fn expire(&mut self, now: Time) {
-        self.replaced_lists
-            .retain(|list| now < list.replaced_at + self.joint_period);
         let excess = self.replaced_lists.len().saturating_sub(MAX_REPLACED_LISTS);
         self.replaced_lists.drain(..excess);
         let Some(list) = &self.list else {
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -10,7 +10,7 @@
     invariant,
     lease::{Claim, ConfigDigest, LeaseMessage, LeaseSettings, LeaseTable, Verdict, VoteRequest},
 };
-use rand::Rng;
+use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use schedules::{Fleet, Input, MS, SECOND, Scenario, id, vm};
 
@@ -449,6 +449,13 @@
     assert_eq!(invariant::violation_count(), 0);
 }
 
+/// Guards against a second holder whose voters share no node with those of the first one and have forgotten the list
+/// under which it still renews its lease.
+#[test]
+fn voters_remember_replaced_lists_in_a_long_partition() {
+    long_partition(Pcg64::seed_from_u64(1392)).unwrap();
+}
+
 /// Guards against a late release that ends a promise renewed in the meantime, and against votes for a node with an
 /// outdated list.
 #[test]
