Read a compacted store at once and retry by rank rather than by fleet size

Change: the next call and its delay are decided by mirror::ReadPlan. After a compaction all items are read at once, or 250 ms after the last such read. After a call without an answer the first eight nodes in the order of readers retry after 250 to 500 ms, the others later by their rank, at most 4 to 8 s.

Ruled out: a fixed cap on the old delay, which leaves all nodes equally late.

--- a/src/core/mirror/mod.rs
+++ b/src/core/mirror/mod.rs
@@ -9,8 +9,8 @@
 pub use self::{
     pause_guard::PauseGuard,
     readers::{
-        Freshness, MAX_FIRST_READ_DELAY, MAX_MIRROR_AGE, READER_COUNT, reader_rank, reads_store,
-        retry_delay,
+        Freshness, MAX_FIRST_READ_DELAY, MAX_MIRROR_AGE, READER_COUNT, ReadPlan, reader_rank,
+        reads_store, retry_delay,
     },
 };
 
--- a/src/core/mirror/readers.rs
+++ b/src/core/mirror/readers.rs
@@ -24,12 +24,18 @@
 /// read the store updates the others.
 pub const MAX_FIRST_READ_DELAY: Duration = Duration::from_millis(120);
 
-/// Delay of a node after a call that the store did not answer, with up to [`UNSCALED_NODES`] nodes.
+/// Delay after a call that the store did not answer, for the first [`PROMPT_NODES`] nodes in the order of readers.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(250);
 
-/// Number of nodes up to which the retry delay is not increased. Larger fleets do not exceed the retry rate of this
-/// many nodes, since the first node that reaches the store updates the others.
-const UNSCALED_NODES: usize = 8;
+/// Number of nodes that retry at the minimum delay. The delay of the others grows with their rank, since the first node
+/// that reaches the store updates the others.
+const PROMPT_NODES: usize = 8;
+
+/// Maximum delay after a call that the store did not answer. The store may reject all nodes of a lower rank.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(4);
+
+/// Minimum interval between reads of all items because of compacted history.
+const COMPACTION_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Rendezvous hashing key that orders the nodes as readers.
 const RANK_KEY: &str = "reader";
@@ -74,7 +80,66 @@
     rank < READER_COUNT << doublings
 }
 
-/// Returns the minimum delay after a call that the store did not answer, for each of `nodes` live nodes.
-pub fn retry_delay(nodes: usize) -> Duration {
-    MIN_RETRY_DELAY.mul_f64((nodes as f64 / UNSCALED_NODES as f64).max(1.0))
+/// Returns the minimum delay after a call that the store did not answer, for a node of this `rank`.
+pub fn retry_delay(rank: usize) -> Duration {
+    let factor = (rank as f64 / PROMPT_NODES as f64).max(1.0);
+    MIN_RETRY_DELAY.mul_f64(factor).min(MAX_RETRY_DELAY)
+}
+
+/// Decides which call a node that reads the store makes next, and when.
+///
+/// Designed for events that reach all readers at once: the store discards its history, is unavailable, rejects some
+/// nodes, or its answers are lost. No delay grows with the number of nodes, and the rate of all calls together stays a
+/// small part of what the store answers.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadPlan {
+    reads_all: bool,
+    compacted_at: Option<Time>,
+}
+
+impl ReadPlan {
+    /// Starts with a read of all items.
+    pub fn new() -> Self {
+        Self {
+            reads_all: true,
+            compacted_at: None,
+        }
+    }
+
+    /// Returns whether the next call reads all items rather than waiting for changes.
+    pub fn reads_all(&self) -> bool {
+        self.reads_all
+    }
+
+    /// Sets whether the next call reads all items, for a node that becomes a reader again.
+    pub fn restart(&mut self, reads_all: bool) {
+        self.reads_all = reads_all;
+    }
+
+    /// Records that the store answered.
+    pub fn record_answer(&mut self) {
+        self.reads_all = false;
+    }
+
+    /// Records that the store no longer has the requested history. Returns the delay until all items are read.
+    ///
+    /// The store is available, so there is no reason to wait, unless it discards its history again and again.
+    pub fn record_compaction(&mut self, now: Time) -> Duration {
+        self.reads_all = true;
+        let earliest = self.compacted_at.map(|at| at + COMPACTION_INTERVAL);
+        self.compacted_at = Some(now);
+        earliest.map_or(Duration::ZERO, |at| at.since(now))
+    }
+
+    /// Records that the store did not answer a node of this `rank`. Returns the delay until the next call; `factor`
+    /// is a random number of at least 1 that spreads the calls of different nodes.
+    pub fn record_failure(&mut self, rank: usize, factor: f64) -> Duration {
+        retry_delay(rank).mul_f64(factor)
+    }
+}
+
+impl Default for ReadPlan {
+    fn default() -> Self {
+        Self::new()
+    }
 }
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -12,7 +12,7 @@
     adapter::http1::Connection,
     core::{
         Time,
-        mirror::{Change, MAX_FIRST_READ_DELAY, MAX_MIRROR_AGE, Update, reads_store, retry_delay},
+        mirror::{Change, MAX_FIRST_READ_DELAY, MAX_MIRROR_AGE, ReadPlan, Update, reads_store},
         routing::Routing,
     },
     gateway::{ingress::FEED_PATH, members::millis, state::Gateway},
@@ -66,7 +66,7 @@
     pub(super) async fn watch_store(self: Rc<Self>) {
         tokio::task::spawn_local(self.clone().sync_from_peers());
         let mut client = StoreClient::new(self.settings.borrow().store);
-        let mut full_read = true;
+        let mut plan = ReadPlan::new();
         let delay = self
             .rng
             .borrow_mut()
@@ -76,10 +76,11 @@
             if !self.must_read_store() {
                 self.rely_on_readers().await;
                 client.disconnect();
-                full_read = self.mirror.borrow().revision() == 0;
+                plan.restart(self.mirror.borrow().revision() == 0);
             }
             let called = self.now();
-            let result = if full_read {
+            let reads_all = plan.reads_all();
+            let result = if reads_all {
                 client.read_all(&PAGE_TIMEOUTS).await
             } else {
                 let after = self.mirror.borrow().revision();
@@ -98,20 +99,25 @@
                     }
                     let changes = {
                         let mut mirror = self.mirror.borrow_mut();
-                        if full_read {
+                        if reads_all {
                             mirror.replace(read.changes, read.revision)
                         } else {
                             mirror.advance(read.changes, read.revision)
                         }
                     };
                     let changed = !changes.is_empty();
-                    full_read = false;
+                    plan.record_answer();
                     self.apply_changes(changes).await;
                     if changed {
                         self.sync.read_update.notify_one();
                         sleep(COALESCE_DELAY).await;
                     }
                 }
+                Err(StoreError::Compacted) => {
+                    let revision = self.mirror.borrow().revision();
+                    log::info!(revision; "history of the store was compacted, all items are read");
+                    sleep(plan.record_compaction(now)).await;
+                }
                 Err(error) => {
                     self.sync.reading.set(false);
                     // The outage may have started at any time during a call that timed out, so it counts from the
@@ -122,10 +128,10 @@
                         let revision = self.mirror.borrow().revision();
                         log::warn!(revision, error:% = error; "store lost");
                     }
-                    full_read |= matches!(error, StoreError::Compacted);
                     client.disconnect();
                     let factor = self.rng.borrow_mut().random_range(1.0..MAX_RETRY_FACTOR);
-                    sleep(retry_delay(self.members.alive_count()).mul_f64(factor)).await;
+                    let rank = self.members.reader_rank();
+                    sleep(plan.record_failure(rank, factor)).await;
                 }
             }
         }
