Name a few strong nodes near the leaves in address answers of large fleets

Each node selects by itself (core/entry): nodes of half the highest capacity and 1.5 times the mean, in domains with leaves if those are enough, else all of them; all nodes if those are too few or lag. The selected ones get 0.55 of the budgets and cold rates and 0.7 of the connections, the others 0.25 and 0.2, and open no connections ahead. A fleet of equal nodes works as before.

Tests: selection, losses, overload, limits while views differ, a stop, bounds of the table.

--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -6,6 +6,7 @@
 use crate::{
     gateway::{
         ingress::{Answer, empty_response},
+        members::node_address,
         state::Gateway,
     },
     platform::{DirectoryQuery, directory_answer},
@@ -18,17 +19,13 @@
 const MAX_ADDRESSES: usize = 64;
 
 impl Gateway {
-    /// Answers an address query with the nodes that are ready for requests, in random order and at most
-    /// [`MAX_ADDRESSES`].
+    /// Answers an address query with the selected nodes, or all nodes that are ready for requests if none are selected,
+    /// in random order and at most [`MAX_ADDRESSES`].
     pub(super) fn addresses(&self, query: &DirectoryQuery) -> Answer {
-        let listen = self.settings.borrow().listen;
-        let mut addresses: Vec<SocketAddr> = self
-            .members
-            .ready_addresses(self.now())
-            .map(|ip| SocketAddr::new(ip, listen.callers.port()))
-            .collect();
-        if self.is_ready() {
-            addresses.push(listen.callers);
+        let callers = self.settings.borrow().listen.callers;
+        let mut addresses = self.selected_addresses(callers);
+        if addresses.is_empty() {
+            addresses = self.ready_addresses(callers);
         }
         if addresses.is_empty() {
             log::warn!(domain:? = query.domain; "address query rejected: no node is known to be ready");
@@ -39,4 +36,25 @@
         let ttl = ANSWER_TTL.min(self.settings.borrow().bounds.answer_ttl);
         directory_answer(&addresses, ttl)
     }
+
+    /// Returns the addresses of the selected nodes, none if all nodes serve callers.
+    fn selected_addresses(&self, callers: SocketAddr) -> Vec<SocketAddr> {
+        let selected = self.entry.selected();
+        let healthy = selected
+            .iter()
+            .flat_map(|nodes| nodes.iter())
+            .filter(|node| {
+                let own = *node == self.members.me();
+                self.members.is_healthy(node) && (!own || self.is_ready())
+            });
+        let ips = healthy.filter_map(node_address).map(|address| address.ip());
+        ips.map(|ip| SocketAddr::new(ip, callers.port())).collect()
+    }
+
+    /// Returns the addresses of all nodes that are known to be ready.
+    fn ready_addresses(&self, callers: SocketAddr) -> Vec<SocketAddr> {
+        let others = self.members.ready_addresses(self.now());
+        let others = others.map(|ip| SocketAddr::new(ip, callers.port()));
+        others.chain(self.is_ready().then_some(callers)).collect()
+    }
 }
--- /dev/null
+++ b/src/gateway/entry.rs
@@ -0,0 +1,169 @@
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::{
+    core::{
+        NodeId, Time,
+        entry::{Crowding, EntryReport, EntryTable, Fleet, Role, select},
+    },
+    gateway::{
+        members::{millis, node_address, node_id},
+        state::Gateway,
+    },
+};
+
+/// Maximum number of reports about other nodes in a message.
+const MAX_PASSED_ON: usize = 8;
+/// Time after the start in which no connections are opened ahead by a node that is not known to be selected.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
+/// A report about a node that another one passes on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct PassedOn {
+    /// Peer address of the node.
+    node: SocketAddr,
+    report: EntryReport,
+    age_ms: u32,
+}
+
+/// Which nodes callers are told to use, and what this node does for callers.
+#[derive(Debug, Default)]
+pub(super) struct Entry {
+    table: RefCell<EntryTable>,
+    /// The selected nodes, `None` if all nodes serve callers.
+    selected: RefCell<Option<Rc<[NodeId]>>>,
+    role: Cell<Role>,
+    crowding: Cell<Crowding>,
+    passed_on: RefCell<SmallVec<[PassedOn; MAX_PASSED_ON]>>,
+}
+
+impl Entry {
+    /// Returns the reports that messages pass on at present.
+    pub(super) fn passed_on(&self) -> SmallVec<[PassedOn; MAX_PASSED_ON]> {
+        self.passed_on.borrow().clone()
+    }
+
+    /// Records the report of a node about itself, and those that it passes on.
+    pub(super) fn record(
+        &self,
+        now: Time,
+        from: &NodeId,
+        report: &EntryReport,
+        passed_on: &[PassedOn],
+    ) {
+        let mut table = self.table.borrow_mut();
+        table.record(now, from, report.clone(), Duration::ZERO);
+        for other in passed_on {
+            // Zero is the age of a node's own report.
+            let age = Duration::from_millis(u64::from(other.age_ms).max(1));
+            table.record(now, &node_id(other.node), other.report.clone(), age);
+        }
+    }
+
+    /// Returns the selected nodes, `None` if all nodes serve callers.
+    pub(super) fn selected(&self) -> Option<Rc<[NodeId]>> {
+        self.selected.borrow().clone()
+    }
+}
+
+impl Gateway {
+    /// Returns this node's report about itself.
+    pub(super) fn entry_report(&self) -> EntryReport {
+        let settings = self.settings.borrow();
+        EntryReport {
+            domain: settings.domain.clone(),
+            capacity: settings.capacity,
+            ready: self.is_ready(),
+            lag_ms: u16::try_from(self.lag.get().mean().as_millis()).unwrap_or(u16::MAX),
+        }
+    }
+
+    /// Returns the number of nodes that fleet-wide limits are divided among.
+    pub(super) fn planned_node_count(&self) -> usize {
+        self.entry
+            .role
+            .get()
+            .limit_nodes(self.members.alive_count())
+    }
+
+    /// Returns the number of nodes that the connections of leaves are divided among.
+    pub(super) fn connecting_node_count(&self) -> usize {
+        self.entry
+            .role
+            .get()
+            .connecting_nodes(self.members.alive_count())
+    }
+
+    /// Returns whether connections to leaves are opened before they are needed.
+    pub(super) fn connects_ahead(&self) -> bool {
+        match self.entry.role.get() {
+            Role::Equal => self.now().since(self.started) >= SETTLE_TIME,
+            role => role.connects_ahead(),
+        }
+    }
+
+    /// Selects the nodes that callers are told to use, from the latest reports.
+    pub(super) fn select_entry(&self, now: Time) {
+        let entry = &self.entry;
+        let me = self.members.me();
+        let report = self.entry_report();
+        let mut table = entry.table.borrow_mut();
+        table.record(now, me, report, Duration::ZERO);
+        table.expire(now, |node| self.members.is_alive(node));
+        {
+            let mut rng = self.rng.borrow_mut();
+            let sample = table.sample(now, MAX_PASSED_ON, &mut *rng);
+            *entry.passed_on.borrow_mut() = sample
+                .filter(|(node, ..)| *node != me)
+                .filter_map(|(node, report, age)| {
+                    Some(PassedOn {
+                        node: node_address(node)?,
+                        report: report.clone(),
+                        age_ms: millis(age),
+                    })
+                })
+                .collect();
+        }
+        let fleet = Fleet {
+            alive: self.members.alive_count(),
+            mean_capacity: self.members.mean_capacity(self.settings.borrow().capacity),
+        };
+        let domains = self.upstreams.leaf_domains();
+        let chosen = select(
+            &table,
+            fleet,
+            |node| self.members.is_healthy(node),
+            |domain| domains.contains(domain),
+        );
+        let lag_ms = chosen
+            .as_ref()
+            .map_or(0.0, |chosen| mean_lag(&table, chosen));
+        let mut crowding = entry.crowding.get();
+        let crowded = crowding.update(now, lag_ms);
+        entry.crowding.set(crowding);
+        let chosen = chosen.filter(|_| !crowded);
+        let role = match &chosen {
+            None => Role::Equal,
+            Some(nodes) if nodes.contains(me) => Role::Selected(nodes.len()),
+            Some(_) => Role::Reserve,
+        };
+        if entry.role.replace(role) != role {
+            let selected = chosen.as_ref().map_or(0, Vec::len);
+            log::info!(role:? = role, selected, alive = fleet.alive, crowded, lag_ms = lag_ms as u64; "role changed");
+        }
+        *entry.selected.borrow_mut() = chosen.map(Rc::from);
+    }
+}
+
+fn mean_lag(table: &EntryTable, nodes: &[NodeId]) -> f64 {
+    let lags = table.iter().filter(|(node, _)| nodes.contains(node));
+    let sum: f64 = lags.map(|(_, report)| f64::from(report.lag_ms)).sum();
+    sum / nodes.len().max(1) as f64
+}
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -15,14 +15,17 @@
     adapter::peer::ControlSocket,
     core::{
         Incarnation, NodeId, Outbound, Time,
+        entry::EntryReport,
         member::{MemberMessage, MemberSettings, Membership},
         mirror::{READER_COUNT, reader_rank},
     },
-    gateway::{Settings, state::Gateway},
+    gateway::{Settings, entry::PassedOn, state::Gateway},
 };
 
 /// Interval between membership ticks, three to a probe interval.
 const TICK_INTERVAL: Duration = Duration::from_millis(165);
+/// Interval after which the lag is measured again if a tick was late.
+const LAG_RECHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between probes. Together with [`PROBE_TIMEOUT`] and [`SUSPICION_TIMEOUT`] it bounds the detection of a dead
 /// node to about 3 s; the users' bound for address answers is 7 s.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
@@ -44,8 +47,10 @@
 /// The status that a node sends about itself in each message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct NodeStatus {
-    /// Whether the node is ready for requests.
-    ready: bool,
+    /// The node as a server of callers.
+    entry: EntryReport,
+    /// Reports about other nodes.
+    passed_on: SmallVec<[PassedOn; MAX_LISTED_NODES]>,
     /// Revision up to which its mirror of the store is complete.
     revision: u64,
     /// How long ago the mirror was known to be complete, milliseconds.
@@ -104,6 +109,31 @@
         self.alive_count.get()
     }
 
+    pub(super) fn me(&self) -> &NodeId {
+        &self.me
+    }
+
+    /// Returns whether a node counts as alive. Suspected nodes do.
+    pub(super) fn is_alive(&self, node: &NodeId) -> bool {
+        self.membership.borrow().is_alive(node)
+    }
+
+    /// Returns whether a node counts as alive and is not suspected.
+    pub(super) fn is_healthy(&self, node: &NodeId) -> bool {
+        self.membership.borrow().is_healthy(node)
+    }
+
+    /// Returns the mean capacity of this node, which is `own`, and the live nodes that it has heard from, in thousandths
+    /// of a core.
+    pub(super) fn mean_capacity(&self, own: u32) -> f64 {
+        let statuses = self.statuses.borrow();
+        let others: f64 = statuses
+            .values()
+            .map(|(status, _)| f64::from(status.entry.capacity))
+            .sum();
+        (f64::from(own) + others) / (statuses.len() + 1) as f64
+    }
+
     /// Returns the addresses of the other nodes that are ready for requests.
     pub(super) fn ready_addresses(&self, now: Time) -> impl Iterator<Item = IpAddr> {
         let membership = self.membership.borrow();
@@ -111,9 +141,9 @@
         let ready: Vec<IpAddr> = statuses
             .iter()
             .filter(|(node, (status, at))| {
-                status.ready && now.since(*at) < STATUS_TTL && membership.is_healthy(node)
+                status.entry.ready && now.since(*at) < STATUS_TTL && membership.is_healthy(node)
             })
-            .filter_map(|(node, _)| address(node))
+            .filter_map(|(node, _)| node_address(node))
             .map(|address| address.ip())
             .collect();
         ready.into_iter()
@@ -132,7 +162,7 @@
             .set(reader_rank(&self.me, membership.iter_alive()));
         let others = membership.iter_alive().filter(|node| **node != self.me);
         let listed = others.choose_multiple(rng, MAX_LISTED_NODES);
-        *self.listed.borrow_mut() = listed.into_iter().filter_map(address).collect();
+        *self.listed.borrow_mut() = listed.into_iter().filter_map(node_address).collect();
     }
 
     /// Returns a random live node whose mirror of the store is ahead of `revision`.
@@ -142,7 +172,7 @@
         let ahead = statuses
             .iter()
             .filter(|(node, (status, _))| status.revision > revision && membership.is_alive(node))
-            .filter_map(|(node, _)| address(node));
+            .filter_map(|(node, _)| node_address(node));
         ahead.choose(&mut *gateway.rng.borrow_mut())
     }
 
@@ -151,7 +181,7 @@
         let membership = self.membership.borrow();
         let others = membership.iter_alive().filter(|node| **node != self.me);
         let node = others.choose(&mut *gateway.rng.borrow_mut())?;
-        address(node)
+        node_address(node)
     }
 }
 
@@ -165,14 +195,16 @@
     address.to_string().into()
 }
 
-fn address(node: &NodeId) -> Option<SocketAddr> {
+/// Returns the peer address of a node.
+pub(super) fn node_address(node: &NodeId) -> Option<SocketAddr> {
     node.as_str().parse().ok()
 }
 
 impl Gateway {
     fn status(&self) -> NodeStatus {
         NodeStatus {
-            ready: self.is_ready(),
+            entry: self.entry_report(),
+            passed_on: self.entry.passed_on(),
             revision: self.mirror.borrow().revision(),
             age_ms: millis(self.sync.age(self.now())),
             others: self.members.listed.borrow().clone(),
@@ -200,10 +232,25 @@
                 .statuses
                 .borrow_mut()
                 .retain(|node, _| is_alive(node));
-            sleep(TICK_INTERVAL).await;
+            self.select_entry(self.now());
+            if self.sleep_and_record_lag(TICK_INTERVAL).await {
+                // Shows whether the backlog of the time before is over.
+                self.sleep_and_record_lag(LAG_RECHECK_INTERVAL).await;
+            }
         }
     }
 
+    /// Sleeps and records how late the timer was. Returns whether it was so late that requests may have waited.
+    async fn sleep_and_record_lag(&self, pause: Duration) -> bool {
+        let mut lag = self.lag.get();
+        lag.schedule(self.now() + pause);
+        self.lag.set(lag);
+        sleep(pause).await;
+        lag.record(self.now());
+        self.lag.set(lag);
+        !lag.read_delay(self.now()).is_zero()
+    }
+
     /// Handles messages of other nodes until the process exits.
     pub(super) async fn receive_gossip(self: Rc<Self>) {
         loop {
@@ -226,6 +273,8 @@
                 }
                 membership.receive(now, &incoming.from, incoming.message, &own, &mut out);
             }
+            self.entry
+                .record(now, &incoming.from, &status.entry, &status.passed_on);
             let (revision, age) = (status.revision, Duration::from_millis(status.age_ms.into()));
             self.members
                 .statuses
@@ -287,7 +336,7 @@
 
     async fn send(&self, out: Vec<Outbound<Message>>) {
         for Outbound { to, message } in out {
-            let Some(address) = address(&to) else {
+            let Some(address) = node_address(&to) else {
                 continue;
             };
             let sent = self.members.socket.send(address, message, Err).await;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod calls;
 mod directory;
 mod dispatch;
+mod entry;
 mod ingress;
 mod logging;
 mod members;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -9,6 +9,8 @@
     pub name: Arc<str>,
     /// Failure domain of the VM.
     pub domain: Domain,
+    /// Processor capacity of the VM, in thousandths of a core.
+    pub capacity: u32,
     /// Peer addresses of nodes to contact at startup. They may be stale.
     pub seeds: Vec<SocketAddr>,
     /// Region of each failure domain.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,15 +16,13 @@
 use crate::{
     adapter::{Clock, peer::ControlSocket},
     core::{
-        Incarnation, Time,
-        gather::SendDelay,
-        mirror::Mirror,
-        placement::{IdleLimit, planned_nodes},
-        registry::Registry,
-        routing::Routing,
+        Incarnation, Time, gather::SendDelay, lag::LoopLag, mirror::Mirror, placement::IdleLimit,
+        registry::Registry, routing::Routing,
     },
     gateway::{
-        Settings, ingress,
+        Settings,
+        entry::Entry,
+        ingress,
         logging::{LogLimiter, dropped_lines},
         members::{Members, node_id},
         routes::RouteStatsMap,
@@ -49,8 +47,10 @@
     pub(super) idle_limit: RefCell<IdleLimit>,
     /// How long after their planned time answers are sent that waited for more parts until then.
     pub(super) send_delay: Cell<SendDelay>,
+    pub(super) lag: Cell<LoopLag>,
     pub(super) route_stats: RouteStatsMap,
     pub(super) members: Members,
+    pub(super) entry: Entry,
     pub(super) log_limiter: LogLimiter,
     pub(super) rng: RefCell<Pcg64>,
     pub(super) stopping: Cell<bool>,
@@ -67,11 +67,6 @@
         self.clock.now()
     }
 
-    /// Returns the number of nodes that fleet-wide limits are divided among.
-    pub(super) fn planned_node_count(&self) -> usize {
-        planned_nodes(self.members.alive_count())
-    }
-
     /// Returns whether the node is ready for requests.
     pub(super) fn is_ready(&self) -> bool {
         let now = self.now();
@@ -127,8 +122,10 @@
         upstreams: Upstreams::default(),
         idle_limit: RefCell::default(),
         send_delay: Cell::default(),
+        lag: Cell::default(),
         route_stats: RouteStatsMap::default(),
         members: Members::new(socket, &settings, incarnation, started),
+        entry: Entry::default(),
         log_limiter: LogLimiter::default(),
         rng: RefCell::new(rng),
         stopping: Cell::new(false),
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -1,6 +1,7 @@
 use std::{
     cell::{Cell, RefCell},
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -14,9 +15,7 @@
     adapter::http1::{Connection, ExchangeError},
     core::{
         Domain, Instance, ServiceName, Time,
-        placement::{
-            Candidate, Contention, LeafStats, cold_share, connecting_nodes, connection_share, pick,
-        },
+        placement::{Candidate, Contention, LeafStats, cold_share, connection_share, pick},
         registry::{LeafChange, LeafRecord},
         retry::RetryBudget,
         score,
@@ -79,6 +78,10 @@
         self.record.borrow().instance.clone()
     }
 
+    pub(super) fn address(&self) -> SocketAddr {
+        self.record.borrow().address
+    }
+
     pub(super) fn is_cold(&self, now: Time) -> bool {
         self.cold_until.get().is_some_and(|until| now < until)
     }
@@ -109,7 +112,7 @@
     pub(super) async fn connect(self: &Rc<Self>) -> Result<ConnectionLease, ExchangeError> {
         self.open_count.set(self.open_count.get() + 1);
         let mut lease = ConnectionLease::new(self);
-        let address = self.record.borrow().address;
+        let address = self.address();
         let opened = timeout(CONNECT_TIMEOUT, Connection::open(address)).await;
         let opened = opened.unwrap_or_else(|_| Err(ExchangeError::connect_timeout(address)));
         lease.connection = Some(opened?);
@@ -224,6 +227,21 @@
         }
     }
 
+    /// Returns the failure domains with many leaves: at least half as many as the domain with the most.
+    pub(super) fn leaf_domains(&self) -> BTreeSet<Domain> {
+        let evacuated = self.evacuated.borrow();
+        let mut counts = BTreeMap::<Domain, usize>::new();
+        for leaf in self.leaves.borrow().values() {
+            let record = leaf.record.borrow();
+            if !record.leaving && !evacuated.contains(&record.domain) {
+                *counts.entry(record.domain.clone()).or_default() += 1;
+            }
+        }
+        let most = counts.values().copied().max().unwrap_or(0);
+        counts.retain(|_, count| 2 * *count >= most);
+        counts.into_keys().collect()
+    }
+
     /// Applies changes of the published leaves.
     pub(super) fn apply(&self, gateway: &Rc<Gateway>, changes: Vec<LeafChange>) {
         let now = gateway.now();
@@ -303,7 +321,8 @@
     /// closed by their leaf.
     pub(super) fn update_pools(&self, gateway: &Rc<Gateway>) {
         let now = gateway.now();
-        let nodes = connecting_nodes(gateway.members.alive_count());
+        let nodes = gateway.connecting_node_count();
+        let connects_ahead = gateway.connects_ahead();
         let uptime = now.since(gateway.started);
         for (name, service) in &*self.services.borrow() {
             let limit = gateway
@@ -326,7 +345,8 @@
         }
         for leaf in self.leaves.borrow().values() {
             leaf.prune_idle();
-            let needs_connection = leaf.pooled.get() && !leaf.stats.borrow().is_ejected(now);
+            let needs_connection =
+                connects_ahead && leaf.pooled.get() && !leaf.stats.borrow().is_ejected(now);
             if leaf.open_count.get() == 0 && needs_connection {
                 tokio::task::spawn_local(warm_up(gateway.clone(), leaf.clone(), Duration::ZERO));
             }
@@ -418,7 +438,8 @@
 /// Opens a connection in advance, so that the first call does not wait for it.
 async fn warm_up(gateway: Rc<Gateway>, leaf: Rc<Leaf>, delay: Duration) {
     sleep(delay).await;
-    if !leaf.pooled.get() || leaf.open_count.get() >= SPARE_CONNECTIONS {
+    if !gateway.connects_ahead() || !leaf.pooled.get() || leaf.open_count.get() >= SPARE_CONNECTIONS
+    {
         return;
     }
     match leaf.connect().await {
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -3,8 +3,10 @@
 #[path = "../seeds/mod.rs"]
 mod seeds;
 
+mod entry;
 mod gather;
 mod idle_limit;
+mod lag;
 mod mirror;
 mod pause_guard;
 mod placement;
