Count the time that a request waits in its socket, and send no call for a caller that left

Change: Calls that wait for a connection look whether they are still needed. A timer's lag bounds how long a request waited (core/lag): it is taken off the objective and the deadline, and what is over is rejected as not run at once.

For the calls there is no test: loopback cannot hold a connection back for 0 to 250 ms.

--- a/src/adapter/http1/connection.rs
+++ b/src/adapter/http1/connection.rs
@@ -66,6 +66,15 @@
         }
     }
 
+    /// Returns the error for an exchange that is no longer needed and was not started.
+    pub fn cancelled(peer: SocketAddr) -> Self {
+        Self {
+            step: ExchangeStep::Start,
+            peer,
+            reason: Reason::Protocol("the request is no longer needed"),
+        }
+    }
+
     /// Returns whether the peer reset the connection.
     pub fn is_reset(&self) -> bool {
         matches!(&self.reason, Reason::Io(error) if error.kind() == io::ErrorKind::ConnectionReset)
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -1,4 +1,9 @@
-use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use tokio::time::timeout;
 
@@ -35,6 +40,8 @@
     /// Deadline of the caller's request.
     pub(super) deadline: Time,
     pub(super) objective: Duration,
+    /// Cleared when the caller's request has ended or its caller has left.
+    pub(super) wanted: Rc<Cell<bool>>,
     /// The request may run more than once.
     pub(super) repeatable: bool,
     pub(super) route_stats: Rc<RefCell<RouteStats>>,
@@ -109,6 +116,7 @@
             Ok(Ok(reply)) => self.evaluate(&gateway, &mut guard, reply),
             Ok(Err(error)) => {
                 guard.finish(match error.step {
+                    ExchangeStep::Start if !self.wanted.get() => Outcome::Cancelled,
                     ExchangeStep::Connect if error.is_reset() => Outcome::ConnectionLimit,
                     ExchangeStep::Connect => Outcome::Refused,
                     _ => Outcome::Disconnected,
@@ -156,6 +164,10 @@
                 (opened?, None)
             }
         };
+        if !self.wanted.get() {
+            lease.release(gateway.now());
+            return Err(ExchangeError::cancelled(self.leaf.address()));
+        }
         let remaining = self
             .deadline
             .since(gateway.now())
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -1,4 +1,10 @@
-use std::{cell::RefCell, pin::pin, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    pin::pin,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use futures::{StreamExt, stream::FuturesUnordered};
@@ -46,6 +52,8 @@
     pub(super) route: Arc<Route>,
     /// When the request head was received.
     pub(super) arrived: Time,
+    /// How long the request may have waited in its socket before.
+    pub(super) waited: Duration,
 }
 
 /// The state of one request.
@@ -64,6 +72,8 @@
     /// When the first of the leaves that are down is tried again.
     retry_at: Option<Time>,
     extra_calls: u32,
+    /// Whether calls that are not sent yet are still needed.
+    wanted: Rc<Cell<bool>>,
     /// Why the first failed calls failed.
     reasons: SmallVec<[String; 2]>,
 }
@@ -74,6 +84,7 @@
     let mut calls = Calls {
         gateway: gateway.clone(),
         running: FuturesUnordered::new(),
+        wanted: dispatch.wanted.clone(),
         run: Call::run,
     };
     let mut timer = pin!(sleep(Duration::ZERO));
@@ -118,12 +129,14 @@
     response
 }
 
-/// Calls in progress. When dropped, calls that have not ended continue for up to [`DETACHED_CALL_TIMEOUT`].
+/// Calls in progress. When dropped, calls that were sent and have not ended continue for up to
+/// [`DETACHED_CALL_TIMEOUT`]; those that still wait for a connection are not sent.
 ///
 /// The type of a call's future cannot be named, so the struct is generic over the function that creates it.
 struct Calls<F: Future<Output = CompletedCall> + 'static, R: Fn(Call, Rc<Gateway>) -> F> {
     gateway: Rc<Gateway>,
     running: FuturesUnordered<F>,
+    wanted: Rc<Cell<bool>>,
     run: R,
 }
 
@@ -137,6 +150,7 @@
     for Calls<F, R>
 {
     fn drop(&mut self) {
+        self.wanted.set(false);
         if self.running.is_empty() {
             return;
         }
@@ -180,10 +194,11 @@
                 stats.typical,
             )
         };
+        let waited = inbound.waited;
         let deadline = arrived
             + caller_timeout
                 .min(route.timeout)
-                .saturating_sub(DEADLINE_MARGIN);
+                .saturating_sub(waited + DEADLINE_MARGIN);
         let send_delay = gateway.send_delay.get().expected();
         let send_delay = send_delay.clamp(
             MIN_SEND_DELAY,
@@ -191,7 +206,7 @@
         );
         let time_left = route
             .objective
-            .saturating_sub(spent)
+            .saturating_sub(spent + waited)
             .saturating_sub(ANSWER_MARGIN + send_delay);
         let parts = services.len();
         let settings = PlanSettings {
@@ -214,6 +229,7 @@
             fallback: None,
             retry_at: None,
             extra_calls: 0,
+            wanted: Rc::new(Cell::new(true)),
             reasons: SmallVec::new(),
             inbound,
             gateway,
@@ -305,6 +321,7 @@
             id: self.inbound.caller.id.clone(),
             deadline,
             objective: self.inbound.route.objective,
+            wanted: self.wanted.clone(),
             repeatable,
             route_stats: self.route_stats.clone(),
         })
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -251,11 +251,13 @@
             );
         }
     };
+    let waited = gateway.lag.get().read_delay(arrived);
     let inbound = Inbound {
         request: Rc::new(LeafRequest::new(&parts, body)),
         caller,
         route,
         arrived,
+        waited,
     };
     dispatch(gateway, inbound).await
 }
