Write log lines whole to an output that is not ready

Cause: lines of 100 ms are written at once.

Change: the log thread waits and goes on where it stopped. Meanwhile lines queue and are dropped whole, counted as before.

Test: log_lines_stay_whole_while_their_reader_is_slow; without the change it loses the rest of a batch and fails.

--- a/src/gateway/logging.rs
+++ b/src/gateway/logging.rs
@@ -68,8 +68,30 @@
             reported = dropped;
         }
         // A failed write to standard output cannot be reported anywhere.
-        let _ = io::stdout().lock().write_all(&batch);
-        let _ = io::stdout().lock().flush();
+        let _ = write_whole(&mut io::stdout().lock(), &batch);
+    }
+}
+
+/// Writes all bytes, also to a non-blocking output whose reader is slow. Giving up in the middle would join two lines.
+fn write_whole(output: &mut impl Write, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        match output.write(bytes) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(written) => bytes = &bytes[written..],
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                thread::sleep(WRITE_INTERVAL)
+            }
+            Err(error) => return Err(error),
+        }
+    }
+    loop {
+        match output.flush() {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                thread::sleep(WRITE_INTERVAL)
+            }
+            result => return result,
+        }
     }
 }
 
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -1,10 +1,12 @@
 use std::{
     io::{Read, Write, pipe},
+    ops::Range,
+    os::{fd::OwnedFd, unix::net::UnixStream},
     time::{Duration, Instant},
 };
 
 use cranberrychute_emulator::Access;
-use rustix::process::Signal;
+use rustix::{net::sockopt::set_socket_send_buffer_size, process::Signal};
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -386,6 +388,41 @@
     assert!(text.await.unwrap().starts_with('{'));
 }
 
+/// Guards against lines that are cut off in the middle, when the output is non-blocking and its buffer smaller than what is
+/// written at once.
+#[tokio::test]
+async fn log_lines_stay_whole_while_their_reader_is_slow() {
+    let site = Site::start(1, 1).await;
+    let (mut reader, writer) = UnixStream::pair().unwrap();
+    writer.set_nonblocking(true).unwrap();
+    set_socket_send_buffer_size(&writer, 4_096).unwrap();
+    let node = site.spawn(0, OwnedFd::from(writer).into());
+    wait_until("the node is ready", async || node.is_ready().await).await;
+    let reject = async |requests: Range<u32>| {
+        for request in requests {
+            let reply = node.query("/unknown/x", &format!("q{request}")).await;
+            assert_eq!(reply.status, 404);
+        }
+        sleep(Duration::from_millis(400)).await;
+    };
+    reject(0..50).await;
+    let text = tokio::task::spawn_blocking(move || {
+        let mut text = String::new();
+        reader.read_to_string(&mut text).unwrap();
+        text
+    });
+    sleep(Duration::from_millis(300)).await;
+    reject(50..58).await;
+    drop(node);
+    let text = text.await.unwrap();
+    assert!(text.matches("no matching route").count() >= 50);
+    let (whole, _cut_by_the_kill) = text.rsplit_once('\n').unwrap();
+    for line in whole.lines() {
+        let parsed = serde_json::from_str::<serde_json::Value>(line);
+        assert!(parsed.is_ok(), "not a whole line: {line}");
+    }
+}
+
 /// Guards against requests that wait until thousands of changes are applied, and against a log line for each change.
 #[tokio::test]
 async fn thousands_of_changes_delay_no_request() {
