Bound what a peer may send in one exchange

Cause: interim responses, responses to other requests, trailers and chunk headers had no common limit, so a peer that sends them without end held the connection, and its share of the thread, until the request's deadline; a body of a part could take 4 MB, and a query has a hundred parts.

Change: an exchange ends once the peer has sent 64 KB more than the largest body, or 17 interim or foreign responses; heads are limited to 8 KB, parts to 256 KB.

Tests: responses_without_end_are_given_up (nine kinds; the old client never ended the fourth), bodies_without_end_are_bounded_and_delay_no_other_request (real process, both leaves of a shard; memory, latency and parts).

--- a/emulator/src/gateway_leaf.rs
+++ b/emulator/src/gateway_leaf.rs
@@ -32,8 +32,13 @@
     /// Closes a connection that was idle for at least 300 ms when its next request arrives, without executing the
     /// request.
     CloseIdle,
+    /// Executes the request and sends a body without end.
+    Endless,
 }
 
+/// Size of the blocks of a body without end, bytes.
+const ENDLESS_BLOCK_BYTES: usize = 16 << 10;
+
 /// Minimum time since the previous request, or since the connection was opened, for [`LeafMode::CloseIdle`] to close
 /// the connection.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(300);
@@ -205,7 +210,11 @@
             ));
         }
         LeafMode::Silent => std::future::pending().await,
-        LeafMode::Normal | LeafMode::Fail | LeafMode::Disconnect | LeafMode::CloseIdle => {}
+        LeafMode::Normal
+        | LeafMode::Fail
+        | LeafMode::Disconnect
+        | LeafMode::CloseIdle
+        | LeafMode::Endless => {}
     }
     let count = {
         let mut state = lock(&state);
@@ -230,6 +239,11 @@
             &headers,
             b"failed",
         )),
+        LeafMode::Endless => {
+            let mut response = build_response(StatusCode::OK, &headers, b"");
+            *response.body_mut() = Payload::Endless(vec![b'x'; ENDLESS_BLOCK_BYTES].into());
+            Ok(response)
+        }
         _ => {
             let records = lock(&state).records.clone();
             Ok(build_response(StatusCode::OK, &headers, &records))
--- a/src/adapter/http1/connection.rs
+++ b/src/adapter/http1/connection.rs
@@ -14,7 +14,11 @@
 
 /// Maximum size of a response head, a chunk header or a trailer field, bytes. Responses of leaves carry a dozen short
 /// headers.
-const MAX_HEAD_BYTES: usize = 32 << 10;
+const MAX_HEAD_BYTES: usize = 8 << 10;
+/// Maximum number of bytes of an exchange beyond its body: heads, chunk headers, trailers and skipped responses.
+const MAX_OVERHEAD_BYTES: usize = 64 << 10;
+/// Maximum number of interim responses, and of responses to other requests, in an exchange.
+const MAX_SKIPPED: u32 = 16;
 /// Buffer space reserved before each read, bytes. A typical response fits in one read.
 const READ_BUFFER_BYTES: usize = 4 << 10;
 
@@ -92,6 +96,8 @@
     stream: TcpStream,
     peer: SocketAddr,
     buffer: BytesMut,
+    /// Number of bytes that the exchange in progress may still receive.
+    allowance: usize,
     reusable: bool,
 }
 
@@ -113,6 +119,7 @@
             stream,
             peer,
             buffer: BytesMut::new(),
+            allowance: 0,
             reusable: true,
         })
     }
@@ -153,7 +160,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection breaks or no complete HTTP response with a body of at most `limit` bytes arrives.
+    /// Fails if the connection breaks or no complete HTTP response with a body of at most `limit` bytes arrives, and as
+    /// soon as the peer has sent more than such a response can need.
     pub async fn exchange(
         &mut self,
         request: &[u8],
@@ -161,6 +169,7 @@
         accept: impl Fn(&Reply) -> bool,
     ) -> Result<Reply, ExchangeError> {
         self.reusable = false;
+        self.allowance = limit.saturating_add(MAX_OVERHEAD_BYTES);
         let peer = self.peer;
         let fail = |step| move |reason| ExchangeError { step, peer, reason };
         let written = self.stream.write(request).await;
@@ -168,12 +177,21 @@
             .map_err(Reason::Io)
             .map_err(fail(ExchangeStep::Start))?;
         let mut unsent = &request[written..];
-        let mut skipped = 0_u32;
+        let (mut skipped, mut interim) = (0_u32, 0_u32);
         loop {
             let head = loop {
                 match parse_head(&self.buffer) {
+                    Ok(Some(_)) if skipped > MAX_SKIPPED => {
+                        let reason = Reason::Protocol("too many responses");
+                        return Err(fail(ExchangeStep::Head)(reason));
+                    }
                     Ok(Some(head)) if (100..200).contains(&head.reply.status) => {
                         self.buffer.advance(head.length);
+                        interim += 1;
+                        if interim > MAX_SKIPPED {
+                            let reason = Reason::Protocol("too many interim responses");
+                            return Err(fail(ExchangeStep::Head)(reason));
+                        }
                     }
                     Ok(Some(head)) => break head,
                     Ok(None) if self.buffer.len() < MAX_HEAD_BYTES => {
@@ -230,10 +248,17 @@
         };
         match read.map_err(Reason::Io)? {
             0 => Err(Reason::Protocol("connection closed by peer")),
-            _ => Ok(()),
+            received => self.spend(received),
         }
     }
 
+    /// Counts bytes received in the exchange in progress.
+    fn spend(&mut self, received: usize) -> Result<(), Reason> {
+        let left = self.allowance.checked_sub(received);
+        self.allowance = left.ok_or(Reason::Protocol("response is too long"))?;
+        Ok(())
+    }
+
     async fn read_body(
         &mut self,
         framing: Framing,
@@ -255,9 +280,11 @@
                     self.buffer.reserve(READ_BUFFER_BYTES);
                     // A reset is an error here, so a truncated body is not mistaken for a complete one.
                     let read = self.stream.read_buf(&mut self.buffer).await;
-                    if read.map_err(Reason::Io)? == 0 {
+                    let received = read.map_err(Reason::Io)?;
+                    if received == 0 {
                         break;
                     }
+                    self.spend(received)?;
                     if self.buffer.len() > limit {
                         return Err(Reason::Protocol("response body is too long"));
                     }
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -20,6 +20,8 @@
 
 /// Maximum body size of a leaf's answer, bytes.
 const MAX_BODY_BYTES: usize = 4 << 20;
+/// Maximum body size of a leaf's part of an answer, bytes. All leaves of a query may send as much at the same time.
+const MAX_PART_BYTES: usize = 256 << 10;
 /// Time subtracted from the timeout sent to a leaf, to allow for the network latency of its answer.
 const ANSWER_TRAVEL_TIME: Duration = Duration::from_millis(4);
 
@@ -40,6 +42,8 @@
     /// Deadline of the caller's request.
     pub(super) deadline: Time,
     pub(super) objective: Duration,
+    /// The answer is one of several parts.
+    pub(super) partial: bool,
     /// Cleared when the caller's request has ended or its caller has left.
     pub(super) wanted: Rc<Cell<bool>>,
     /// The request may run more than once.
@@ -177,10 +181,13 @@
             .connection
             .as_mut()
             .expect("the lease holds a connection");
+        let limit = if self.partial {
+            MAX_PART_BYTES
+        } else {
+            MAX_BODY_BYTES
+        };
         let reply = connection
-            .exchange(&bytes, MAX_BODY_BYTES, |reply| {
-                is_answer_to(reply, &self.id)
-            })
+            .exchange(&bytes, limit, |reply| is_answer_to(reply, &self.id))
             .await;
         match (&reply, idle_time) {
             (Ok(_), _) => lease.release(gateway.now()),
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -321,6 +321,7 @@
             id: self.inbound.caller.id.clone(),
             deadline,
             objective: self.inbound.route.objective,
+            partial: self.gather().is_some(),
             wanted: self.wanted.clone(),
             repeatable,
             route_stats: self.route_stats.clone(),
--- a/tests/gateway/requests.rs
+++ b/tests/gateway/requests.rs
@@ -13,6 +13,9 @@
 /// around its objective of 200 ms. The exact time is tested in virtual time; here it includes delays of the machine.
 const SLOW_QUERY: Duration = Duration::from_millis(400);
 
+/// Memory that a node may use at most, as stated for the large fleets, KB.
+const MAX_PEAK_KB: u64 = 30 << 10;
+
 /// Number of queries to each node around a repartition, 5 ms apart: together they take longer than the new configuration needs to
 /// become active.
 const REPARTITION_ROUNDS: usize = 200;
@@ -284,3 +287,33 @@
         "ended after {took:?}"
     );
 }
+
+/// Guards against a process that runs out of memory or delays other requests while all leaves of a shard send bodies
+/// without end.
+#[tokio::test]
+async fn bodies_without_end_are_bounded_and_delay_no_other_request() {
+    let site = Site::start(4, 1).await;
+    let node = &site.nodes().await[0];
+    for leaf in &site.shards[3] {
+        leaf.set_mode(LeafMode::Endless);
+    }
+    for round in 0..10 {
+        let ids: Vec<String> = (0..4).map(|index| format!("q{round}-{index}")).collect();
+        let queries = ids.iter().map(|id| node.query("/all/x", id));
+        let single = async {
+            let started = Instant::now();
+            let reply = node.query("/one/x", &format!("s{round}")).await;
+            (reply.status, started.elapsed())
+        };
+        let (replies, (status, elapsed)) =
+            futures::join!(futures::future::join_all(queries), single);
+        for reply in replies {
+            assert_eq!(reply.status, 200);
+            assert_eq!(reply.header_str("missing-parts"), Some("1"));
+        }
+        assert_eq!(status, 200);
+        assert!(elapsed < SLOW_QUERY, "{elapsed:?}");
+    }
+    let peak = node.peak_memory_kb();
+    assert!(peak < MAX_PEAK_KB, "{peak} KB");
+}
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -89,6 +89,14 @@
         send(self.callers(), request.as_bytes()).await.unwrap()
     }
 
+    /// Returns the highest memory use of the process so far, in KB.
+    pub(crate) fn peak_memory_kb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let number = peak.unwrap().trim().trim_end_matches(" kB");
+        number.parse().unwrap()
+    }
+
     pub(crate) fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
     }
--- a/tests/http1.rs
+++ b/tests/http1.rs
@@ -267,3 +267,52 @@
     sleep(Duration::from_millis(50)).await;
     assert!(!connection.is_idle());
 }
+
+/// Connects to a peer that sends `start` and then repeats `rest` until the connection is closed.
+async fn connect_to_endless_peer(start: &'static [u8], rest: &'static [u8]) -> Connection {
+    let address = start_peer(move |mut stream| async move {
+        let mut request = [0; 1_024];
+        let _ = stream.read(&mut request).await;
+        let _ = stream.write_all(start).await;
+        while stream.write_all(rest).await.is_ok() {}
+    });
+    Connection::open(address.await).await.unwrap()
+}
+
+/// Guards against memory and time without a limit for a peer that sends bytes until the connection is closed: in a head,
+/// a header line, interim responses, responses to other requests, chunk headers, trailers or a body.
+#[tokio::test]
+async fn responses_without_end_are_given_up() {
+    let cases: [(&[u8], &[u8]); 9] = [
+        (b"", b"x"),
+        (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n"),
+        (b"HTTP/1.1 200 OK\r\nA: ", b"aaaaaaaaaaaaaaaa"),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (
+            b"",
+            b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1\r\n\r\nx",
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;",
+            b"extension",
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"1;extension\r\nx\r\n",
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+            b"A: b\r\n",
+        ),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"xxxxxxxxxxxxxxxx"),
+    ];
+    for (index, (start, rest)) in cases.into_iter().enumerate() {
+        let mut connection = connect_to_endless_peer(start, rest).await;
+        let own = |reply: &Reply| reply.header("request-id") != Some(b"other");
+        let exchange = connection.exchange(REQUEST, 64 << 10, own);
+        let outcome = tokio::time::timeout(Duration::from_secs(3), exchange).await;
+        let failed = outcome.unwrap_or_else(|_| panic!("case {index} has no end"));
+        assert!(failed.is_err(), "case {index} was accepted");
+        assert!(!connection.is_idle());
+    }
+}
