--- a/src/core/entry/mod.rs
+++ b/src/core/entry/mod.rs
@@ -13,5 +13,5 @@
 pub use self::{
     role::Role,
     select::{Crowding, Fleet, select},
-    table::{EntryReport, EntryTable, MAX_ENTRIES},
+    table::{EntryReport, EntryState, EntryTable, MAX_ENTRIES},
 };
--- a/src/core/entry/select.rs
+++ b/src/core/entry/select.rs
@@ -2,7 +2,7 @@
 
 use crate::core::{
     Domain, NodeId, Time,
-    entry::{EntryReport, EntryTable},
+    entry::{EntryReport, EntryState, EntryTable},
 };
 
 /// Minimum ratio of a strong node's capacity to the mean capacity of the fleet. In a fleet of equal nodes none is
@@ -54,7 +54,7 @@
     let ready = || {
         table
             .iter()
-            .filter(|(node, report)| report.ready && is_healthy(node))
+            .filter(|(node, report)| report.state == EntryState::Ready && is_healthy(node))
     };
     let strongest = ready().map(|(_, report)| report.capacity).max()?;
     let min_capacity = (f64::from(strongest) * CLASS_RATIO).max(fleet.mean_capacity * STRONG_RATIO);
--- a/src/core/entry/table.rs
+++ b/src/core/entry/table.rs
@@ -12,9 +12,9 @@
 /// within about 4 s.
 const REPORT_TTL: Duration = Duration::from_secs(12);
 
-/// Time for which a node that reported that it is not ready counts as such, whatever other nodes pass on. Reports gain
-/// some age on their way that is not accounted for.
-const NOT_READY_TIME: Duration = Duration::from_secs(2);
+/// Time for which a node that reported that it stops counts as such, whatever other nodes pass on. Reports gain some age
+/// on their way that is not accounted for.
+const STOP_HOLD_TIME: Duration = Duration::from_secs(2);
 
 /// Minimum ratio of a capacity to the highest one for a report to be passed on.
 const PASSED_ON_RATIO: u32 = 2;
@@ -22,14 +22,22 @@
 /// Rendezvous hashing key that orders nodes of the same capacity.
 const RANK_KEY: &str = "entry";
 
+/// Whether a node serves callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EntryState {
+    /// The node has no configuration yet, or does not trust its state after a pause.
+    Starting,
+    Ready,
+    Stopping,
+}
+
 /// What a node reports about itself as a server of callers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryReport {
     pub domain: Domain,
     /// Processor capacity in thousandths of a core.
     pub capacity: u32,
-    /// Whether the node is ready for requests.
-    pub ready: bool,
+    pub state: EntryState,
     /// How late the node's timers are on average, milliseconds.
     pub lag_ms: u16,
 }
@@ -47,8 +55,8 @@
         let made = Time(now.0.saturating_sub(age.as_micros() as u64));
         let is_outdated = |(known, at): &(EntryReport, Time)| {
             let own_word = age.is_zero();
-            let returns = report.ready && !known.ready;
-            *at >= made || returns && !own_word && made < *at + NOT_READY_TIME
+            let returns = known.state == EntryState::Stopping && report.state != known.state;
+            *at >= made || returns && !own_word && made < *at + STOP_HOLD_TIME
         };
         if age >= REPORT_TTL || self.reports.get(node).is_some_and(is_outdated) {
             return;
--- a/src/core/member/membership.rs
+++ b/src/core/member/membership.rs
@@ -5,7 +5,7 @@
 
 use rand::{
     Rng,
-    seq::{IndexedRandom, SliceRandom},
+    seq::{IndexedRandom, IteratorRandom, SliceRandom},
 };
 
 use crate::core::{
@@ -21,6 +21,9 @@
 /// estimate.
 const MAX_COUNTED_NODES: usize = 64;
 
+/// Minimum number of known nodes for each node that is pinged at a tick while the fleet is learned.
+const KNOWN_PER_PING: usize = 4;
+
 /// Number of probes whose outcome is remembered.
 const MAX_OUTCOMES: usize = 16;
 
@@ -31,6 +34,7 @@
     incarnation: Incarnation,
     refutation: u32,
     settings: MemberSettings,
+    started: Time,
     last_run: Time,
     members: BTreeMap<NodeId, Member>,
     rumors: Rumors,
@@ -69,6 +73,7 @@
             incarnation,
             refutation: 0,
             settings,
+            started: now,
             last_run: now,
             members: BTreeMap::new(),
             rumors: Rumors::default(),
@@ -153,6 +158,30 @@
             self.next_probe = now + self.settings.probe_interval;
             self.start_probe(now, rng, payload, out);
         }
+        if now.since(self.started) < self.settings.join_period {
+            self.ping_others(rng, payload, out);
+        }
+    }
+
+    /// Pings random nodes, whose answers carry rumors and payloads. The number is limited by that of the known nodes, so
+    /// that not all nodes of a fleet ping the same few seeds.
+    fn ping_others<P: Clone>(
+        &mut self,
+        rng: &mut impl Rng,
+        payload: &P,
+        out: &mut Vec<Outbound<MemberMessage<P>>>,
+    ) {
+        let count = self
+            .settings
+            .join_pings
+            .min(self.members.len() / KNOWN_PER_PING);
+        let targets = self.members.keys().choose_multiple(rng, count);
+        let targets: Vec<NodeId> = targets.into_iter().cloned().collect();
+        for target in targets {
+            self.seq += 1;
+            let seq = self.seq;
+            self.send(&target, Probe::Ping { seq }, payload, out);
+        }
     }
 
     /// Handles a message. Its payload is ignored; read it before the call. Replies carry a copy of `payload`.
--- a/src/core/member/settings.rs
+++ b/src/core/member/settings.rs
@@ -18,6 +18,11 @@
     pub max_queued: usize,
     /// Time without a tick or a received message above which the process is considered to have been paused.
     pub pause_threshold: Duration,
+    /// Time after the start in which a node also pings other nodes at each tick, to learn the fleet. Zero where there is
+    /// a VM list.
+    pub join_period: Duration,
+    /// Number of nodes pinged at each tick in that time.
+    pub join_pings: usize,
     /// Time after the last contact until a node that is not on the VM list is removed.
     pub unlisted_retention: Duration,
     /// Number of known nodes up to which nodes named by seeds and rumors are added, for deployments without a VM list.
@@ -35,6 +40,8 @@
             max_rumors: 8,
             max_queued: 256,
             pause_threshold: Duration::from_secs(1),
+            join_period: Duration::ZERO,
+            join_pings: 0,
             unlisted_retention: Duration::from_secs(30),
             max_learned: 0,
         }
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -11,7 +11,7 @@
 use crate::{
     core::{
         NodeId, Time,
-        entry::{Crowding, EntryReport, EntryTable, Fleet, Role, select},
+        entry::{Crowding, EntryReport, EntryState, EntryTable, Fleet, Role, select},
     },
     gateway::{
         members::{millis, node_address, node_id},
@@ -80,7 +80,11 @@
         EntryReport {
             domain: settings.domain.clone(),
             capacity: settings.capacity,
-            ready: self.is_ready(),
+            state: match () {
+                () if self.stopping.get() => EntryState::Stopping,
+                () if self.is_ready() => EntryState::Ready,
+                () => EntryState::Starting,
+            },
             lag_ms: u16::try_from(self.lag.get().mean().as_millis()).unwrap_or(u16::MAX),
         }
     }
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -15,7 +15,7 @@
     adapter::peer::ControlSocket,
     core::{
         Incarnation, NodeId, Outbound, Time,
-        entry::EntryReport,
+        entry::{EntryReport, EntryState},
         member::{MemberMessage, MemberSettings, Membership},
         mirror::{READER_COUNT, reader_rank},
     },
@@ -33,6 +33,9 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time in which a suspected node can refute the suspicion.
 const SUSPICION_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after the start in which a node learns the fleet, and the number of nodes that it pings at each tick meanwhile.
+const JOIN_PERIOD: Duration = Duration::from_secs(3);
+const JOIN_PINGS: usize = 3;
 /// Maximum number of nodes that are learned from other nodes.
 const MAX_LEARNED_NODES: usize = 4_096;
 /// Maximum number of nodes listed in a message, from which a node that has just started discovers the others.
@@ -90,6 +93,8 @@
             probe_timeout: PROBE_TIMEOUT,
             suspicion_timeout: SUSPICION_TIMEOUT,
             max_learned: MAX_LEARNED_NODES,
+            join_period: JOIN_PERIOD,
+            join_pings: JOIN_PINGS,
             ..MemberSettings::default()
         };
         Self {
@@ -141,7 +146,9 @@
         let ready: Vec<IpAddr> = statuses
             .iter()
             .filter(|(node, (status, at))| {
-                status.entry.ready && now.since(*at) < STATUS_TTL && membership.is_healthy(node)
+                status.entry.state == EntryState::Ready
+                    && now.since(*at) < STATUS_TTL
+                    && membership.is_healthy(node)
             })
             .filter_map(|(node, _)| node_address(node))
             .map(|address| address.ip())
--- a/tests/decisions/entry.rs
+++ b/tests/decisions/entry.rs
@@ -4,7 +4,7 @@
 
 use cranberrychute::core::{
     Domain, NodeId, Time,
-    entry::{Crowding, EntryReport, EntryTable, Fleet, MAX_ENTRIES, Role, select},
+    entry::{Crowding, EntryReport, EntryState, EntryTable, Fleet, MAX_ENTRIES, Role, select},
 };
 use rand::{Rng, SeedableRng, seq::IteratorRandom};
 use rand_pcg::Pcg64;
@@ -25,7 +25,7 @@
     EntryReport {
         domain: domain.into(),
         capacity,
-        ready: true,
+        state: EntryState::Ready,
         lag_ms: 0,
     }
 }
@@ -165,20 +165,50 @@
     let node: NodeId = "10.0.0.1:1".into();
     let ready = report("a", 500);
     let stopping = EntryReport {
-        ready: false,
+        state: EntryState::Stopping,
         ..ready.clone()
     };
     table.record(at(10_000), &node, ready.clone(), DIRECT);
     table.record(at(11_000), &node, stopping, DIRECT);
     table.record(at(11_400), &node, ready.clone(), Duration::from_millis(300));
-    assert!(table.iter().all(|(_, report)| !report.ready));
+    assert!(
+        table
+            .iter()
+            .all(|(_, report)| report.state == EntryState::Stopping)
+    );
     table.record(at(11_500), &node, ready, DIRECT);
     assert!(
-        table.iter().all(|(_, report)| report.ready),
+        table
+            .iter()
+            .all(|(_, report)| report.state == EntryState::Ready),
         "a node's own word counts at once"
     );
 }
 
+/// Guards against a start at which callers are not told of strong nodes for seconds, because reports from before they were
+/// ready count longer than newer ones.
+#[test]
+fn a_starting_node_is_ready_as_soon_as_others_pass_it_on() {
+    let mut table = EntryTable::default();
+    let node: NodeId = "10.0.0.1:1".into();
+    let starting = EntryReport {
+        state: EntryState::Starting,
+        ..report("a", 500)
+    };
+    table.record(at(1_000), &node, starting, DIRECT);
+    table.record(
+        at(1_500),
+        &node,
+        report("a", 500),
+        Duration::from_millis(100),
+    );
+    assert!(
+        table
+            .iter()
+            .all(|(_, report)| report.state == EntryState::Ready)
+    );
+}
+
 /// Guards against memory and messages that grow with the fleet, and against reports that outlive their node.
 #[test]
 fn the_table_keeps_the_latest_reports_of_the_strongest_nodes() {
