Plan answers by the callers' way, and name nodes near them

And answers left 12 ms too early, at the limit of the send delay: the time that a request waited for its minimum coverage after the planned time was recorded as a delay of sending.

Change: the send delay counts from the moment at which the parts were enough. The first request on a connection has 6 ms less. Answers name the selected nodes in the caller's domain if there are two and they do not lag.

Test: callers_use_nodes_of_their_domain_unless_those_lag.

--- a/src/core/entry/mod.rs
+++ b/src/core/entry/mod.rs
@@ -12,6 +12,6 @@
 
 pub use self::{
     role::Role,
-    select::{Crowding, Fleet, select},
+    select::{Crowding, Fleet, near, select},
     table::{EntryReport, EntryState, EntryTable, MAX_ENTRIES},
 };
--- a/src/core/entry/select.rs
+++ b/src/core/entry/select.rs
@@ -31,6 +31,9 @@
 /// Time for which all nodes serve callers after the selected ones were crowded.
 const CROWDED_HOLD_TIME: Duration = Duration::from_secs(15);
 
+/// Minimum number of selected nodes in a caller's failure domain for the caller to be told of these only.
+const MIN_NEAR_NODES: usize = 2;
+
 /// What is known about the fleet as a whole.
 #[derive(Clone, Copy, Debug)]
 pub struct Fleet {
@@ -72,6 +75,27 @@
         .map(|nodes| nodes.into_iter().map(|(node, _)| node.clone()).collect())
 }
 
+/// Returns the nodes in the failure domain of a caller if those have capacity, else all of `nodes`.
+///
+/// Opening a connection and a request cross domains twice each. Callers may move to one domain, so its nodes are not
+/// preferred while they lag.
+pub fn near(table: &EntryTable, nodes: Vec<NodeId>, domain: &Domain) -> Vec<NodeId> {
+    let in_domain = |node: &&NodeId| {
+        table
+            .iter()
+            .any(|(other, report)| other == *node && report.domain == *domain)
+    };
+    let close: Vec<NodeId> = nodes.iter().filter(in_domain).cloned().collect();
+    let lags = table.iter().filter(|(node, _)| close.contains(node));
+    let lag_ms: f64 = lags.map(|(_, report)| f64::from(report.lag_ms)).sum();
+    let relaxed = lag_ms <= RELAXED_LAG_MS * close.len() as f64;
+    if close.len() >= MIN_NEAR_NODES && relaxed {
+        close
+    } else {
+        nodes
+    }
+}
+
 fn is_sufficient(nodes: &[(&NodeId, &EntryReport)], fleet: Fleet) -> bool {
     let capacity: u32 = nodes.iter().map(|(_, report)| report.capacity).sum();
     let mut domains: Vec<&Domain> = nodes.iter().map(|(_, report)| &report.domain).collect();
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -4,6 +4,7 @@
 use rand::seq::SliceRandom;
 
 use crate::{
+    core::Domain,
     gateway::{
         ingress::{Answer, empty_response},
         members::node_address,
@@ -23,7 +24,7 @@
     /// in random order and at most [`MAX_ADDRESSES`].
     pub(super) fn addresses(&self, query: &DirectoryQuery) -> Answer {
         let callers = self.settings.borrow().listen.callers;
-        let mut addresses = self.selected_addresses(callers);
+        let mut addresses = self.selected_addresses(callers, query.domain.as_ref());
         if addresses.is_empty() {
             addresses = self.ready_addresses(callers);
         }
@@ -37,18 +38,16 @@
         directory_answer(&addresses, ttl)
     }
 
-    /// Returns the addresses of the selected nodes, none if all nodes serve callers.
-    fn selected_addresses(&self, callers: SocketAddr) -> Vec<SocketAddr> {
-        let selected = self.entry.selected();
-        let healthy = selected
-            .iter()
-            .flat_map(|nodes| nodes.iter())
-            .filter(|node| {
-                let own = *node == self.members.me();
-                self.members.is_healthy(node) && (!own || self.is_ready())
-            });
-        let ips = healthy.filter_map(node_address).map(|address| address.ip());
-        ips.map(|ip| SocketAddr::new(ip, callers.port())).collect()
+    /// Returns the addresses of the selected nodes, those near the caller if they have capacity. None if all nodes serve
+    /// callers.
+    fn selected_addresses(&self, callers: SocketAddr, domain: Option<&Domain>) -> Vec<SocketAddr> {
+        let nodes = self.entry.nodes_near(domain, |node| {
+            let own = node == self.members.me();
+            self.members.is_healthy(node) && (!own || self.is_ready())
+        });
+        let ips = nodes.iter().filter_map(node_address);
+        ips.map(|address| SocketAddr::new(address.ip(), callers.port()))
+            .collect()
     }
 
     /// Returns the addresses of all nodes that are known to be ready.
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -33,6 +33,8 @@
 /// Time before the objective at which an answer is sent with the parts received so far, in addition to the node's send
 /// delay. It covers the network latency from and to the caller, up to 3.9 ms each way.
 const ANSWER_MARGIN: Duration = Duration::from_millis(8);
+/// Additional margin for the first request on a connection: the round trip in which its caller opened it.
+const CONNECT_MARGIN: Duration = Duration::from_millis(6);
 /// Minimum send delay that is expected of the node: the time to assemble an answer.
 const MIN_SEND_DELAY: Duration = Duration::from_millis(2);
 /// Maximum share of the objective that is reserved for the send delay of the node.
@@ -54,6 +56,8 @@
     pub(super) arrived: Time,
     /// How long the request may have waited in its socket before.
     pub(super) waited: Duration,
+    /// The request is the first one on its connection, so its caller has also waited for the connection.
+    pub(super) first: bool,
 }
 
 /// The state of one request.
@@ -72,6 +76,8 @@
     /// When the first of the leaves that are down is tried again.
     retry_at: Option<Time>,
     extra_calls: u32,
+    /// When the parts received became enough for an answer.
+    sufficient_at: Option<Time>,
     /// Whether calls that are not sent yet are still needed.
     wanted: Rc<Cell<bool>>,
     /// Why the first failed calls failed.
@@ -118,12 +124,13 @@
             }
         }
     };
-    let (partial_at, missing) = (dispatch.plan.settings().partial_at, dispatch.missing());
+    let missing = dispatch.missing();
+    let planned = dispatch.planned_time();
     let response = dispatch.finish(completion);
     let now = gateway.now();
-    if completion == Completion::Answer && missing > 0 && now >= partial_at {
+    if completion == Completion::Answer && missing > 0 && now >= planned {
         let mut send_delay = gateway.send_delay.get();
-        send_delay.record(now.since(partial_at));
+        send_delay.record(now.since(planned));
         gateway.send_delay.set(send_delay);
     }
     response
@@ -204,10 +211,15 @@
             MIN_SEND_DELAY,
             MIN_SEND_DELAY.max(route.objective.mul_f64(MAX_SEND_DELAY_SHARE)),
         );
+        let margin = if inbound.first {
+            ANSWER_MARGIN + CONNECT_MARGIN
+        } else {
+            ANSWER_MARGIN
+        };
         let time_left = route
             .objective
             .saturating_sub(spent + waited)
-            .saturating_sub(ANSWER_MARGIN + send_delay);
+            .saturating_sub(margin + send_delay);
         let parts = services.len();
         let settings = PlanSettings {
             parts,
@@ -229,6 +241,7 @@
             fallback: None,
             retry_at: None,
             extra_calls: 0,
+            sufficient_at: None,
             wanted: Rc::new(Cell::new(true)),
             reasons: SmallVec::new(),
             inbound,
@@ -236,6 +249,13 @@
         }
     }
 
+    /// Returns when an answer with missing parts was due: as planned, or as soon as its parts were enough.
+    fn planned_time(&self) -> Time {
+        let partial_at = self.plan.settings().partial_at;
+        self.sufficient_at
+            .map_or(partial_at, |at| at.max(partial_at))
+    }
+
     /// Returns the number of parts without an answer.
     fn missing(&self) -> usize {
         self.services.len() - self.plan.answered_count()
@@ -340,6 +360,9 @@
                 } else if self.plan.record_answer(part) {
                     self.replies[part] = Some(reply);
                     self.stamps[part] = answer.stamp;
+                    if self.plan.answered_count() >= self.plan.settings().required {
+                        self.sufficient_at.get_or_insert(now);
+                    }
                 }
             }
             Err(failure) => {
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -10,8 +10,8 @@
 
 use crate::{
     core::{
-        NodeId, Time,
-        entry::{Crowding, EntryReport, EntryState, EntryTable, Fleet, Role, select},
+        Domain, NodeId, Time,
+        entry::{Crowding, EntryReport, EntryState, EntryTable, Fleet, Role, near, select},
     },
     gateway::{
         members::{millis, node_address, node_id},
@@ -67,9 +67,24 @@
         }
     }
 
-    /// Returns the selected nodes, `None` if all nodes serve callers.
-    pub(super) fn selected(&self) -> Option<Rc<[NodeId]>> {
-        self.selected.borrow().clone()
+    /// Returns the selected nodes that are `usable`, those near a caller in `domain` if they have capacity. None if all
+    /// nodes serve callers.
+    pub(super) fn nodes_near(
+        &self,
+        domain: Option<&Domain>,
+        usable: impl Fn(&NodeId) -> bool,
+    ) -> Vec<NodeId> {
+        let selected = self.selected.borrow();
+        let usable: Vec<NodeId> = selected
+            .iter()
+            .flat_map(|nodes| nodes.iter())
+            .filter(|node| usable(node))
+            .cloned()
+            .collect();
+        match domain {
+            Some(domain) => near(&self.table.borrow(), usable, domain),
+            None => usable,
+        }
     }
 }
 
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -117,9 +117,11 @@
     let _ = stream.set_nodelay(true);
     let limits = gateway.routing.borrow().limits();
     let _guard = (port == Port::Callers).then(|| CountGuard::new(&gateway.caller_connections));
+    let first = Cell::new(true);
     let service = service_fn(|request| {
         let gateway = gateway.clone();
-        async move { Ok::<_, Infallible>(answer(gateway, request, port).await) }
+        let first = first.replace(false);
+        async move { Ok::<_, Infallible>(answer(gateway, request, port, first).await) }
     });
     // hyper's timeout for the request head includes the idle time before it.
     let idle = limits.idle_timeout + limits.header_timeout;
@@ -136,11 +138,16 @@
     }
 }
 
-async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>, port: Port) -> Answer {
+async fn answer(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+    port: Port,
+    first: bool,
+) -> Answer {
     match port {
         Port::Callers => {
             let _guard = CountGuard::new(&gateway.active_requests);
-            let mut answer = handle_request(gateway.clone(), request).await;
+            let mut answer = handle_request(gateway.clone(), request, first).await;
             if gateway.stopping.get() {
                 let close = header::HeaderValue::from_static("close");
                 answer.headers_mut().insert(header::CONNECTION, close);
@@ -192,7 +199,7 @@
     }
 }
 
-async fn handle_request(gateway: Rc<Gateway>, request: Request<Incoming>) -> Answer {
+async fn handle_request(gateway: Rc<Gateway>, request: Request<Incoming>, first: bool) -> Answer {
     let arrived = gateway.now();
     let (parts, body) = request.into_parts();
     let caller = CallerRequest::from_parts(&parts);
@@ -258,6 +265,7 @@
         route,
         arrived,
         waited,
+        first,
     };
     dispatch(gateway, inbound).await
 }
--- a/tests/decisions/entry.rs
+++ b/tests/decisions/entry.rs
@@ -4,7 +4,9 @@
 
 use cranberrychute::core::{
     Domain, NodeId, Time,
-    entry::{Crowding, EntryReport, EntryState, EntryTable, Fleet, MAX_ENTRIES, Role, select},
+    entry::{
+        Crowding, EntryReport, EntryState, EntryTable, Fleet, MAX_ENTRIES, Role, near, select,
+    },
 };
 use rand::{Rng, SeedableRng, seq::IteratorRandom};
 use rand_pcg::Pcg64;
@@ -94,6 +96,27 @@
     }
 }
 
+/// Replays calm and crowded callers of one failure domain. Guards against callers that cross domains for each new
+/// connection, and against a domain whose nodes get all callers that moved there.
+#[test]
+fn callers_use_nodes_of_their_domain_unless_those_lag() {
+    let nodes = fleet(3, 2, 28);
+    let mut table = table(at(0), nodes.iter());
+    let chosen = select(&table, size(&nodes), |_| true, has_leaves).expect("strong nodes");
+    let close = near(&table, chosen.clone(), &"b".into());
+    assert_eq!(close.len(), 2);
+    assert!(close.iter().all(|node| node.as_str().starts_with("10.1")));
+    assert_eq!(near(&table, chosen.clone(), &"d".into()), chosen);
+    for node in nodes.iter().filter(|node| close.contains(&node.id)) {
+        let lagging = EntryReport {
+            lag_ms: 25,
+            ..node.report.clone()
+        };
+        table.record(at(1_000), &node.id, lagging, DIRECT);
+    }
+    assert_eq!(near(&table, chosen.clone(), &"b".into()), chosen);
+}
+
 /// Replays the loss of a failure domain, of all strong nodes but a few, and of all strong nodes.
 #[test]
 fn a_loss_of_strong_nodes_leaves_enough_nodes() {
