--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -31,10 +31,10 @@
 };
 
 /// Time before the objective at which an answer is sent with the parts received so far, in addition to the node's send
-/// delay. It covers the network latency from and to the caller, up to 3.9 ms each way.
-const ANSWER_MARGIN: Duration = Duration::from_millis(8);
+/// delay. It covers the network latency from and to the caller, up to 4.4 ms each way.
+const ANSWER_MARGIN: Duration = Duration::from_millis(9);
 /// Additional margin for the first request on a connection: the round trip in which its caller opened it.
-const CONNECT_MARGIN: Duration = Duration::from_millis(6);
+const CONNECT_MARGIN: Duration = Duration::from_millis(9);
 /// Minimum send delay that is expected of the node: the time to assemble an answer.
 const MIN_SEND_DELAY: Duration = Duration::from_millis(2);
 /// Maximum share of the objective that is reserved for the send delay of the node.
