--- a/tests/http1.rs
+++ b/tests/http1.rs
@@ -74,6 +74,35 @@
     );
 }
 
+/// Guards against a second copy of an answer that arrives in pieces, after the connection has been released and the next
+/// request has been sent on it.
+#[tokio::test]
+async fn a_late_copy_in_pieces_is_not_the_next_answer() {
+    let address = start_peer(|mut stream| async move {
+        let mut request = [0; 1_024];
+        let _ = stream.read(&mut request).await;
+        stream.write_all(&response("1", "one")).await.unwrap();
+        let _ = stream.read(&mut request).await;
+        for piece in response("1", "one").chunks(7) {
+            stream.write_all(piece).await.unwrap();
+            sleep(Duration::from_millis(2)).await;
+        }
+        let _ = stream.write_all(&response("2", "two")).await;
+        sleep(Duration::from_secs(5)).await;
+    });
+    let mut connection = Connection::open(address.await).await.unwrap();
+    for (id, body) in [("1", "one"), ("2", "two")] {
+        assert!(connection.is_idle());
+        let own = |reply: &Reply| reply.header("request-id") == Some(id.as_bytes());
+        let reply = connection
+            .exchange(REQUEST, MAX_BODY_BYTES, own)
+            .await
+            .unwrap();
+        assert_eq!(reply.body, body);
+    }
+    assert!(!connection.is_idle(), "the copy may be followed by others");
+}
+
 #[tokio::test]
 async fn connection_with_trailing_bytes_is_not_idle() {
     let mut more = response("1", "one");
