--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -38,8 +38,8 @@
         directory_answer(&addresses, ttl)
     }
 
-    /// Returns the addresses of the selected nodes, those near the caller if they have capacity. None if all nodes serve
-    /// callers.
+    /// Returns the addresses of the selected nodes, those near the caller if they have capacity. The list is empty if all
+    /// nodes serve callers.
     fn selected_addresses(&self, callers: SocketAddr, domain: Option<&Domain>) -> Vec<SocketAddr> {
         let nodes = self.entry.nodes_near(domain, |node| {
             let own = node == self.members.me();
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -24,6 +24,9 @@
 /// Time after the start in which no connections are opened ahead by a node that is not known to be selected.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 
+/// The reports about other nodes in one message.
+pub(super) type PassedOnList = SmallVec<[PassedOn; MAX_PASSED_ON]>;
+
 /// A report about a node that another one passes on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct PassedOn {
@@ -41,12 +44,12 @@
     selected: RefCell<Option<Rc<[NodeId]>>>,
     role: Cell<Role>,
     crowding: Cell<Crowding>,
-    passed_on: RefCell<SmallVec<[PassedOn; MAX_PASSED_ON]>>,
+    passed_on: RefCell<PassedOnList>,
 }
 
 impl Entry {
     /// Returns the reports that messages pass on at present.
-    pub(super) fn passed_on(&self) -> SmallVec<[PassedOn; MAX_PASSED_ON]> {
+    pub(super) fn passed_on(&self) -> PassedOnList {
         self.passed_on.borrow().clone()
     }
 
@@ -67,8 +70,8 @@
         }
     }
 
-    /// Returns the selected nodes that are `usable`, those near a caller in `domain` if they have capacity. None if all
-    /// nodes serve callers.
+    /// Returns the selected nodes that are `usable`, those near a caller in `domain` if they have capacity. The list is
+    /// empty if all nodes serve callers.
     pub(super) fn nodes_near(
         &self,
         domain: Option<&Domain>,
@@ -91,15 +94,18 @@
 impl Gateway {
     /// Returns this node's report about itself.
     pub(super) fn entry_report(&self) -> EntryReport {
+        let state = if self.stopping.get() {
+            EntryState::Stopping
+        } else if self.is_ready() {
+            EntryState::Ready
+        } else {
+            EntryState::Starting
+        };
         let settings = self.settings.borrow();
         EntryReport {
             domain: settings.domain.clone(),
             capacity: settings.capacity,
-            state: match () {
-                () if self.stopping.get() => EntryState::Stopping,
-                () if self.is_ready() => EntryState::Ready,
-                () => EntryState::Starting,
-            },
+            state,
             lag_ms: u16::try_from(self.lag.get().mean().as_millis()).unwrap_or(u16::MAX),
         }
     }
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -19,7 +19,7 @@
         member::{MemberMessage, MemberSettings, Membership},
         mirror::{READER_COUNT, reader_rank},
     },
-    gateway::{Settings, entry::PassedOn, state::Gateway},
+    gateway::{Settings, entry::PassedOnList, state::Gateway},
 };
 
 /// Interval between membership ticks, three to a probe interval.
@@ -53,7 +53,7 @@
     /// The node as a server of callers.
     entry: EntryReport,
     /// Reports about other nodes.
-    passed_on: SmallVec<[PassedOn; MAX_LISTED_NODES]>,
+    passed_on: PassedOnList,
     /// Revision up to which its mirror of the store is complete.
     revision: u64,
     /// How long ago the mirror was known to be complete, milliseconds.
@@ -114,6 +114,7 @@
         self.alive_count.get()
     }
 
+    /// Returns this node's id.
     pub(super) fn me(&self) -> &NodeId {
         &self.me
     }
