Log the rate limits that leaves name and the calls to those leaves

Answers' limits are decoded, changes of a limit are logged with the request's id, and calls to such leaves are logged each second.

No decision uses the limit yet.

--- /dev/null
+++ b/src/core/limit/mod.rs
@@ -0,0 +1,6 @@
+//! Rate limits that leaves name in their answers.
+
+mod naming;
+mod tally;
+
+pub use self::{naming::Naming, tally::Tally};
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,6 +16,7 @@
 pub mod lag;
 pub mod leaf;
 pub mod lease;
+pub mod limit;
 pub mod member;
 pub mod mirror;
 pub mod once;
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -48,6 +48,8 @@
     pub(super) wanted: Rc<Cell<bool>>,
     /// The request may run more than once.
     pub(super) repeatable: bool,
+    /// The call is a retry or a hedged call.
+    pub(super) is_extra: bool,
     pub(super) route_stats: Rc<RefCell<RouteStats>>,
 }
 
@@ -115,6 +117,7 @@
             typical,
             finished: false,
         };
+        self.leaf.record_call(self.is_extra);
         let remaining = self.deadline.since(sent_at);
         let result = match timeout(remaining, self.exchange(&gateway)).await {
             Ok(Ok(reply)) => self.evaluate(&gateway, &mut guard, reply),
@@ -215,6 +218,9 @@
         if let Some(left) = answer.warmup_left {
             self.leaf.set_cold(now, left);
         }
+        if !answer.misdirected {
+            self.leaf.record_naming(gateway, &self.id, answer.limit);
+        }
         if answer.misdirected {
             log::info!(leaf:% = self.leaf.instance(), id = &*self.id; "another leaf answers at this address");
             self.leaf.defunct.set(true);
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -344,6 +344,7 @@
             partial: self.gather().is_some(),
             wanted: self.wanted.clone(),
             repeatable,
+            is_extra: purpose.is_some(),
             route_stats: self.route_stats.clone(),
         })
     }
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -15,6 +15,7 @@
     adapter::http1::{Connection, ExchangeError},
     core::{
         Domain, Instance, ServiceName, Time,
+        limit::{Naming, Tally},
         placement::{Candidate, Contention, LeafStats, cold_share, connection_share, pick},
         registry::{LeafChange, LeafRecord},
         retry::RetryBudget,
@@ -44,6 +45,10 @@
     /// The leaf was removed or replaced, or another leaf has its address.
     pub(super) defunct: Cell<bool>,
     cold_until: Cell<Option<Time>>,
+    /// The rate limit that the leaf named in its latest answer.
+    naming: Cell<Naming>,
+    /// Calls since the last report of the calls to leaves that name a limit.
+    pub(super) tally: Cell<Tally>,
     /// Until when no further connection is opened, because the leaf has reset a new one.
     backoff_until: Cell<Option<Time>>,
     /// This node keeps connections to the leaf.
@@ -60,6 +65,8 @@
             open_count: Cell::new(0),
             defunct: Cell::new(false),
             cold_until: Cell::new(None),
+            naming: Cell::default(),
+            tally: Cell::default(),
             backoff_until: Cell::new(None),
             pooled: Cell::new(false),
             rank: score(node, record.instance.as_str()),
@@ -74,6 +81,31 @@
         self.cold_until.set((!left.is_zero()).then(|| now + left));
     }
 
+    /// Records what an answer says about the leaf's rate limit, and logs changes.
+    pub(super) fn record_naming(&self, gateway: &Gateway, id: &str, naming: Naming) {
+        let previous = self.naming.replace(naming);
+        if previous != naming
+            && let Some(suppressed) = gateway.log_limiter.admit(gateway.now(), "leaf_limit")
+        {
+            log::info!(
+                id,
+                leaf:% = self.instance(),
+                service:% = self.record.borrow().service,
+                limit:? = naming,
+                previous:? = previous,
+                suppressed;
+                "leaf changed its rate limit"
+            );
+        }
+    }
+
+    /// Counts a call.
+    pub(super) fn record_call(&self, is_extra: bool) {
+        let mut tally = self.tally.get();
+        tally.record(is_extra);
+        self.tally.set(tally);
+    }
+
     pub(super) fn instance(&self) -> Instance {
         self.record.borrow().instance.clone()
     }
@@ -353,6 +385,31 @@
         }
     }
 
+    /// Logs the calls since the last report to each leaf that names a rate limit.
+    pub(super) fn report_limited(&self, gateway: &Gateway) {
+        let now = gateway.now();
+        for leaf in self.leaves.borrow().values() {
+            let Tally { first, extra } = leaf.tally.take();
+            let naming = leaf.naming.get();
+            if naming == Naming::Unlimited {
+                continue;
+            }
+            metrics::counter!("cranberrychute_limited_leaf_calls_total")
+                .increment(u64::from(first + extra));
+            if let Some(suppressed) = gateway.log_limiter.admit(now, "limited_calls") {
+                log::info!(
+                    leaf:% = leaf.instance(),
+                    limit:? = naming,
+                    first,
+                    extra,
+                    alive = gateway.members.alive_count(),
+                    suppressed;
+                    "calls to a leaf with a rate limit"
+                );
+            }
+        }
+    }
+
     /// Returns whether a leaf may get new calls at all: it is still at its published address, is not leaving, is in an
     /// allowed region, and its failure domain is not evacuated.
     fn is_eligible(&self, settings: &Settings, leaf: &Leaf, regions: &[Arc<str>]) -> bool {
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -7,6 +7,7 @@
 mod gather;
 mod idle_limit;
 mod lag;
+mod limit;
 mod mirror;
 mod pause_guard;
 mod placement;
