--- a/emulator/src/gateway_leaf.rs
+++ b/emulator/src/gateway_leaf.rs
@@ -51,7 +51,10 @@
     records: Vec<u8>,
     /// Number of executions of each request, by request id.
     runs: HashMap<String, u32>,
-    requests: u64,
+    /// When each request arrived.
+    arrivals: Vec<Instant>,
+    /// Text of the rate limit in each answer.
+    limit: Option<String>,
     /// Number of requests in execution.
     running: u32,
     abandoned: u32,
@@ -113,6 +116,23 @@
         self.lock().delay = delay;
     }
 
+    /// Changes the rate limit that answers name.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        self.lock().limit = limit.map(str::to_owned);
+    }
+
+    /// Returns the largest number of requests that arrived within a `window` that starts at `from` or later.
+    pub fn most_arrivals(&self, from: Instant, window: Duration) -> usize {
+        let state = self.lock();
+        let first = state.arrivals.partition_point(|at| *at < from);
+        let arrivals = &state.arrivals[first..];
+        let within = |start: &Instant| {
+            let end = arrivals.partition_point(|at| *at < *start + window);
+            end - arrivals.partition_point(|at| at < start)
+        };
+        arrivals.iter().map(within).max().unwrap_or(0)
+    }
+
     /// Changes the id of the leaf, as if another leaf had started at the same address.
     pub fn set_id(&self, id: &str) {
         self.lock().id = id.to_owned();
@@ -125,7 +145,7 @@
 
     /// Returns the number of requests received.
     pub fn request_count(&self) -> u64 {
-        self.lock().requests
+        self.lock().arrivals.len() as u64
     }
 
     /// Returns the number of requests whose connection ended during their execution.
@@ -156,7 +176,14 @@
                 if closes_idle && previous.elapsed() >= MIN_IDLE_TIME {
                     return Err(Closed);
                 }
-                handle(request, state).await
+                let limit = lock(&state).limit.clone();
+                let mut response = handle(request, state).await?;
+                if let Some(limit) = limit {
+                    let value =
+                        HeaderValue::from_str(&limit).expect("limit is a valid header value");
+                    response.headers_mut().insert("server-limit", value);
+                }
+                Ok(response)
             }
         }));
     }
@@ -188,7 +215,7 @@
     let (id, target) = (header("request-id"), header("target-instance"));
     let (mode, delay, leaf_id) = {
         let mut state = lock(&state);
-        state.requests += 1;
+        state.arrivals.push(Instant::now());
         let deadline_ms = header("deadline-ms").parse().unwrap_or(u64::MAX);
         state.max_deadline_ms = state.max_deadline_ms.max(deadline_ms);
         (state.mode, state.delay, state.id.clone())
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of gateway processes against an emulated platform store and emulated leaves.
 
 mod input;
+mod limits;
 mod membership;
 mod platform;
 mod requests;
