Keep the calls of all nodes to a leaf within the rate limit that it names

Callers saw nothing; leaves in need got twice the requests that they had said they take.

Cause: the limit that a leaf names in its answers was not read, and nothing in the choice of a leaf could hold a limit of that kind. The class of fault: a limit over all nodes of which each node sees only its own part.

Why it works: each node has a token bucket for each such leaf. Its size and rate are what the users' bound allows in 4 s, divided by the known senders and half as many again (four at least), so the sum holds while nodes disagree on how many they are. Where that would be fewer than four calls, fewer nodes send, ordered by rendezvous hashing for each leaf. A node that joins the senders waits 3 s for the one that it replaces. Retries take tokens, hedged calls do not go to such leaves. Observations are passed on with their age; the latest one counts. A value that cannot be read changes nothing, and of several the lowest counts.

--- a/src/core/gather/plan.rs
+++ b/src/core/gather/plan.rs
@@ -220,6 +220,11 @@
             };
     }
 
+    /// Records that a leaf for a due part has capacity again at `until`.
+    pub fn record_full_until(&mut self, part: usize, until: Time) {
+        self.parts[part].next_send = until;
+    }
+
     /// Records that no leaf for a due part is available. The part fails unless a call is in progress.
     pub fn record_no_leaf(&mut self, part: usize) {
         let part = &mut self.parts[part];
--- a/src/core/retry/mod.rs
+++ b/src/core/retry/mod.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Returns whether an earlier call of the part has failed.
+    pub fn is_retry(self) -> bool {
+        matches!(self, Self::RequiredRetry | Self::OptionalRetry)
+    }
+
     /// Returns the share of the budget that is reserved for more urgent extra calls.
     fn reserved_share(self) -> f64 {
         match self {
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -219,7 +219,7 @@
             self.leaf.set_cold(now, left);
         }
         if !answer.misdirected {
-            self.leaf.record_naming(gateway, &self.id, answer.limit);
+            gateway.record_naming(&self.leaf, &self.id, guard.sent_at, answer.limit);
         }
         if answer.misdirected {
             log::info!(leaf:% = self.leaf.instance(), id = &*self.id; "another leaf answers at this address");
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -25,7 +25,7 @@
         calls::{Call, CompletedCall},
         routes::{RequestOutcome, RouteStats},
         state::Gateway,
-        upstreams::{Leaf, NoLeaf, Service},
+        upstreams::{Leaf, LeafQuery, NoLeaf, Service},
     },
     platform::{CallerAnswer, CallerRequest, LeafRequest},
 };
@@ -39,6 +39,9 @@
 const MIN_SEND_DELAY: Duration = Duration::from_millis(2);
 /// Maximum share of the objective that is reserved for the send delay of the node.
 const MAX_SEND_DELAY_SHARE: f64 = 0.3;
+/// Maximum share of the objective for which a request of the most urgent route waits for a leaf whose rate limit is used
+/// up.
+const MAX_RATE_WAIT_SHARE: f64 = 0.25;
 /// Time before the caller's timeout at which a request ends.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(6);
 /// Minimum time to wait for the parts of a request that has already missed its objective.
@@ -105,9 +108,10 @@
                     .collect();
                 if let Step::Finish(completion) = dispatch.plan.step(now) {
                     // No call is sent for a request that cannot succeed.
-                    prepared
-                        .iter()
-                        .for_each(|call| dispatch.plan.revert_sent(call.part));
+                    for call in &prepared {
+                        dispatch.plan.revert_sent(call.part);
+                        call.leaf.limit.borrow_mut().give_back();
+                    }
                     break completion;
                 }
                 prepared.into_iter().for_each(|call| calls.start(call));
@@ -296,10 +300,13 @@
             .map(|(_, leaf)| leaf.clone())
             .collect();
         let typical = self.route_stats.borrow().typical;
-        let regions = &self.inbound.route.regions;
-        let chosen = gateway
-            .upstreams
-            .choose(&gateway, &name, &service, typical, regions, &tried);
+        let query = LeafQuery {
+            typical,
+            regions: &self.inbound.route.regions,
+            tried: &tried,
+            limited: purpose.is_none_or(Purpose::is_retry),
+        };
+        let chosen = gateway.upstreams.choose(&gateway, &name, &service, query);
         let leaf = match chosen {
             Ok(leaf) => leaf,
             Err(NoLeaf::Full) => {
@@ -312,6 +319,16 @@
                 self.plan.record_no_room(part, now);
                 return None;
             }
+            Err(NoLeaf::Limited(until)) => {
+                self.record_decision(now, part, "rate_limit", purpose);
+                self.retry_at = Some(self.retry_at.map_or(until, |at| at.min(until)));
+                if until <= self.rate_wait_end() {
+                    self.plan.record_full_until(part, until);
+                } else {
+                    self.plan.record_no_leaf(part);
+                }
+                return None;
+            }
             Err(NoLeaf::Down(until)) => {
                 self.record_decision(now, part, "no_leaf", purpose);
                 self.retry_at = self.retry_at.into_iter().chain(until).min();
@@ -349,6 +366,24 @@
         })
     }
 
+    /// Returns until when the request may wait for a leaf whose rate limit is used up.
+    ///
+    /// A part of an answer is left out at once. A request to one leaf waits for a short part of its objective, longer if
+    /// it is urgent, and is rejected while its caller can still be served elsewhere.
+    fn rate_wait_end(&self) -> Time {
+        let Inbound {
+            route,
+            arrived,
+            waited,
+            ..
+        } = &self.inbound;
+        if self.gather().is_some() {
+            return *arrived;
+        }
+        let longest = route.objective.mul_f64(MAX_RATE_WAIT_SHARE) / (1 + route.priority);
+        *arrived + longest.saturating_sub(*waited)
+    }
+
     /// Handles the result of a call.
     fn handle_completed(&mut self, completed: CompletedCall) {
         let now = self.gateway.now();
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Returns the selected nodes, `None` if all nodes serve callers.
+    pub(super) fn selected(&self) -> Option<Rc<[NodeId]>> {
+        self.selected.borrow().clone()
+    }
+
     /// Returns the selected nodes that are `usable`, those near a caller in `domain` if they have capacity. The list is
     /// empty if all nodes serve callers.
     pub(super) fn nodes_near(
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -19,7 +19,7 @@
         member::{MemberMessage, MemberSettings, Membership},
         mirror::{READER_COUNT, reader_rank},
     },
-    gateway::{Settings, entry::PassedOnList, state::Gateway},
+    gateway::{Settings, entry::PassedOnList, limits::LimitReports, state::Gateway},
 };
 
 /// Interval between membership ticks, three to a probe interval.
@@ -48,7 +48,7 @@
 const SEED_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The status that a node sends about itself in each message.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(super) struct NodeStatus {
     /// The node as a server of callers.
     entry: EntryReport,
@@ -58,6 +58,8 @@
     revision: u64,
     /// How long ago the mirror was known to be complete, milliseconds.
     age_ms: u32,
+    /// Rate limits of some leaves.
+    limits: LimitReports,
     /// Peer addresses of some other nodes that it considers alive.
     others: SmallVec<[SocketAddr; MAX_LISTED_NODES]>,
 }
@@ -157,6 +159,11 @@
         ready.into_iter()
     }
 
+    /// Returns the live nodes, including this one.
+    pub(super) fn alive(&self) -> Vec<NodeId> {
+        self.membership.borrow().iter_alive().cloned().collect()
+    }
+
     /// Returns this node's position in the order in which nodes become readers of the store, from 0.
     pub(super) fn reader_rank(&self) -> usize {
         self.reader_rank.get()
@@ -215,6 +222,7 @@
             passed_on: self.entry.passed_on(),
             revision: self.mirror.borrow().revision(),
             age_ms: millis(self.sync.age(self.now())),
+            limits: self.limit_reports(),
             others: self.members.listed.borrow().clone(),
         }
     }
@@ -233,6 +241,7 @@
                 membership.tick(now, &mut *rng, &status, &mut out);
             }
             self.members.refresh(&mut *self.rng.borrow_mut());
+            self.select_limit_reports(now);
             self.send(out).await;
             let membership = &self.members.membership;
             let is_alive = |node: &NodeId| membership.borrow().is_alive(node);
@@ -283,6 +292,7 @@
             }
             self.entry
                 .record(now, &incoming.from, &status.entry, &status.passed_on);
+            self.record_limit_reports(now, &status.limits);
             let (revision, age) = (status.revision, Duration::from_millis(status.age_ms.into()));
             self.members
                 .statuses
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod dispatch;
 mod entry;
 mod ingress;
+mod limits;
 mod logging;
 mod members;
 mod mirror;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -34,8 +34,8 @@
 
 /// Interval of periodic upkeep: idle connections, delayed removals of leaves, histograms of the metrics.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
-/// Number of upkeep intervals between reports of the calls to leaves that name a rate limit.
-const LIMIT_REPORT_INTERVALS: u32 = 4;
+/// Number of upkeep intervals between updates of the shares of rate limits.
+const LIMIT_INTERVALS: u32 = 4;
 
 /// The state of one process. Everything runs on one thread.
 pub(super) struct Gateway {
@@ -83,8 +83,8 @@
         loop {
             sleep(UPKEEP_INTERVAL).await;
             rounds = rounds.wrapping_add(1);
-            if rounds.is_multiple_of(LIMIT_REPORT_INTERVALS) {
-                self.upstreams.report_limited(&self);
+            if rounds.is_multiple_of(LIMIT_INTERVALS) {
+                self.update_limits();
             }
             let now = self.now();
             let removals = self.registry.borrow_mut().tick(now);
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -15,13 +15,13 @@
     adapter::http1::{Connection, ExchangeError},
     core::{
         Domain, Instance, ServiceName, Time,
-        limit::{Naming, Tally},
+        limit::{LeafLimit, Tally},
         placement::{Candidate, Contention, LeafStats, cold_share, connection_share, pick},
         registry::{LeafChange, LeafRecord},
         retry::RetryBudget,
         score,
     },
-    gateway::{Settings, state::Gateway},
+    gateway::{Settings, limits::ReportedLeaves, state::Gateway},
 };
 
 /// Timeout for opening a connection to a leaf. A stalled leaf accepts the connection after its pause.
@@ -45,8 +45,8 @@
     /// The leaf was removed or replaced, or another leaf has its address.
     pub(super) defunct: Cell<bool>,
     cold_until: Cell<Option<Time>>,
-    /// The rate limit that the leaf named in its latest answer.
-    naming: Cell<Naming>,
+    /// The rate limit that the leaf names in its answers.
+    pub(super) limit: RefCell<LeafLimit>,
     /// Calls since the last report of the calls to leaves that name a limit.
     pub(super) tally: Cell<Tally>,
     /// Until when no further connection is opened, because the leaf has reset a new one.
@@ -65,7 +65,7 @@
             open_count: Cell::new(0),
             defunct: Cell::new(false),
             cold_until: Cell::new(None),
-            naming: Cell::default(),
+            limit: RefCell::default(),
             tally: Cell::default(),
             backoff_until: Cell::new(None),
             pooled: Cell::new(false),
@@ -81,24 +81,6 @@
         self.cold_until.set((!left.is_zero()).then(|| now + left));
     }
 
-    /// Records what an answer says about the leaf's rate limit, and logs changes.
-    pub(super) fn record_naming(&self, gateway: &Gateway, id: &str, naming: Naming) {
-        let previous = self.naming.replace(naming);
-        if previous != naming
-            && let Some(suppressed) = gateway.log_limiter.admit(gateway.now(), "leaf_limit")
-        {
-            log::info!(
-                id,
-                leaf:% = self.instance(),
-                service:% = self.record.borrow().service,
-                limit:? = naming,
-                previous:? = previous,
-                suppressed;
-                "leaf changed its rate limit"
-            );
-        }
-    }
-
     /// Counts a call.
     pub(super) fn record_call(&self, is_extra: bool) {
         let mut tally = self.tally.get();
@@ -226,6 +208,8 @@
 pub(super) enum NoLeaf {
     /// Leaves are available, but this node has reached its limits on all of them.
     Full,
+    /// Every leaf that is available names a rate limit, and this node may call the first of them at this time.
+    Limited(Time),
     /// No leaf is available; the earliest one is tried again at this time.
     Down(Option<Time>),
 }
@@ -234,8 +218,22 @@
 #[derive(Debug, Default)]
 pub(super) struct Upstreams {
     services: RefCell<HashMap<ServiceName, Rc<Service>>>,
-    leaves: RefCell<HashMap<Instance, Rc<Leaf>>>,
+    pub(super) leaves: RefCell<HashMap<Instance, Rc<Leaf>>>,
     evacuated: RefCell<HashSet<Domain>>,
+    pub(super) reported: ReportedLeaves,
+}
+
+/// What is needed of the leaf for a call.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LeafQuery<'a> {
+    /// Typical latency of the calls of the route.
+    pub(super) typical: Duration,
+    /// Regions whose leaves may be called; all if empty.
+    pub(super) regions: &'a [Arc<str>],
+    /// Leaves that must not be called.
+    pub(super) tried: &'a [Rc<Leaf>],
+    /// Whether leaves that name a rate limit may be called.
+    pub(super) limited: bool,
 }
 
 impl Upstreams {
@@ -385,31 +383,6 @@
         }
     }
 
-    /// Logs the calls since the last report to each leaf that names a rate limit.
-    pub(super) fn report_limited(&self, gateway: &Gateway) {
-        let now = gateway.now();
-        for leaf in self.leaves.borrow().values() {
-            let Tally { first, extra } = leaf.tally.take();
-            let naming = leaf.naming.get();
-            if naming == Naming::Unlimited {
-                continue;
-            }
-            metrics::counter!("cranberrychute_limited_leaf_calls_total")
-                .increment(u64::from(first + extra));
-            if let Some(suppressed) = gateway.log_limiter.admit(now, "limited_calls") {
-                log::info!(
-                    leaf:% = leaf.instance(),
-                    limit:? = naming,
-                    first,
-                    extra,
-                    alive = gateway.members.alive_count(),
-                    suppressed;
-                    "calls to a leaf with a rate limit"
-                );
-            }
-        }
-    }
-
     /// Returns whether a leaf may get new calls at all: it is still at its published address, is not leaving, is in an
     /// allowed region, and its failure domain is not evacuated.
     fn is_eligible(&self, settings: &Settings, leaf: &Leaf, regions: &[Arc<str>]) -> bool {
@@ -421,15 +394,13 @@
         allowed && !excluded && !leaf.defunct.get()
     }
 
-    /// Chooses a leaf of a service, excluding those in `tried`.
+    /// Chooses a leaf of a service and records the call against its rate limit.
     pub(super) fn choose(
         &self,
         gateway: &Gateway,
         name: &ServiceName,
         service: &Service,
-        typical: Duration,
-        regions: &[Arc<str>],
-        tried: &[Rc<Leaf>],
+        query: LeafQuery<'_>,
     ) -> Result<Rc<Leaf>, NoLeaf> {
         let now = gateway.now();
         let settings = gateway.settings.borrow();
@@ -447,11 +418,11 @@
             )
         });
         let leaves = service.leaves.borrow();
-        let (mut any_available, mut retry_at) = (false, None::<Time>);
+        let (mut any_available, mut retry_at, mut limited_at) = (false, None::<Time>, None::<Time>);
         let mut usable = SmallVec::<[usize; 8]>::new();
         for (index, leaf) in leaves.iter().enumerate() {
-            let is_tried = tried.iter().any(|other| Rc::ptr_eq(other, leaf));
-            if is_tried || !self.is_eligible(&settings, leaf, regions) {
+            let is_tried = query.tried.iter().any(|other| Rc::ptr_eq(other, leaf));
+            if is_tried || !self.is_eligible(&settings, leaf, query.regions) {
                 continue;
             }
             let mut stats = leaf.stats.borrow_mut();
@@ -460,6 +431,12 @@
                 retry_at = Some(retry_at.map_or(until, |at| at.min(until)));
                 continue;
             }
+            if let Some(next) = leaf.limit.borrow_mut().next_call(now)
+                && (next > now || !query.limited)
+            {
+                limited_at = Some(limited_at.map_or(next, |at| at.min(next)));
+                continue;
+            }
             any_available = true;
             let cold = leaf.is_cold(now);
             let cold_full =
@@ -484,10 +461,13 @@
             (*index, candidate)
         });
         let mut rng = gateway.rng.borrow_mut();
-        match pick(now, typical, candidates, &mut *rng) {
-            Some(index) => Ok(leaves[index].clone()),
+        match pick(now, query.typical, candidates, &mut *rng) {
+            Some(index) => {
+                leaves[index].limit.borrow_mut().take(now);
+                Ok(leaves[index].clone())
+            }
             None if any_available => Err(NoLeaf::Full),
-            None => Err(NoLeaf::Down(retry_at)),
+            None => Err(limited_at.map_or(NoLeaf::Down(retry_at), NoLeaf::Limited)),
         }
     }
 }
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -4,7 +4,7 @@
 use futures::future::join_all;
 use tokio::time::{Instant, interval};
 
-use crate::site::{Node, Site};
+use crate::site::{Node, Site, wait_until};
 
 /// The users' bounds: from `SETTLE_TIME` after a leaf first named a limit, it gets at most `OVERSHOOT` times that in any
 /// `WINDOW`, and `SLACK` requests.
@@ -16,6 +16,9 @@
 /// Interval of the requests to each node.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Time within which a request that cannot be served must be answered: well before the objective of 200 ms.
+const MAX_REJECTION_TIME: Duration = Duration::from_millis(100);
+
 /// Sends requests to all nodes at a regular interval for `time`. Returns the number that were not answered with 200.
 async fn send_load(nodes: &[Node], time: Duration) -> usize {
     let end = Instant::now() + time;
@@ -61,3 +64,72 @@
     );
     assert!(other.request_count() > limited.request_count());
 }
+
+/// Guards against requests that wait for leaves whose limits are used up, and against a rejection of a request that has
+/// run.
+#[tokio::test]
+async fn requests_beyond_the_limits_of_all_leaves_are_rejected_at_once() {
+    let site = Site::start(1, 1).await;
+    let node = &site.nodes().await[0];
+    site.shards[0]
+        .iter()
+        .for_each(|leaf| leaf.set_limit(Some("1")));
+    let mut rejected = 0;
+    for request in 0..20 {
+        let id = format!("q{request}");
+        let start = Instant::now();
+        let reply = node.query("/one/x", &id).await;
+        if reply.status == 200 {
+            continue;
+        }
+        rejected += 1;
+        let took = start.elapsed();
+        assert_eq!(reply.status, 503);
+        assert!(took < MAX_REJECTION_TIME, "rejected after {took:?}");
+        let seconds: f64 = reply.header_str("retry-after").unwrap().parse().unwrap();
+        assert!(seconds > 0.0);
+        for leaf in &site.shards[0] {
+            assert_eq!(leaf.run_count(&id), 0, "a rejected request has run");
+        }
+    }
+    assert!(rejected >= 15, "{rejected} of 20 rejected");
+}
+
+/// Guards against queries that wait for a shard whose leaves have used up their limits.
+#[tokio::test]
+async fn a_shard_beyond_its_limits_is_left_out_at_once() {
+    let site = Site::start(4, 1).await;
+    let node = &site.nodes().await[0];
+    site.shards[1]
+        .iter()
+        .for_each(|leaf| leaf.set_limit(Some("0.5")));
+    let mut partial = 0;
+    for request in 0..20 {
+        let start = Instant::now();
+        let reply = node.query("/all/x", &format!("q{request}")).await;
+        let took = start.elapsed();
+        assert_eq!(reply.status, 200);
+        if reply.header_str("missing-parts") == Some("1") {
+            partial += 1;
+            assert!(took < MAX_REJECTION_TIME, "answered after {took:?}");
+        }
+    }
+    assert!(partial >= 15, "{partial} of 20 without the part");
+}
+
+/// Guards against a leaf that keeps its limit after it no longer names one.
+#[tokio::test]
+async fn a_leaf_gets_its_load_back_when_it_names_no_limit_any_more() {
+    let site = Site::start(1, 3).await;
+    let nodes = site.nodes().await;
+    let [limited, _] = &site.shards[0];
+    limited.set_limit(Some("2"));
+    send_load(&nodes, Duration::from_secs(2)).await;
+    limited.set_limit(None);
+    wait_until("the leaf gets its load back", async || {
+        let before = limited.request_count();
+        send_load(&nodes, Duration::from_secs(1)).await;
+        limited.request_count() > before + 40
+    })
+    .await;
+}
