--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -97,6 +97,12 @@
                     if !self.sync.reading.replace(true) {
                         self.sync.read_update.notify_one();
                     }
+                    let known = self.mirror.borrow().revision();
+                    let (revision, received) = (read.revision, read.changes.len());
+                    let era = read.era.unwrap_or_default();
+                    if self.sync.era.replace(era) != era && known > 0 {
+                        log::warn!(era, revision, known; "the store was restored from a copy");
+                    }
                     let changes = {
                         let mut mirror = self.mirror.borrow_mut();
                         if reads_all {
@@ -106,6 +112,12 @@
                         }
                     };
                     let changed = !changes.is_empty();
+                    let applied = changes.len();
+                    if received > 0
+                        && let Some(suppressed) = self.log_limiter.admit(now, "store_read")
+                    {
+                        log::info!(reads_all, received, applied, revision, known, era, suppressed; "read from the store");
+                    }
                     plan.record_answer();
                     self.apply_changes(changes).await;
                     if changed {
