Failing test of a change that is lost after the store's restore

Three gateways, a store that comes back from a copy, and a change afterwards whose revision was given out before: no node serves it 3 s after it was written. The emulated store can be restored from a copy of itself and names its era.

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -19,6 +19,6 @@
     layout::{LeafSpec, SnapshotSpec, assign_shards, map_document},
     node::{NodeSpec, vms_document},
     platform::{Platform, PlatformControl, PlatformCounters},
-    store::{Access, Store},
+    store::{Access, Store, StoreCopy},
     upstream::{Execution, Fault, LeafControl, LeafCounters, Upstream, UpstreamSettings},
 };
--- a/emulator/src/store.rs
+++ b/emulator/src/store.rs
@@ -44,8 +44,10 @@
     value: Option<Arc<[u8]>>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct State {
+    /// Number of restores, from 1.
+    era: u64,
     revision: u64,
     /// Revision of the last write and value of each item, by key.
     items: BTreeMap<String, (u64, Arc<[u8]>)>,
@@ -55,6 +57,10 @@
     calls: u64,
 }
 
+/// A copy of a store's content, from which it can be restored.
+#[derive(Clone, Debug)]
+pub struct StoreCopy(State);
+
 /// An emulated store of the platform with paged reads, watches and a history that can be dropped.
 ///
 /// Each reader has its own address, so that some can be rejected while others are served.
@@ -74,7 +80,10 @@
     /// Fails if no address can be bound.
     pub async fn start(readers: usize) -> anyhow::Result<Self> {
         let mut store = Self {
-            state: Arc::default(),
+            state: Arc::new(Mutex::new(State {
+                era: 1,
+                ..State::default()
+            })),
             changed: watch::channel(0).0,
             readers: Vec::new(),
             tasks: JoinSet::new(),
@@ -128,6 +137,26 @@
         state.compacted_revision = state.revision;
     }
 
+    /// Copies the content of the store.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(lock(&self.state).clone())
+    }
+
+    /// Replaces the content with a copy and starts a new era. Changes since the copy are lost, and their revisions are
+    /// given to other changes.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = lock(&self.state);
+        let (era, calls) = (state.era + 1, state.calls);
+        *state = State {
+            era,
+            calls,
+            ..copy.0.clone()
+        };
+        let revision = state.revision;
+        drop(state);
+        self.changed.send_replace(revision);
+    }
+
     /// Returns the number of requests received.
     pub fn call_count(&self) -> u64 {
         lock(&self.state).calls
@@ -170,7 +199,12 @@
         let (state, changed, access) = (state.clone(), changed.clone(), access.clone());
         connections.spawn(serve(stream, move |request| {
             let (state, changes, access) = (state.clone(), changed.subscribe(), access.subscribe());
-            async move { handle(request, state, changes, access).await }
+            async move {
+                let mut response = handle(request, state.clone(), changes, access).await?;
+                let era = lock(&state).era;
+                response.headers_mut().insert("store-era", era.into());
+                Ok(response)
+            }
         }));
     }
 }
@@ -247,7 +281,7 @@
         changes.mark_unchanged();
         {
             let state = lock(state);
-            if after < state.compacted_revision {
+            if after < state.compacted_revision || after > state.revision {
                 return json_reply(StatusCode::GONE, &json!({}));
             }
             let events = state.history.iter();
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,5 +5,6 @@
 mod membership;
 mod platform;
 mod requests;
+mod restore;
 mod site;
 mod stop;
