Order the store's history by era, and keep what is known over a restored copy

Callers got 404 on an added route and answers of a service that the new version no longer names, for seconds to minutes after the store had come back from a copy.

Cause: revisions were compared across a restore. The mirror took the copy for a stale page and each later change with a reused revision for a known one, until the store's counter had passed its own. The class of fault: an order that holds only within one life of its source, as with counts that start anew. The same order stood in the mirror, its history for peers, the watch's start, the nodes' messages, their freshness and the updates between them.

Why it works: a position is an era and a revision, compared in this order, wherever revisions were. An answer of another era than asked for, also between two pages of a read, is followed by a read of all items. In a new era, what the mirror knows outweighs the copy item by item: newer by its own content (version; start and sequence number) until written again, present or deleted against the copy for a limited time. Nodes pass held items on when their digests differ, so a node that starts in between does not believe the copy.

Failed on the way, found by the property test: held items of different eras compared by position, and deletions forgotten when the copy lacked the key, too, so that a peer brought the key back. With the first of these, or without held items, tests of restore.rs fail.

--- a/emulator/src/gateway_leaf.rs
+++ b/emulator/src/gateway_leaf.rs
@@ -51,6 +51,8 @@
     records: Vec<u8>,
     /// Number of executions of each request, by request id.
     runs: HashMap<String, u32>,
+    /// Number of entries published.
+    sequence: u64,
     /// When each request arrived.
     arrivals: Vec<Instant>,
     /// Text of the rate limit in each answer.
@@ -93,11 +95,16 @@
         })
     }
 
-    /// Returns the entry that the leaf publishes in the store.
+    /// Returns the next entry that the leaf publishes in the store.
     pub fn entry(&self, service: &str, zone: &str, state: &str) -> Value {
+        let sequence = {
+            let mut state = self.lock();
+            state.sequence += 1;
+            state.sequence
+        };
         json!({
             "service": service, "address": self.address, "zone": zone, "config_version": "v1",
-            "slots": 2, "state": state, "warmup_left_ms": 0, "sequence": 1,
+            "slots": 2, "state": state, "warmup_left_ms": 0, "sequence": sequence,
         })
     }
 
--- a/src/core/registry/mod.rs
+++ b/src/core/registry/mod.rs
@@ -81,6 +81,11 @@
             .map_or(Duration::ZERO, |until| until.since(now))
     }
 
+    /// Holds back removals after the store has lost entries.
+    pub fn hold_removals(&mut self, now: Time) {
+        self.extend_grace(now, REMOVAL_GRACE);
+    }
+
     /// Holds back removals for `grace`, up to the node's own grace period, after another node reported an outage that
     /// this node may have missed.
     pub fn extend_grace(&mut self, now: Time, grace: Duration) {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -533,7 +533,7 @@
             leafs = leaves.len(),
             resting = ejected,
             leaving,
-            revision = gateway.mirror.borrow().revision(),
+            position:% = gateway.mirror.borrow().position(),
             news_age_ms = gateway.sync.age(now).as_millis() as u64,
             suppressed;
             "decision on a part"
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    core::retry::retry_after,
+    core::{mirror::Position, retry::retry_after},
     gateway::{
         Listen,
         dispatch::{Inbound, dispatch},
@@ -180,12 +180,13 @@
     response
 }
 
-/// Answers a fetch by another node. Its query has the form `REVISION,LIMIT`: the answer contains the changes after
-/// that revision if they take at most that many bytes.
+/// Answers a fetch by another node. Its query has the form `ERA,REVISION,LIMIT`: the answer contains the changes after
+/// that position if they take at most that many bytes.
 fn answer_peer(gateway: &Gateway, request: &Request<Incoming>) -> Answer {
     let query = request.uri().query().and_then(|query| {
-        let (after, limit) = query.split_once(',')?;
-        Some((after.parse().ok()?, limit.parse().ok()?))
+        let mut numbers = query.split(',');
+        let after = Position::new(numbers.next()?.parse().ok()?, numbers.next()?.parse().ok()?);
+        Some((after, numbers.next()?.parse().ok()?))
     });
     let Some((after, limit)) = query.filter(|_| request.uri().path() == FEED_PATH) else {
         return empty_response(StatusCode::NOT_FOUND);
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -17,7 +17,7 @@
         Incarnation, NodeId, Outbound, Time,
         entry::{EntryReport, EntryState},
         member::{MemberMessage, MemberSettings, Membership},
-        mirror::{READER_COUNT, reader_rank},
+        mirror::{Position, READER_COUNT, reader_rank},
     },
     gateway::{Settings, entry::PassedOnList, limits::LimitReports, state::Gateway},
 };
@@ -54,8 +54,10 @@
     entry: EntryReport,
     /// Reports about other nodes.
     passed_on: PassedOnList,
-    /// Revision up to which its mirror of the store is complete.
-    revision: u64,
+    /// Position up to which its mirror of the store is complete.
+    position: Position,
+    /// Digest of the items of earlier eras that its mirror holds, 0 if there are none.
+    held: u64,
     /// How long ago the mirror was known to be complete, milliseconds.
     age_ms: u32,
     /// Rate limits of some leaves.
@@ -64,6 +66,15 @@
     others: SmallVec<[SocketAddr; MAX_LISTED_NODES]>,
 }
 
+impl NodeStatus {
+    /// Returns whether the node's mirror has changes or held items that one with this position and digest lacks.
+    fn is_ahead(&self, (position, held): (Position, u64)) -> bool {
+        let has_more_held =
+            self.position.era == position.era && self.held != held && self.held != 0;
+        self.position > position || has_more_held
+    }
+}
+
 type Message = MemberMessage<NodeStatus>;
 
 /// The other nodes of the fleet.
@@ -180,13 +191,14 @@
         *self.listed.borrow_mut() = listed.into_iter().filter_map(node_address).collect();
     }
 
-    /// Returns a random live node whose mirror of the store is ahead of `revision`.
-    pub(super) fn random_peer_ahead(&self, gateway: &Gateway, revision: u64) -> Option<SocketAddr> {
+    /// Returns a random live node whose mirror of the store has changes or held items that this node's lacks.
+    pub(super) fn random_peer_ahead(&self, gateway: &Gateway) -> Option<SocketAddr> {
+        let own = gateway.mirror_state();
         let membership = self.membership.borrow();
         let statuses = self.statuses.borrow();
         let ahead = statuses
             .iter()
-            .filter(|(node, (status, _))| status.revision > revision && membership.is_alive(node))
+            .filter(|(node, (status, _))| status.is_ahead(own) && membership.is_alive(node))
             .filter_map(|(node, _)| node_address(node));
         ahead.choose(&mut *gateway.rng.borrow_mut())
     }
@@ -216,11 +228,19 @@
 }
 
 impl Gateway {
+    /// Returns the position of the mirror and the digest of its held items.
+    fn mirror_state(&self) -> (Position, u64) {
+        let mirror = self.mirror.borrow();
+        (mirror.position(), mirror.held_digest())
+    }
+
     fn status(&self) -> NodeStatus {
+        let (position, held) = self.mirror_state();
         NodeStatus {
             entry: self.entry_report(),
             passed_on: self.entry.passed_on(),
-            revision: self.mirror.borrow().revision(),
+            position,
+            held,
             age_ms: millis(self.sync.age(self.now())),
             limits: self.limit_reports(),
             others: self.members.listed.borrow().clone(),
@@ -293,15 +313,18 @@
             self.entry
                 .record(now, &incoming.from, &status.entry, &status.passed_on);
             self.record_limit_reports(now, &status.limits);
-            let (revision, age) = (status.revision, Duration::from_millis(status.age_ms.into()));
+            let (position, age) = (status.position, Duration::from_millis(status.age_ms.into()));
+            let is_ahead = status.is_ahead((own.position, own.held));
             self.members
                 .statuses
                 .borrow_mut()
                 .insert(incoming.from, (status, now));
-            if revision > own.revision {
+            if is_ahead {
                 self.sync.peer_ahead.notify_one();
-            } else if !self.sync.pause_guard.get().messages_may_be_stale(now) {
-                // The sender's mirror is complete at a revision that this node has as well.
+            }
+            let is_known = position <= own.position && position.era == own.position.era;
+            if is_known && !self.sync.pause_guard.get().messages_may_be_stale(now) {
+                // The sender's mirror is complete at a position that this node has as well.
                 self.sync.freshness.borrow_mut().confirm(now, age);
             }
             self.send(out).await;
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -12,7 +12,9 @@
     adapter::http1::Connection,
     core::{
         Time,
-        mirror::{Change, MAX_FIRST_READ_DELAY, MAX_MIRROR_AGE, ReadPlan, Update, reads_store},
+        mirror::{
+            Change, MAX_FIRST_READ_DELAY, MAX_MIRROR_AGE, Position, ReadPlan, Update, reads_store,
+        },
         routing::Routing,
     },
     gateway::{ingress::FEED_PATH, members::millis, state::Gateway},
@@ -76,48 +78,46 @@
             if !self.must_read_store() {
                 self.rely_on_readers().await;
                 client.disconnect();
-                plan.restart(self.mirror.borrow().revision() == 0);
+                plan.restart(self.mirror.borrow().position().is_start());
             }
             let called = self.now();
             let reads_all = plan.reads_all();
             let result = if reads_all {
-                client.read_all(&PAGE_TIMEOUTS).await
+                let era = self.mirror.borrow().position().era;
+                client.read_all(era, &PAGE_TIMEOUTS).await
             } else {
-                let after = self.mirror.borrow().revision();
+                let after = self.mirror.borrow().position();
                 client.watch(after, WATCH_WAIT, WATCH_MARGIN).await
             };
             let now = self.now();
             match result {
                 Ok(read) => {
+                    let (position, known) = (read.position, self.mirror.borrow().position());
                     if self.registry.borrow_mut().record_answer(now) {
-                        log::info!(revision = read.revision; "store regained");
+                        log::info!(revision = position.revision, era = position.era; "store regained");
                     }
                     self.sync.last_answer.set(Some(now));
                     self.sync.catch_up.set(false);
                     if !self.sync.reading.replace(true) {
                         self.sync.read_update.notify_one();
                     }
-                    let known = self.mirror.borrow().revision();
-                    let (revision, received) = (read.revision, read.changes.len());
-                    let era = read.era.unwrap_or_default();
-                    if self.sync.era.replace(era) != era && known > 0 {
-                        log::warn!(era, revision, known; "the store was restored from a copy");
-                    }
+                    let received = read.changes.len();
                     let changes = {
                         let mut mirror = self.mirror.borrow_mut();
                         if reads_all {
-                            mirror.replace(read.changes, read.revision)
+                            mirror.replace(now, read.changes, position)
                         } else {
-                            mirror.advance(read.changes, read.revision)
+                            mirror.advance(now, read.changes, position)
                         }
                     };
-                    let changed = !changes.is_empty();
-                    let applied = changes.len();
                     if received > 0
                         && let Some(suppressed) = self.log_limiter.admit(now, "store_read")
                     {
-                        log::info!(reads_all, received, applied, revision, known, era, suppressed; "read from the store");
+                        let applied = changes.len();
+                        log::info!(reads_all, received, applied, known:% = known, position:% = position, suppressed; "read from the store");
                     }
+                    let changed = !changes.is_empty() || position.era != known.era;
+                    self.record_era(known);
                     plan.record_answer();
                     self.apply_changes(changes).await;
                     if changed {
@@ -125,9 +125,14 @@
                         sleep(COALESCE_DELAY).await;
                     }
                 }
+                Err(error @ StoreError::OtherEra { .. }) => {
+                    let position = self.mirror.borrow().position();
+                    log::info!(position:% = position, error:% = error; "all items of the store are read");
+                    sleep(plan.record_compaction(now)).await;
+                }
                 Err(StoreError::Compacted) => {
-                    let revision = self.mirror.borrow().revision();
-                    log::info!(revision; "history of the store was compacted, all items are read");
+                    let position = self.mirror.borrow().position();
+                    log::info!(position:% = position; "history of the store was compacted, all items are read");
                     sleep(plan.record_compaction(now)).await;
                 }
                 Err(error) => {
@@ -137,8 +142,8 @@
                     let timed_out = matches!(error, StoreError::Timeout);
                     let since = if timed_out { called } else { now };
                     if self.registry.borrow_mut().record_failure(since) {
-                        let revision = self.mirror.borrow().revision();
-                        log::warn!(revision, error:% = error; "store lost");
+                        let position = self.mirror.borrow().position();
+                        log::warn!(position:% = position, error:% = error; "store lost");
                     }
                     client.disconnect();
                     let factor = self.rng.borrow_mut().random_range(1.0..MAX_RETRY_FACTOR);
@@ -151,7 +156,7 @@
 
     /// Returns whether this node has to read the store itself.
     fn must_read_store(&self) -> bool {
-        if self.mirror.borrow().revision() == 0 || self.sync.catch_up.get() {
+        if self.mirror.borrow().position().is_start() || self.sync.catch_up.get() {
             return true;
         }
         let age = self.sync.freshness.borrow().age(self.now());
@@ -160,12 +165,12 @@
 
     /// Relies on other nodes to read the store until this node has to.
     async fn rely_on_readers(&self) {
-        let revision = self.mirror.borrow().revision();
+        let position = self.mirror.borrow().position();
         self.sync.reading.set(false);
         if self.registry.borrow_mut().record_answer(self.now()) {
-            log::info!(revision; "store regained through other nodes");
+            log::info!(position:% = position; "store regained through other nodes");
         }
-        log::info!(revision; "other nodes read the store");
+        log::info!(position:% = position; "other nodes read the store");
         while !self.must_read_store() {
             let age = self.sync.freshness.borrow().age(self.now());
             let pause = MAX_MIRROR_AGE
@@ -175,16 +180,15 @@
             let _ = timeout(pause, self.sync.catch_up_needed.notified()).await;
         }
         let age_ms = self.sync.age(self.now()).as_millis() as u64;
-        let (revision, rank) = (self.mirror.borrow().revision(), self.members.reader_rank());
-        log::info!(revision, rank, age_ms; "this node reads the store");
+        let (position, rank) = (self.mirror.borrow().position(), self.members.reader_rank());
+        log::info!(position:% = position, rank, age_ms; "this node reads the store");
     }
 
     /// Fetches changes from other nodes when they are ahead, and at a regular interval while the store does not answer.
     async fn sync_from_peers(self: Rc<Self>) {
         loop {
             let lost = self.registry.borrow().is_store_lost();
-            let revision = self.mirror.borrow().revision();
-            let urgent = lost || self.members.random_peer_ahead(&self, revision).is_some();
+            let urgent = lost || self.members.random_peer_ahead(&self).is_some();
             let pause = if urgent {
                 PEER_FETCH_INTERVAL
             } else {
@@ -203,8 +207,8 @@
                 };
                 sleep(delay).await;
             }
-            let revision = self.mirror.borrow().revision();
-            let ahead = self.members.random_peer_ahead(&self, revision);
+            let position = self.mirror.borrow().position();
+            let ahead = self.members.random_peer_ahead(&self);
             let lost = self.registry.borrow().is_store_lost();
             let Some(peer) = ahead.or_else(|| self.members.random_peer(&self).filter(|_| lost))
             else {
@@ -215,9 +219,9 @@
             } else {
                 MAX_PEER_UPDATE_BYTES
             };
-            match fetch_update(peer, revision, limit).await {
+            match fetch_update(peer, position, limit).await {
                 Ok(PeerUpdate { update: None, .. }) => {
-                    log::info!(peer:% = peer, revision; "too much for another node, the store is read");
+                    log::info!(peer:% = peer, position:% = position; "too much for another node, the store is read");
                     self.sync.catch_up.set(true);
                     self.sync.catch_up_needed.notify_one();
                 }
@@ -227,18 +231,21 @@
                     grace_ms,
                 }) => {
                     let now = self.now();
-                    let (from, to) = (revision, update.revision);
+                    let (from, to) = (position, update.position);
                     let grace = Duration::from_millis(grace_ms.into());
                     if !grace.is_zero() {
                         self.registry.borrow_mut().extend_grace(now, grace);
                     }
-                    if to >= self.mirror.borrow().revision() {
+                    let known = self.mirror.borrow().position();
+                    if to >= known {
                         let age = Duration::from_millis(age_ms.into());
                         self.sync.freshness.borrow_mut().confirm(now, age);
                     }
-                    let changes = self.mirror.borrow_mut().merge(update);
+                    let held = update.held.len();
+                    let changes = self.mirror.borrow_mut().merge(now, update);
+                    self.record_era(known);
                     if !changes.is_empty() {
-                        log::info!(peer:% = peer, from, to, changes = changes.len(); "caught up from another node");
+                        log::info!(peer:% = peer, from:% = from, to:% = to, changes = changes.len(), held; "caught up from another node");
                     }
                     self.apply_changes(changes).await;
                 }
@@ -260,23 +267,21 @@
                 yield_now().await;
             }
             let now = self.now();
-            let revision = change.revision;
+            let position = change.position;
             let (change, decoded) = match decode_item(change).await {
                 Ok(decoded) => decoded,
                 Err(error) => {
-                    log::error!(revision, error:% = error; "change lost: the decoding task failed");
+                    log::error!(position:% = position, error:% = error; "change lost: the decoding task failed");
                     continue;
                 }
             };
             match decoded {
-                DecodedChange::Routing(Ok(routing)) => {
-                    self.apply_routing(now, routing, change.revision)
-                }
+                DecodedChange::Routing(Ok(routing)) => self.apply_routing(now, routing, position),
                 DecodedChange::Routing(Err(error)) => {
-                    log::error!(revision = change.revision, error; "configuration rejected");
+                    log::error!(position:% = position, error; "configuration rejected");
                 }
                 DecodedChange::Evacuation { domain, out } => {
-                    log::info!(domain:% = domain, out, revision = change.revision; "failure domain changed");
+                    log::info!(domain:% = domain, out, position:% = position; "failure domain changed");
                     self.upstreams.set_evacuated(&domain, out);
                 }
                 DecodedChange::Leaf(Ok(record)) => {
@@ -285,13 +290,13 @@
                 }
                 DecodedChange::Leaf(Err(error)) => {
                     if let Some(suppressed) = self.log_limiter.admit(now, "leaf_entry") {
-                        log::warn!(key = &*change.key, revision = change.revision, error, suppressed; "leaf entry ignored");
+                        log::warn!(key = &*change.key, position:% = position, error, suppressed; "leaf entry ignored");
                     }
                 }
                 DecodedChange::LeafRemoved(instance) => {
                     let removed = self.registry.borrow_mut().remove(now, &instance);
                     if removed.is_none() {
-                        log::info!(leaf:% = instance, revision = change.revision; "removal held back");
+                        log::info!(leaf:% = instance, position:% = position; "removal held back");
                     }
                     self.upstreams.apply(self, removed.into_iter().collect());
                 }
@@ -300,20 +305,42 @@
         }
     }
 
-    fn apply_routing(&self, now: Time, routing: Routing, revision: u64) {
+    /// Logs a change of the store's era and holds back removals, since leaves register again. `known` is the position
+    /// before.
+    fn record_era(&self, known: Position) {
+        let mirror = self.mirror.borrow();
+        let position = mirror.position();
+        if position.era == known.era || known.is_start() {
+            return;
+        }
+        let held = mirror.held_count();
+        log::warn!(known:% = known, position:% = position, held; "the store was restored from a copy");
+        self.registry.borrow_mut().hold_removals(self.now());
+    }
+
+    /// Applies the state of the store where the time is over for which an earlier one was held.
+    pub(super) async fn expire_held(self: &Rc<Self>) {
+        let changes = self.mirror.borrow_mut().expire(self.now());
+        if !changes.is_empty() {
+            log::info!(changes = changes.len(); "held items are over");
+            self.apply_changes(changes).await;
+        }
+    }
+
+    fn apply_routing(&self, now: Time, routing: Routing, position: Position) {
         let mut current = self.routing.borrow_mut();
         if routing.version() < current.version() {
             log::error!(
                 version = routing.version(),
                 current = current.version(),
-                revision;
+                position:% = position;
                 "older configuration ignored"
             );
             return;
         }
         log::info!(
             version = routing.version(),
-            revision,
+            position:% = position,
             routes = routing.len(),
             uptime_ms = now.since(self.started).as_millis() as u64;
             "configuration in force"
@@ -348,10 +375,11 @@
 }
 
 impl Gateway {
-    /// Returns the changes after revision `after` for another node, or no update if they take more than `limit` bytes.
-    pub(super) fn update_since(&self, after: u64, limit: usize) -> PeerUpdate {
+    /// Returns the changes after a position for another node, or no update if they take more than `limit` bytes. A node at
+    /// the same position gets the held items whatever their size, since the store does not have them.
+    pub(super) fn update_since(&self, after: Position, limit: usize) -> PeerUpdate {
         let now = self.now();
-        let update = self.mirror.borrow().update_since(after);
+        let update = self.mirror.borrow().update_since(now, after);
         let size: usize = update.changes.iter().map(Change::size).sum();
         PeerUpdate {
             update: (size <= limit).then_some(update),
@@ -361,12 +389,17 @@
     }
 }
 
-/// Fetches the changes after `revision` from another node, if they fit into `limit` bytes.
-async fn fetch_update(peer: SocketAddr, revision: u64, limit: usize) -> anyhow::Result<PeerUpdate> {
+/// Fetches the changes after `after` from another node, if they fit into `limit` bytes.
+async fn fetch_update(
+    peer: SocketAddr,
+    after: Position,
+    limit: usize,
+) -> anyhow::Result<PeerUpdate> {
+    let Position { era, revision } = after;
     let exchange = async {
         let mut connection = Connection::open(peer).await?;
         let request =
-            format!("GET {FEED_PATH}?{revision},{limit} HTTP/1.1\r\nHost: {peer}\r\n\r\n");
+            format!("GET {FEED_PATH}?{era},{revision},{limit} HTTP/1.1\r\nHost: {peer}\r\n\r\n");
         connection
             .exchange(request.as_bytes(), MAX_OUTAGE_UPDATE_BYTES, |_| true)
             .await
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -30,6 +30,7 @@
         upstreams::Upstreams,
     },
     node::start_metrics,
+    platform::StoreOrder,
 };
 
 /// Interval of periodic upkeep: idle connections, delayed removals of leaves, histograms of the metrics.
@@ -43,7 +44,7 @@
     pub(super) clock: Clock,
     pub(super) started: Time,
     pub(super) routing: RefCell<Rc<Routing>>,
-    pub(super) mirror: RefCell<Mirror>,
+    pub(super) mirror: RefCell<Mirror<StoreOrder>>,
     pub(super) registry: RefCell<Registry>,
     pub(super) upstreams: Upstreams,
     pub(super) idle_limit: RefCell<IdleLimit>,
@@ -90,10 +91,11 @@
             let removals = self.registry.borrow_mut().tick(now);
             self.upstreams.apply(&self, removals);
             self.upstreams.update_pools(&self);
+            self.expire_held().await;
             metrics::gauge!("cranberrychute_log_lines_dropped").set(dropped_lines() as f64);
             metrics::gauge!("cranberrychute_members_alive").set(self.members.alive_count() as f64);
             metrics::gauge!("cranberrychute_feed_revision")
-                .set(self.mirror.borrow().revision() as f64);
+                .set(self.mirror.borrow().position().revision as f64);
             metrics::gauge!("cranberrychute_routing_version")
                 .set(self.routing.borrow().version() as f64);
             self.metrics.run_upkeep();
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -17,8 +17,6 @@
     pub(super) reading: Cell<bool>,
     /// When the store last answered this node.
     pub(super) last_answer: Cell<Option<Time>>,
-    /// Era of the store's latest answer.
-    pub(super) era: Cell<u64>,
     /// Freshness of the mirror as reported by other nodes.
     pub(super) freshness: RefCell<Freshness>,
     /// Whether this process was paused and has received no update since.
@@ -40,7 +38,6 @@
         Self {
             reading: Cell::new(false),
             last_answer: Cell::new(None),
-            era: Cell::new(0),
             freshness: RefCell::default(),
             pause_guard: Cell::new(PauseGuard::new(now)),
             catch_up: Cell::new(false),
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -13,6 +13,7 @@
 mod placement;
 mod readers;
 mod registry;
+mod restore;
 mod retry;
 mod retry_after;
 mod routing;
--- a/tests/decisions/mirror.rs
+++ b/tests/decisions/mirror.rs
@@ -1,10 +1,34 @@
-use std::{collections::BTreeMap, sync::Arc};
+use std::{cmp::Ordering, collections::BTreeMap, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use cranberrychute::core::mirror::{Change, Mirror, Update};
+use cranberrychute::core::mirror::{self, Change, ItemOrder, Position, Update};
 use proptest::{collection::vec, prelude::*};
 
-use crate::seeds;
+use crate::{at, seeds};
+
+/// Time for which the tests hold items.
+const HOLD_TIME: Duration = Duration::from_secs(3);
+
+/// Values of keys that begin with `v` are versions; other values do not show their age.
+#[derive(Debug, Default)]
+struct TestOrder;
+
+impl ItemOrder for TestOrder {
+    fn compare(&self, key: &str, a: &[u8], b: &[u8]) -> Option<Ordering> {
+        key.starts_with('v').then(|| a.cmp(b))
+    }
+
+    fn hold_time(&self, key: &str, present: bool) -> Option<Duration> {
+        (!present || !key.starts_with("vc")).then_some(HOLD_TIME)
+    }
+}
+
+type Mirror = mirror::Mirror<TestOrder>;
+
+/// Returns a position in the first era.
+fn first_era(revision: u64) -> Position {
+    Position::new(1, revision)
+}
 
 /// A stand-in for the store: the log of all changes, in order.
 #[derive(Clone, Debug, Default)]
@@ -20,7 +44,7 @@
         }
         self.changes.push(Change {
             key: format!("k{key}").into(),
-            revision: self.changes.len() as u64 + 1,
+            position: first_era(self.changes.len() as u64 + 1),
             value: value.map(|value| Bytes::copy_from_slice(&[value])),
         });
     }
@@ -38,7 +62,7 @@
         for change in self
             .changes
             .iter()
-            .filter(|change| change.revision <= revision)
+            .filter(|change| change.position.revision <= revision)
         {
             match change.value {
                 Some(_) => items.insert(change.key.clone(), change.clone()),
@@ -49,7 +73,8 @@
     }
 
     fn changes_between(&self, after: u64, upto: u64) -> Vec<Change> {
-        let in_range = |change: &&Change| change.revision > after && change.revision <= upto;
+        let range = after + 1..=upto;
+        let in_range = |change: &&Change| range.contains(&change.position.revision);
         self.changes.iter().filter(in_range).cloned().collect()
     }
 }
@@ -69,13 +94,13 @@
                 .get(&change.key)
                 .map_or(0, |(revision, _)| *revision);
             assert!(
-                change.revision >= before,
+                change.position.revision >= before,
                 "{} went back from revision {before} to revision {}",
                 change.key,
-                change.revision
+                change.position.revision
             );
             self.applied
-                .insert(change.key, (change.revision, change.value));
+                .insert(change.key, (change.position.revision, change.value));
         }
     }
 
@@ -139,26 +164,28 @@
             match action {
                 Action::Write(key, value) => store.write(key, value),
                 Action::Watch { node, late } => {
-                    let after = nodes[node].mirror.revision();
+                    let after = nodes[node].mirror.position().revision;
                     let upto = store.revision().saturating_sub(late).max(after);
-                    let changes = nodes[node].mirror.advance(store.changes_between(after, upto), upto);
+                    let changes = nodes[node].mirror.advance(at(0), store.changes_between(after, upto), first_era(upto));
                     nodes[node].apply(changes);
                 }
                 Action::ReadAll { node, stale } => {
                     let upto = store.revision().saturating_sub(stale);
                     let items = store.items_at(upto).into_values().collect();
-                    let changes = nodes[node].mirror.replace(items, upto);
+                    let changes = nodes[node].mirror.replace(at(0), items, first_era(upto));
                     nodes[node].apply(changes);
                 }
                 Action::Peer { from, to, copies } => {
-                    let update = nodes[from].mirror.update_since(nodes[to].mirror.revision());
+                    let after = nodes[to].mirror.position();
+                    let update = nodes[from].mirror.update_since(at(0), after);
                     for _ in 0..copies {
-                        let changes = nodes[to].mirror.merge(update.clone());
+                        let changes = nodes[to].mirror.merge(at(0), update.clone());
                         nodes[to].apply(changes);
                     }
                 }
                 Action::LatePeer { from, to } => {
-                    late.push((to, nodes[from].mirror.update_since(nodes[to].mirror.revision())));
+                    let after = nodes[to].mirror.position();
+                    late.push((to, nodes[from].mirror.update_since(at(0), after)));
                 }
                 Action::Restart(node) => {
                     nodes[node] = Node::default();
@@ -167,16 +194,17 @@
             }
         }
         for (to, update) in late {
-            let changes = nodes[to].mirror.merge(update);
+            let changes = nodes[to].mirror.merge(at(0), update);
             nodes[to].apply(changes);
         }
         let (revision, items) = (store.revision(), store.items());
         let all_items: Vec<Change> = items.values().cloned().collect();
-        let changes = nodes[0].mirror.replace(all_items, revision);
+        let changes = nodes[0].mirror.replace(at(0), all_items, first_era(revision));
         nodes[0].apply(changes);
         for to in 1..3 {
-            let update = nodes[0].mirror.update_since(nodes[to].mirror.revision());
-            let changes = nodes[to].mirror.merge(update);
+            let after = nodes[to].mirror.position();
+            let update = nodes[0].mirror.update_since(at(0), after);
+            let changes = nodes[to].mirror.merge(at(0), update);
             nodes[to].apply(changes);
         }
         let expected: BTreeMap<Arc<str>, Bytes> = items
@@ -185,7 +213,7 @@
             .collect();
         for node in &nodes {
             prop_assert_eq!(&node.values(), &expected);
-            prop_assert_eq!(node.mirror.revision(), revision);
+            prop_assert_eq!(node.mirror.position(), first_era(revision));
         }
     }
 }
@@ -196,12 +224,12 @@
     let mut mirror = Mirror::default();
     let item = |revision: u64| Change {
         key: "k".into(),
-        revision,
+        position: first_era(revision),
         value: Some(Bytes::from_static(b"v")),
     };
-    mirror.advance(vec![item(12)], 9);
-    assert_eq!(mirror.replace(Vec::new(), 10), Vec::new());
-    let removed = mirror.replace(Vec::new(), 13);
+    mirror.advance(at(0), vec![item(12)], first_era(9));
+    assert_eq!(mirror.replace(at(0), Vec::new(), first_era(10)), Vec::new());
+    let removed = mirror.replace(at(0), Vec::new(), first_era(13));
     assert_eq!(removed.len(), 1);
     assert_eq!(removed[0].value, None);
 }
--- a/tests/gateway/restore.rs
+++ b/tests/gateway/restore.rs
@@ -4,9 +4,9 @@
 
 use cranberrychute_emulator::{Access, StoreCopy};
 use serde_json::{Value, json};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
-use crate::site::{Node, Site};
+use crate::site::{Node, Site, wait_until};
 
 /// Time within which an accepted configuration must be active.
 const ACTIVATION_TIME: Duration = Duration::from_secs(3);
@@ -60,3 +60,136 @@
         );
     }
 }
+
+/// Guards against a lost configuration that is displaced by the older one of the copy, on nodes that had it and on one
+/// that starts before it is written again.
+#[tokio::test]
+async fn a_configuration_lost_in_a_restore_stays_in_force() {
+    let site = Site::start(1, 4).await;
+    let mut nodes: Vec<Node> = (0..3).map(|index| site.node(index)).collect();
+    for node in &nodes {
+        wait_until("the node is ready", async || node.is_ready().await).await;
+    }
+    let copy = site.store.copy();
+    site.store.put("op/config", &with_new_route(&site, 9));
+    for node in &nodes {
+        wait_until("the new route is served", async || {
+            serves_new_route(node).await
+        })
+        .await;
+    }
+    restore(&site, &copy).await;
+    nodes.push(site.node(3));
+    wait_until("the started node is ready", async || {
+        nodes[3].is_ready().await
+    })
+    .await;
+    let started = Instant::now();
+    wait_until("the started node serves the lost route", async || {
+        serves_new_route(&nodes[3]).await
+    })
+    .await;
+    assert!(started.elapsed() < ACTIVATION_TIME);
+    let end = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < end {
+        for (index, node) in nodes.iter().enumerate() {
+            assert!(serves_new_route(node).await, "node {index} went back");
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against leaves that had left, or had reported that they leave, and are used again since the copy has their
+/// older entries.
+#[tokio::test]
+async fn leaves_that_left_before_a_restore_are_not_used_after_it() {
+    for leaves_entry in [true, false] {
+        let site = Site::start(1, 3).await;
+        let nodes = site.nodes().await;
+        let copy = site.store.copy();
+        let [leaving, other] = &site.shards[0];
+        if leaves_entry {
+            site.store
+                .put(&leaving.key(), &leaving.entry("s0", "a", "draining"));
+        } else {
+            site.store.delete(&leaving.key());
+        }
+        // The other leaf is written again after the restore, as one that runs is.
+        site.store
+            .put(&other.key(), &other.entry("s0", "b", "ready"));
+        sleep(Duration::from_secs(1)).await;
+        restore(&site, &copy).await;
+        let before = leaving.request_count();
+        let end = Instant::now() + Duration::from_secs(5);
+        while Instant::now() < end {
+            for node in &nodes {
+                assert_eq!(node.query("/one/x", "q").await.status, 200);
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        let calls = leaving.request_count() - before;
+        assert_eq!(calls, 0, "draining entry: {leaves_entry}");
+    }
+}
+
+/// Guards against a leaf that is not used while the store lacks its entry, and one that is used for ever without one.
+#[tokio::test]
+async fn a_leaf_whose_entry_is_lost_is_used_until_it_had_time_to_return() {
+    let site = Site::start(1, 2).await;
+    let [lost, other] = &site.shards[0];
+    let entry = lost.entry("s0", "a", "ready");
+    site.store.delete(&lost.key());
+    let copy = site.store.copy();
+    site.store.put(&lost.key(), &entry);
+    let nodes = site.nodes().await;
+    let calls = async || {
+        let before = (lost.request_count(), other.request_count());
+        for request in 0..20 {
+            for node in &nodes {
+                let reply = node.query("/one/x", &format!("q{request}")).await;
+                assert_eq!(reply.status, 200);
+            }
+        }
+        (
+            lost.request_count() - before.0,
+            other.request_count() - before.1,
+        )
+    };
+    restore(&site, &copy).await;
+    sleep(Duration::from_secs(1)).await;
+    assert!(
+        calls().await.0 > 0,
+        "the leaf is not used after the restore"
+    );
+    wait_until("the leaf is no longer used", async || calls().await.0 == 0).await;
+}
+
+/// Guards against calls to an evacuated failure domain after a restore that has lost the evacuation.
+#[tokio::test]
+async fn an_evacuation_lost_in_a_restore_stays_in_force() {
+    let site = Site::start(1, 3).await;
+    let nodes = site.nodes().await;
+    let copy = site.store.copy();
+    let [evacuated, _] = &site.shards[0];
+    let out = async || {
+        let before = evacuated.request_count();
+        for request in 0..10 {
+            for node in &nodes {
+                node.query("/one/x", &format!("q{request}")).await;
+            }
+        }
+        evacuated.request_count() == before
+    };
+    site.store.put("op/evacuate/a", &json!({}));
+    wait_until("the domain gets no calls", out).await;
+    restore(&site, &copy).await;
+    for _ in 0..20 {
+        assert!(out().await, "a call to an evacuated domain");
+        sleep(Duration::from_millis(100)).await;
+    }
+    site.store.put("op/evacuate/a", &json!({}));
+    sleep(Duration::from_secs(1)).await;
+    assert!(out().await, "a call to an evacuated domain");
+    site.store.delete("op/evacuate/a");
+    wait_until("the domain gets calls again", async || !out().await).await;
+}
