Do not take a held item back from a peer whose hold ends later

A leaf that has left would have come and gone once more at the end of its hold, since nodes learn of a restore up to a second apart: a node whose hold is over saw another digest at its peers and fetched the item again, with the time left there.

The keys whose hold is over are remembered for the era, and a peer's held item of such a key is ignored.

--- a/src/core/mirror/state.rs
+++ b/src/core/mirror/state.rs
@@ -59,6 +59,8 @@
     entries: BTreeMap<Arc<str>, Entry>,
     /// Keys of the entries that are held.
     held: BTreeSet<Arc<str>>,
+    /// Keys whose hold in this era is over. Peers whose hold ends later do not bring it back.
+    released: BTreeSet<Arc<str>>,
     /// Changes of the era after `floor`, oldest first.
     history: VecDeque<Change>,
     floor: u64,
@@ -235,6 +237,7 @@
         self.position = position;
         self.copied = copied;
         self.held.clear();
+        self.released.clear();
         let mut stored: BTreeMap<Arc<str>, (Position, Bytes)> = items
             .into_iter()
             .filter_map(|item| Some((item.key, (item.position, item.value?))))
@@ -304,7 +307,7 @@
 
     /// Takes over an item that a peer holds, unless this mirror knows better. Returns the change.
     fn adopt(&mut self, now: Time, item: HeldItem) -> Option<Change> {
-        if item.position.era >= self.position.era {
+        if item.position.era >= self.position.era || self.released.contains(&item.key) {
             return None;
         }
         let mine = self.entries.get(&item.key);
@@ -351,6 +354,7 @@
     fn release(&mut self, now: Time, key: &Arc<str>) -> Option<Change> {
         let position = self.position;
         self.held.remove(key);
+        self.released.insert(key.clone());
         let entry = self.entries.get_mut(key)?;
         let stored = entry.hold.take()?.stored;
         let previous = entry.state.clone();
--- a/tests/decisions/restore.rs
+++ b/tests/decisions/restore.rs
@@ -189,6 +189,24 @@
     );
 }
 
+/// Guards against items that come and go since holds do not end at the same moment on all nodes.
+#[test]
+fn a_hold_that_is_over_does_not_return_from_a_peer() {
+    let gone = || {
+        let mut mirror = mirror_with(&[("leaf-1", 4)]);
+        let deletion = vec![change("leaf-1", (1, 51), None)];
+        mirror.advance(at(0), deletion, Position::new(1, 51));
+        mirror
+    };
+    let copy = || vec![change("leaf-1", (2, 20), Some(4))];
+    let (mut first, mut second) = (gone(), gone());
+    first.replace(at(0), copy(), Position::new(2, 40));
+    second.replace(at(900), copy(), Position::new(2, 40));
+    assert_eq!(values(&first.expire(at(3_000))), [("leaf-1", Some(4))]);
+    let update = second.update_since(at(3_100), first.position());
+    assert_eq!(first.merge(at(3_100), update), []);
+}
+
 #[test]
 fn two_restores_soon_after_another_keep_the_newest_state() {
     let mut mirror = mirror_with(&[(CONFIG, 9)]);
