Count calls against a leaf's limit only while there is one

Found by reading. A leaf that named a limit, named none for a while and then named one again would have got no calls for minutes: calls in between took tokens from the bucket of the former limit. The same held for a leaf that is cold a second time.

Test: calls_while_no_limit_is_named_do_not_count; before, the next call after 1,000 calls without a limit was due 1,000 s later. Buckets now lose tokens only while the limit holds.

--- a/src/core/limit/leaf_limit.rs
+++ b/src/core/limit/leaf_limit.rs
@@ -106,6 +106,9 @@
 
     /// Records that a call is sent.
     pub fn take(&mut self, now: Time) {
+        if self.limit.is_none() {
+            return;
+        }
         if self.allowance.share().is_some() {
             self.allowance.take();
         } else {
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -94,7 +94,7 @@
                 Ok(read) => {
                     let (position, known) = (read.position, self.mirror.borrow().position());
                     if self.registry.borrow_mut().record_answer(now) {
-                        log::info!(revision = position.revision, era = position.era; "store regained");
+                        log::info!(position:% = position; "store regained");
                     }
                     self.sync.last_answer.set(Some(now));
                     self.sync.catch_up.set(false);
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -104,7 +104,9 @@
     /// Records a call against the limits over all nodes.
     fn take_call(&self, now: Time) {
         self.limit.borrow_mut().take(now);
-        self.cold_calls.borrow_mut().take();
+        if self.is_cold(now) {
+            self.cold_calls.borrow_mut().take();
+        }
     }
 
     /// Records that a call was not sent after all.
--- a/tests/decisions/limit.rs
+++ b/tests/decisions/limit.rs
@@ -276,3 +276,16 @@
         }
     }
 }
+
+/// Guards against a leaf that stays unused when it names a limit again, since the calls in between took tokens.
+#[test]
+fn calls_while_no_limit_is_named_do_not_count() {
+    let mut known = limited(at(0), 10.0, 9, 0);
+    known.record(at(1_000), at(990), Naming::Unlimited);
+    for _ in 0..1_000 {
+        known.take(at(1_000));
+    }
+    known.record(at(2_000), at(1_990), Naming::Limited(10.0));
+    known.set_share(at(2_000), share(&NAMED_LIMIT, 10.0, 9, 0), 9, 0.5);
+    assert_eq!(known.next_call(at(2_000)), Some(at(2_000)));
+}
