--- a/src/core/entry/role.rs
+++ b/src/core/entry/role.rs
@@ -1,10 +1,10 @@
 use crate::core::placement::{connecting_nodes, planned_nodes};
 
-/// Share of the limits on budgets and cold leaves that the selected nodes have together. The rest covers the other nodes,
-/// which still serve callers that know their address, and nodes that select differently.
+/// Share of the budgets of extra calls that the selected nodes have together. The rest covers the other nodes, which
+/// still serve callers that know their address, and nodes that select differently.
 const SELECTED_SHARE: f64 = 0.55;
 
-/// Share of the same limits that all other nodes have together.
+/// Share of the same budgets that all other nodes have together.
 const RESERVE_SHARE: f64 = 0.25;
 
 /// Share of the connections of leaves that the selected nodes have together.
@@ -26,8 +26,8 @@
 }
 
 impl Role {
-    /// Returns the number of nodes with equal parts that the fleet-wide limits on budgets and cold leaves are divided
-    /// among, so that one part is this node's.
+    /// Returns the number of nodes with equal parts that the budgets of extra calls are divided among, so that one part
+    /// is this node's.
     pub fn limit_nodes(self, alive: usize) -> usize {
         match self {
             Role::Equal => planned_nodes(alive),
--- a/src/core/mirror/item.rs
+++ b/src/core/mirror/item.rs
@@ -69,13 +69,6 @@
     pub left_ms: Option<u32>,
 }
 
-impl HeldItem {
-    /// Returns the size of the key and value, in bytes.
-    pub fn size(&self) -> usize {
-        self.key.len() + self.state.last_value().len()
-    }
-}
-
 /// An update for a peer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Update {
--- a/src/core/mirror/state.rs
+++ b/src/core/mirror/state.rs
@@ -446,14 +446,10 @@
 
     /// Applies a change of a key whose state of an earlier era is held.
     fn apply_held(&mut self, now: Time, change: &Change) -> Applied {
-        let copied = self.copied;
         let Some(entry) = self.entries.get_mut(&change.key) else {
             return Applied::Outdated;
         };
-        let Some(hold) = &mut entry.hold else {
-            return Applied::Outdated;
-        };
-        let stored = hold.stored.as_ref().map(|(position, _)| *position);
+        let stored = entry.stored().map(|(position, _)| position);
         if stored.is_some_and(|stored| change.position <= stored && change.value.is_some()) {
             return Applied::Outdated;
         }
@@ -461,9 +457,9 @@
             let order = self
                 .order
                 .compare(&change.key, value, entry.state.last_value());
-            order == Some(Ordering::Less) || change.position.revision <= copied
+            order == Some(Ordering::Less) || change.position.revision <= self.copied
         });
-        if outweighed {
+        if let Some(hold) = entry.hold.as_mut().filter(|_| outweighed) {
             hold.stored = change.value.clone().map(|value| (change.position, value));
             return Applied::Outweighed;
         }
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -115,7 +115,7 @@
         }
     }
 
-    /// Returns the number of nodes that fleet-wide limits are divided among.
+    /// Returns the number of nodes that the budgets of extra calls are divided among.
     pub(super) fn planned_node_count(&self) -> usize {
         self.entry
             .role
