Log the identity of a request's content with failed calls

The logs could not tell whether the calls that crash leaves belong to one request that comes again. Failed calls and requests carry a fingerprint of method, host, path, credentials and body, the same for all repeats and on all nodes. No decision uses it yet.

--- a/src/core/crash/ledger.rs
+++ b/src/core/crash/ledger.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::core::{ServiceName, Time};
+use crate::core::{ServiceName, Time, crash::Fingerprint};
 
 /// Time for which a crash counts against a query, and for which a quarantine lasts after the last crash.
 const CRASH_TTL: Duration = Duration::from_secs(600);
@@ -33,11 +33,6 @@
 /// Number of times that one event is passed on; above log2 of 2,800 nodes.
 const RUMOR_SENDS: u8 = 14;
 
-/// Identifies the text of a query to one service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Fingerprint(pub u128);
-
 /// Identifies one crash; drawn at random by the node that observed it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/src/core/crash/mod.rs
+++ b/src/core/crash/mod.rs
@@ -3,6 +3,10 @@
 //! A query that was in flight at a crash is a suspect and runs once more, alone on its leaf. If it crashes that leaf
 //! too, it is quarantined.
 
+mod fingerprint;
 mod ledger;
 
-pub use self::ledger::{CrashEvent, CrashId, CrashLedger, Fingerprint, MAX_FINGERPRINTS, Verdict};
+pub use self::{
+    fingerprint::Fingerprint,
+    ledger::{CrashEvent, CrashId, CrashLedger, MAX_FINGERPRINTS, Verdict},
+};
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -17,6 +17,7 @@
     adapter::http1::Reply,
     core::{
         ServiceName, Time,
+        crash::Fingerprint,
         gather::{Completion, Failure, Plan, PlanSettings, Step, merge_top},
         retry::{Purpose, retry_after},
         routing::{Gather, Repeat, Route, Target},
@@ -54,6 +55,8 @@
 pub(super) struct Inbound {
     pub(super) caller: CallerRequest,
     pub(super) request: Rc<LeafRequest>,
+    /// Identity of the request's content, which repeats of the request share.
+    pub(super) fingerprint: Fingerprint,
     pub(super) route: Arc<Route>,
     /// When the request head was received.
     pub(super) arrived: Time,
@@ -408,6 +411,7 @@
                         route = &*self.inbound.route.name,
                         service:% = self.services[part].0,
                         leaf:% = completed.leaf.instance(),
+                        fingerprint:% = self.inbound.fingerprint,
                         not_run = failure.failure != Failure::MayHaveRun,
                         elapsed_ms = now.since(self.inbound.arrived).as_millis() as u64,
                         suppressed;
@@ -460,6 +464,7 @@
                 elapsed_ms = elapsed.as_millis() as u64,
                 extra_calls = self.extra_calls,
                 missing = unanswered.join(","),
+                fingerprint:% = self.inbound.fingerprint,
                 causes = self.reasons.join("; "),
                 may_have_run = self.plan.may_have_run(),
                 suppressed;
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -15,6 +15,7 @@
     core::{mirror::Position, retry::retry_after},
     gateway::{
         Listen,
+        crashes::fingerprint,
         dispatch::{Inbound, dispatch},
         state::Gateway,
     },
@@ -231,8 +232,8 @@
         .headers
         .get(header::HOST)
         .and_then(|host| host.to_str().ok());
-    let host = parts.uri.host().or(host).unwrap_or_default();
-    let Some(route) = routing.find(host, parts.uri.path()).cloned() else {
+    let host = parts.uri.host().or(host).unwrap_or_default().to_owned();
+    let Some(route) = routing.find(&host, parts.uri.path()).cloned() else {
         return reject(StatusCode::NOT_FOUND, "no matching route");
     };
     let limits = routing.limits();
@@ -261,6 +262,7 @@
     };
     let waited = gateway.lag.get().read_delay(arrived);
     let inbound = Inbound {
+        fingerprint: fingerprint(&parts, &host, &body),
         request: Rc::new(LeafRequest::new(&parts, body)),
         caller,
         route,
