--- a/emulator/src/gateway_leaf.rs
+++ b/emulator/src/gateway_leaf.rs
@@ -10,11 +10,12 @@
 use serde_json::{Value, json};
 use tokio::{
     net::TcpListener,
+    sync::Notify,
     task::JoinSet,
     time::{Instant, sleep},
 };
 
-use crate::http::{Closed, Payload, Reply, lock, raw, serve};
+use crate::http::{Closed, Payload, Reply, Reservation, lock, raw, serve};
 
 /// How a leaf handles requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -60,6 +61,10 @@
     /// Number of requests in execution.
     running: u32,
     abandoned: u32,
+    /// Paths of requests that crash the leaf, and for how long it is down afterwards.
+    crashing: Option<(String, Duration)>,
+    /// When a request crashed the leaf.
+    crashes: Vec<Instant>,
     /// Largest `deadline-ms` of a request, milliseconds; `u64::MAX` if a request had none.
     max_deadline_ms: u64,
 }
@@ -79,15 +84,16 @@
     ///
     /// Fails if no address can be bound.
     pub async fn start(id: &str, records: &[u8]) -> anyhow::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
+        let reservation = Reservation::new(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let address = reservation.address();
+        let listener = reservation.listen()?;
         let state = Arc::new(Mutex::new(State {
             id: id.to_owned(),
             records: records.to_vec(),
             ..State::default()
         }));
         let mut tasks = JoinSet::new();
-        tasks.spawn(accept(listener, state.clone()));
+        tasks.spawn(run(reservation, listener, state.clone()));
         Ok(Self {
             state,
             address,
@@ -140,6 +146,17 @@
         arrivals.iter().map(within).max().unwrap_or(0)
     }
 
+    /// Makes the leaf crash while it runs a request with this path, after its usual execution time. It accepts connections
+    /// again after `down`.
+    pub fn crash_on(&self, path: &str, down: Duration) {
+        self.lock().crashing = Some((path.to_owned(), down));
+    }
+
+    /// Returns when requests crashed the leaf.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.lock().crashes.clone()
+    }
+
     /// Changes the id of the leaf, as if another leaf had started at the same address.
     pub fn set_id(&self, id: &str) {
         self.lock().id = id.to_owned();
@@ -170,13 +187,41 @@
     }
 }
 
-async fn accept(listener: TcpListener, state: Arc<Mutex<State>>) {
+/// Accepts connections, and restarts after each crash.
+async fn run(reservation: Reservation, mut listener: TcpListener, state: Arc<Mutex<State>>) {
+    loop {
+        let crashed = Arc::new(Notify::new());
+        tokio::select! {
+            () = accept(listener, state.clone(), crashed.clone()) => return,
+            () = crashed.notified() => {}
+        }
+        let down = {
+            let mut state = lock(&state);
+            state.crashes.push(Instant::now());
+            state
+                .crashing
+                .as_ref()
+                .map_or(Duration::ZERO, |(_, down)| *down)
+        };
+        sleep(down).await;
+        listener = match reservation.listen() {
+            Ok(listener) => listener,
+            Err(error) => {
+                log::error!("the leaf cannot listen again: {error}");
+                return;
+            }
+        };
+    }
+}
+
+async fn accept(listener: TcpListener, state: Arc<Mutex<State>>, crashed: Arc<Notify>) {
     let mut connections = JoinSet::new();
     while let Ok((stream, _)) = listener.accept().await {
-        let state = state.clone();
+        let (state, crashed) = (state.clone(), crashed.clone());
         let last_request = Arc::new(Mutex::new(Instant::now()));
         connections.spawn(serve(stream, move |request| {
             let (state, last_request) = (state.clone(), last_request.clone());
+            let crashed = crashed.clone();
             async move {
                 let previous = std::mem::replace(&mut *lock(&last_request), Instant::now());
                 let closes_idle = lock(&state).mode == LeafMode::CloseIdle;
@@ -184,7 +229,7 @@
                     return Err(Closed);
                 }
                 let limit = lock(&state).limit.clone();
-                let mut response = handle(request, state).await?;
+                let mut response = handle(request, state, crashed).await?;
                 if let Some(limit) = limit {
                     let value =
                         HeaderValue::from_str(&limit).expect("limit is a valid header value");
@@ -211,7 +256,7 @@
     }
 }
 
-async fn handle(request: Request<Bytes>, state: Arc<Mutex<State>>) -> Reply {
+async fn handle(request: Request<Bytes>, state: Arc<Mutex<State>>, crashed: Arc<Notify>) -> Reply {
     let header = |name: &str| {
         let value = request
             .headers()
@@ -220,12 +265,14 @@
         value.unwrap_or_default().to_owned()
     };
     let (id, target) = (header("request-id"), header("target-instance"));
-    let (mode, delay, leaf_id) = {
+    let (mode, delay, leaf_id, crashes) = {
         let mut state = lock(&state);
         state.arrivals.push(Instant::now());
         let deadline_ms = header("deadline-ms").parse().unwrap_or(u64::MAX);
         state.max_deadline_ms = state.max_deadline_ms.max(deadline_ms);
-        (state.mode, state.delay, state.id.clone())
+        let crashing = state.crashing.as_ref();
+        let crashes = crashing.is_some_and(|(path, _)| path == request.uri().path());
+        (state.mode, state.delay, state.id.clone(), crashes)
     };
     if target != leaf_id {
         return Ok(build_response(
@@ -259,6 +306,10 @@
     };
     let mut guard = RunGuard(state.clone(), false);
     sleep(delay).await;
+    if crashes {
+        crashed.notify_one();
+        std::future::pending::<()>().await;
+    }
     guard.1 = true;
     let stamp = format!("{leaf_id}.{id}.{count}");
     let headers = [
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests of gateway processes against an emulated platform store and emulated leaves.
 
+mod crashes;
 mod input;
 mod limits;
 mod membership;
