Reject requests that crash the leaves that run them, on all nodes

Callers of one route were rejected for seconds while a single request, sent again by its caller, ended leaf after leaf.

Cause: the gateway kept nothing of a call whose leaf ended, so each attempt, at any node, was a new request. A limit for one content over all nodes and attempts had no place in the decisions.

Why it works: a content whose leaf ended runs once more, as the only call of it on the node; an answer clears it, a second crash makes all nodes reject it for ten minutes. A leaf has ended if it refuses a new connection while another leaf accepts one, so lost answers and a cut of the node's own link do not count. Messages between nodes carry such crashes, those of rejected contents for as long as the rejection lasts, so a node that starts learns of them: without that a restarted node would send the request on twice. The lost calls of one request are one crash, so the loss of many leaves rejects nothing.

--- a/src/adapter/http1/connection.rs
+++ b/src/adapter/http1/connection.rs
@@ -84,6 +84,11 @@
         matches!(&self.reason, Reason::Io(error) if error.kind() == io::ErrorKind::ConnectionReset)
     }
 
+    /// Returns whether nothing listens at the peer's address.
+    pub fn is_refused(&self) -> bool {
+        matches!(&self.reason, Reason::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Returns whether no byte of the request can have reached the peer.
     pub fn is_unsent(&self) -> bool {
         matches!(self.step, ExchangeStep::Connect | ExchangeStep::Start)
--- a/src/core/crash/ledger.rs
+++ b/src/core/crash/ledger.rs
@@ -31,7 +31,7 @@
 const RUMORS_PER_CALL: usize = 4;
 
 /// Number of times that one event is passed on; above log2 of 2,800 nodes.
-const RUMOR_SENDS: u8 = 14;
+const RUMOR_SENDS: u32 = 14;
 
 /// Identifies one crash; drawn at random by the node that observed it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -89,7 +89,7 @@
     time: Time,
     fingerprints: SmallVec<[Fingerprint; 4]>,
     alone: bool,
-    sends: u8,
+    sends: u32,
 }
 
 /// One crash that counts against a fingerprint.
@@ -218,7 +218,8 @@
         true
     }
 
-    /// Returns crashes to pass on to a peer, the least often sent first, each a bounded number of times.
+    /// Returns crashes to pass on to a peer, the least often sent first, each a bounded number of times. Those of
+    /// quarantined queries are passed on as long as the quarantine lasts, for nodes that start in the meantime.
     ///
     /// Stops at the first one that `fits` rejects because the message has no room; only returned events count as
     /// sent.
@@ -228,11 +229,19 @@
         mut fits: impl FnMut(&CrashEvent) -> bool,
     ) -> Vec<CrashEvent> {
         self.expire(now);
+        let quarantines = &self.quarantines;
+        let is_quarantined = |event: &Event| {
+            let mut ends = event
+                .fingerprints
+                .iter()
+                .filter_map(|it| quarantines.get(it));
+            ends.any(|end| now < *end)
+        };
         let mut due: Vec<&mut Event> = self
             .events
             .iter_mut()
             .rev()
-            .filter(|event| event.sends < RUMOR_SENDS)
+            .filter(|event| event.sends < RUMOR_SENDS || is_quarantined(event))
             .collect();
         due.sort_by_key(|event| event.sends);
         let mut rumors = Vec::new();
@@ -247,12 +256,17 @@
             if !fits(&rumor) {
                 break;
             }
-            event.sends += 1;
+            event.sends = event.sends.saturating_add(1);
             rumors.push(rumor);
         }
         rumors
     }
 
+    /// Returns the end of a query's quarantine, `None` if there was none.
+    pub fn quarantined_until(&self, fingerprint: Fingerprint) -> Option<Time> {
+        self.quarantines.get(&fingerprint).copied()
+    }
+
     /// Returns the number of quarantined queries.
     pub fn quarantined_count(&self, now: Time) -> usize {
         self.quarantines.values().filter(|end| now < **end).count()
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -11,10 +11,16 @@
     adapter::http1::{ExchangeError, ExchangeStep, Reply},
     core::{
         Time,
+        crash::{CrashId, Fingerprint},
         gather::Failure,
         placement::{CallToken, MIN_IDLE_TIME, Outcome},
     },
-    gateway::{routes::RouteStats, state::Gateway, upstreams::Leaf},
+    gateway::{
+        crashes::{LostCall, Trial},
+        routes::RouteStats,
+        state::Gateway,
+        upstreams::Leaf,
+    },
     platform::{LeafAnswer, LeafRequest, is_answer_to, leaf_answer},
 };
 
@@ -51,6 +57,11 @@
     /// The call is a retry or a hedged call.
     pub(super) is_extra: bool,
     pub(super) route_stats: Rc<RefCell<RouteStats>>,
+    pub(super) content: Fingerprint,
+    /// Identifies the crash that the loss of this call may be.
+    pub(super) crash: CrashId,
+    /// Set if the call is the only one of a content that may crash leaves.
+    pub(super) trial: Option<Trial>,
 }
 
 /// A call that has finished.
@@ -120,7 +131,14 @@
         self.leaf.record_call(self.is_extra);
         let remaining = self.deadline.since(sent_at);
         let result = match timeout(remaining, self.exchange(&gateway)).await {
-            Ok(Ok(reply)) => self.evaluate(&gateway, &mut guard, reply),
+            Ok(Ok(reply)) => {
+                let result = self.evaluate(&gateway, &mut guard, reply);
+                if let Some(trial) = &self.trial {
+                    let ran = |failure: &CallFailure| failure.failure == Failure::MayHaveRun;
+                    trial.answered.set(result.as_ref().err().is_none_or(ran));
+                }
+                result
+            }
             Ok(Err(error)) => {
                 guard.finish(match error.step {
                     ExchangeStep::Start if !self.wanted.get() => Outcome::Cancelled,
@@ -128,6 +146,9 @@
                     ExchangeStep::Connect => Outcome::Refused,
                     _ => Outcome::Disconnected,
                 });
+                if !error.is_unsent() {
+                    gateway.examine_loss(self.lost_call()).await;
+                }
                 Err(CallFailure {
                     failure: match error.is_unsent() {
                         true => Failure::NotRun,
@@ -153,6 +174,16 @@
         }
     }
 
+    fn lost_call(&self) -> LostCall {
+        LostCall {
+            leaf: self.leaf.clone(),
+            id: self.id.clone(),
+            content: self.content,
+            crash: self.crash,
+            is_trial: self.trial.is_some(),
+        }
+    }
+
     async fn exchange(&self, gateway: &Gateway) -> Result<Reply, ExchangeError> {
         let now = gateway.now();
         // A request that must not run twice cannot be retried if the leaf has dropped the connection, so it only uses
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -17,13 +17,14 @@
     adapter::http1::Reply,
     core::{
         ServiceName, Time,
-        crash::Fingerprint,
+        crash::{Admission, CrashId, Fingerprint},
         gather::{Completion, Failure, Plan, PlanSettings, Step, merge_top},
         retry::{Purpose, retry_after},
         routing::{Gather, Repeat, Route, Target},
     },
     gateway::{
         calls::{Call, CompletedCall},
+        crashes::Trial,
         routes::{RequestOutcome, RouteStats},
         state::Gateway,
         upstreams::{Leaf, LeafQuery, NoLeaf, Service},
@@ -86,6 +87,8 @@
     sufficient_at: Option<Time>,
     /// Whether calls that are not sent yet are still needed.
     wanted: Rc<Cell<bool>>,
+    /// Identifies the crash, if leaves end while they run the request.
+    crash: CrashId,
     /// Why the first failed calls failed.
     reasons: SmallVec<[String; 2]>,
 }
@@ -250,6 +253,7 @@
             extra_calls: 0,
             sufficient_at: None,
             wanted: Rc::new(Cell::new(true)),
+            crash: gateway.new_crash_id(),
             reasons: SmallVec::new(),
             inbound,
             gateway,
@@ -278,6 +282,22 @@
     /// Chooses a leaf for a part that is due and records its call as sent. Returns None if no call can be sent now.
     fn prepare_call(&mut self, now: Time, part: usize, purpose: Option<Purpose>) -> Option<Call> {
         let gateway = self.gateway.clone();
+        let content = self.inbound.fingerprint;
+        let admission = gateway.crashes.borrow().admit(now, content);
+        match admission {
+            Admission::Normal | Admission::Trial => {}
+            Admission::Wait(until) => {
+                self.record_decision(now, part, "trial_in_progress", purpose);
+                self.plan.record_full_until(part, until);
+                return None;
+            }
+            Admission::Reject(_) => {
+                self.record_decision(now, part, "crashes_leaves", purpose);
+                self.plan.record_no_leaf(part);
+                return None;
+            }
+        }
+        let is_trial = admission == Admission::Trial;
         let bounds = gateway.settings.borrow().bounds.retry;
         let service = self.services[part].1.clone();
         if let Some(purpose) = purpose {
@@ -308,6 +328,7 @@
             regions: &self.inbound.route.regions,
             tried: &tried,
             limited: purpose.is_none_or(Purpose::is_retry),
+            least_used: is_trial,
         };
         let chosen = gateway.upstreams.choose(&gateway, &service, query);
         let leaf = match chosen {
@@ -366,6 +387,12 @@
             repeatable,
             is_extra: purpose.is_some(),
             route_stats: self.route_stats.clone(),
+            content,
+            crash: match is_trial {
+                true => gateway.new_crash_id(),
+                false => self.crash,
+            },
+            trial: is_trial.then(|| Trial::start(&gateway, content)),
         })
     }
 
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    core::{mirror::Position, retry::retry_after},
+    core::{crash::Admission, mirror::Position, retry::retry_after},
     gateway::{
         Listen,
         crashes::fingerprint,
@@ -260,9 +260,20 @@
             );
         }
     };
+    let content = fingerprint(&parts, &host, &body);
+    if let Admission::Reject(until) = gateway.crashes.borrow().admit(arrived, content) {
+        let reason = format!("its content {content} crashes leaves");
+        record_rejection(StatusCode::SERVICE_UNAVAILABLE, &reason);
+        let retry_after = retry_after(
+            until.since(arrived),
+            route.priority,
+            &mut *gateway.rng.borrow_mut(),
+        );
+        return CallerAnswer::Unavailable { retry_after }.into_response(&caller.id);
+    }
     let waited = gateway.lag.get().read_delay(arrived);
     let inbound = Inbound {
-        fingerprint: fingerprint(&parts, &host, &body),
+        fingerprint: content,
         request: Rc::new(LeafRequest::new(&parts, body)),
         caller,
         route,
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -6,7 +6,10 @@
     time::Duration,
 };
 
-use rand::{Rng, seq::IteratorRandom};
+use rand::{
+    Rng,
+    seq::{IteratorRandom, SliceRandom},
+};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use tokio::time::{sleep, timeout};
@@ -19,7 +22,13 @@
         member::{MemberMessage, MemberSettings, Membership},
         mirror::{Position, READER_COUNT, reader_rank},
     },
-    gateway::{Settings, entry::PassedOnList, limits::LimitReports, state::Gateway},
+    gateway::{
+        Settings,
+        crashes::{CrashReports, MAX_REPORTED},
+        entry::PassedOnList,
+        limits::LimitReports,
+        state::Gateway,
+    },
 };
 
 /// Interval between membership ticks, three to a probe interval.
@@ -44,6 +53,8 @@
 const STATUS_TTL: Duration = Duration::from_secs(10);
 /// Interval of announcements from a node that reads the store to the nodes that do not.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(400);
+/// Maximum number of nodes that are told of a request that crashes leaves at once.
+const MAX_DIRECT_REPORTS: usize = 64;
 /// Interval of attempts to contact seeds that are not known as nodes.
 const SEED_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -62,6 +73,8 @@
     age_ms: u32,
     /// Rate limits of some leaves.
     limits: LimitReports,
+    /// Crashes of leaves while they ran a request.
+    crashes: CrashReports,
     /// Peer addresses of some other nodes that it considers alive.
     others: SmallVec<[SocketAddr; MAX_LISTED_NODES]>,
 }
@@ -90,6 +103,8 @@
     reader_rank: Cell<usize>,
     /// Nodes listed in messages at present.
     listed: RefCell<SmallVec<[SocketAddr; MAX_LISTED_NODES]>>,
+    /// Crashes that messages report at present.
+    reported_crashes: RefCell<CrashReports>,
     seeds_contacted: Cell<Option<Time>>,
 }
 
@@ -118,6 +133,7 @@
             alive_count: Cell::new(1),
             reader_rank: Cell::new(0),
             listed: RefCell::default(),
+            reported_crashes: RefCell::default(),
             seeds_contacted: Cell::new(None),
         }
     }
@@ -243,6 +259,7 @@
             held,
             age_ms: millis(self.sync.age(self.now())),
             limits: self.limit_reports(),
+            crashes: self.members.reported_crashes.borrow().clone(),
             others: self.members.listed.borrow().clone(),
         }
     }
@@ -262,6 +279,7 @@
             }
             self.members.refresh(&mut *self.rng.borrow_mut());
             self.select_limit_reports(now);
+            self.select_crash_reports(now);
             self.send(out).await;
             let membership = &self.members.membership;
             let is_alive = |node: &NodeId| membership.borrow().is_alive(node);
@@ -313,6 +331,7 @@
             self.entry
                 .record(now, &incoming.from, &status.entry, &status.passed_on);
             self.record_limit_reports(now, &status.limits);
+            self.record_crash_reports(now, &status.crashes);
             let (position, age) = (status.position, Duration::from_millis(status.age_ms.into()));
             let is_ahead = status.is_ahead((own.position, own.held));
             self.members
@@ -331,15 +350,34 @@
         }
     }
 
+    fn select_crash_reports(&self, now: Time) {
+        let rumors = self.crashes.borrow_mut().rumors(now, MAX_REPORTED);
+        *self.members.reported_crashes.borrow_mut() = rumors.into_iter().collect();
+    }
+
+    /// Reports the latest crashes to some nodes immediately. The others learn of them by gossip.
+    pub(super) async fn announce_crashes(&self) {
+        self.select_crash_reports(self.now());
+        let mut out = self.status_for_all();
+        out.shuffle(&mut *self.rng.borrow_mut());
+        out.truncate(MAX_DIRECT_REPORTS);
+        self.send(out).await;
+    }
+
     /// Sends this node's status to all nodes immediately.
     pub(super) async fn announce(&self) {
+        let out = self.status_for_all();
+        self.send(out).await;
+    }
+
+    fn status_for_all(&self) -> Vec<Outbound<Message>> {
         let status = self.status();
         let mut out = Vec::new();
         self.members
             .membership
             .borrow_mut()
             .broadcast(&status, &mut out);
-        self.send(out).await;
+        out
     }
 
     /// While this node reads the store, announces its revision to the nodes that do not: immediately after a change and
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,8 +16,8 @@
 use crate::{
     adapter::{Clock, peer::ControlSocket},
     core::{
-        Incarnation, Time, gather::SendDelay, lag::LoopLag, mirror::Mirror, placement::IdleLimit,
-        registry::Registry, routing::Routing,
+        Incarnation, Time, crash::CrashGuard, gather::SendDelay, lag::LoopLag, mirror::Mirror,
+        placement::IdleLimit, registry::Registry, routing::Routing,
     },
     gateway::{
         Settings,
@@ -50,6 +50,7 @@
     pub(super) idle_limit: RefCell<IdleLimit>,
     /// How long after their planned time answers are sent that waited for more parts until then.
     pub(super) send_delay: Cell<SendDelay>,
+    pub(super) crashes: RefCell<CrashGuard>,
     pub(super) lag: Cell<LoopLag>,
     pub(super) route_stats: RouteStatsMap,
     pub(super) members: Members,
@@ -94,6 +95,8 @@
             self.expire_held().await;
             metrics::gauge!("cranberrychute_log_lines_dropped").set(dropped_lines() as f64);
             metrics::gauge!("cranberrychute_members_alive").set(self.members.alive_count() as f64);
+            metrics::gauge!("cranberrychute_rejected_contents")
+                .set(self.crashes.borrow().rejected_count(now) as f64);
             metrics::gauge!("cranberrychute_feed_revision")
                 .set(self.mirror.borrow().position().revision as f64);
             metrics::gauge!("cranberrychute_routing_version")
@@ -131,6 +134,7 @@
         upstreams: Upstreams::default(),
         idle_limit: RefCell::default(),
         send_delay: Cell::default(),
+        crashes: RefCell::default(),
         lag: Cell::default(),
         route_stats: RouteStatsMap::default(),
         members: Members::new(socket, &settings, incarnation, started),
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -268,6 +268,8 @@
     pub(super) tried: &'a [Rc<Leaf>],
     /// Whether leaves that name a rate limit may be called.
     pub(super) limited: bool,
+    /// Whether to choose among the leaves with the fewest calls of this node in progress.
+    pub(super) least_used: bool,
 }
 
 impl Upstreams {
@@ -464,6 +466,11 @@
                 usable.push(index);
             }
         }
+        if query.least_used {
+            let calls = |index: &usize| leaves[*index].stats.borrow().calls();
+            let fewest = usable.iter().map(calls).min();
+            usable.retain(|index| Some(calls(index)) == fewest);
+        }
         let usable_stats: SmallVec<[_; 8]> = usable
             .iter()
             .map(|index| (*index, leaves[*index].stats.borrow()))
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 #[path = "../seeds/mod.rs"]
 mod seeds;
 
+mod crash;
 mod entry;
 mod gather;
 mod idle_limit;
--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use cranberrychute_emulator::GatewayLeaf;
+use cranberrychute_emulator::{GatewayLeaf, LeafMode};
 use futures::future::join;
 use tokio::time::{Instant, interval, sleep};
 
@@ -122,3 +122,91 @@
         assert_eq!(runs, 0, "a rejected request has run");
     }
 }
+
+/// Guards against a node that has just started and sends on a request that the others reject.
+#[tokio::test]
+async fn a_restarted_node_rejects_a_request_that_crashed_leaves_before() {
+    let site = Site::start(1, 3).await;
+    let mut nodes = site.nodes().await;
+    prepare(&site, CRASHING);
+    repeat_crashing(&nodes, CRASHING, SETTLE_TIME / 2).await;
+    nodes[2].kill();
+    nodes[2] = site.node(2);
+    wait_until("the node is ready and leaves run again", async || {
+        nodes[2].is_ready().await && nodes[2].query("/one/other", "other").await.status == 200
+    })
+    .await;
+    let before = crashes(&site.shards[0]).len();
+    for attempt in 0..4 {
+        let reply = nodes[2].query(CRASHING, &format!("again{attempt}")).await;
+        assert_eq!(reply.status, 503);
+    }
+    assert_eq!(
+        crashes(&site.shards[0]).len(),
+        before,
+        "a leaf crashed again"
+    );
+}
+
+/// Guards against a query that ends a leaf of each shard at every try.
+#[tokio::test]
+async fn a_query_that_crashes_all_shards_is_not_sent_on_and_on() {
+    const SHARDS: usize = 4;
+    let site = Site::start(SHARDS, 3).await;
+    let nodes = site.nodes().await;
+    prepare(&site, "/all/crash");
+    repeat_crashing(&nodes, "/all/crash", SETTLE_TIME * 2).await;
+    let count = crashes(site.shards.iter().flatten()).len();
+    assert!(count <= SHARDS + 2, "{count} crashes");
+    let late = late_runs(&site);
+    assert!(late <= MAX_LATE_RUNS, "{late} runs after the third crash");
+    let reply = nodes[0].query("/all/other", "other").await;
+    assert_eq!(reply.status, 200);
+    assert_eq!(reply.header_str("missing-parts"), Some("0"));
+}
+
+/// Guards against a popular request that is rejected because it ran on leaves that another request crashed.
+#[tokio::test]
+async fn a_request_that_ran_beside_a_crashing_one_is_served() {
+    let site = Site::start(1, 3).await;
+    let nodes = site.nodes().await;
+    prepare(&site, CRASHING);
+    let popular = async {
+        let end = Instant::now() + SETTLE_TIME * 2;
+        let (mut late, mut served, mut count) = (0, 0, 0);
+        while Instant::now() < end {
+            let node = &nodes[count % nodes.len()];
+            let reply = node.query("/one/popular", &format!("p{count}")).await;
+            count += 1;
+            if Instant::now() + SETTLE_TIME > end {
+                late += 1;
+                served += usize::from(reply.status == 200);
+            }
+        }
+        (late, served)
+    };
+    let repeated = repeat_crashing(&nodes, CRASHING, SETTLE_TIME * 2);
+    let ((), (sent, served)) = join(repeated, popular).await;
+    assert!(
+        sent > 40 && served * 100 >= sent * 95,
+        "{served} of {sent} served"
+    );
+}
+
+/// Guards against a request that is rejected because its answers were lost while its leaves run.
+#[tokio::test]
+async fn a_request_whose_answers_are_lost_is_not_taken_for_a_crashing_one() {
+    let site = Site::start(1, 1).await;
+    let node = &site.nodes().await[0];
+    let set_mode = |mode| site.shards[0].iter().for_each(|leaf| leaf.set_mode(mode));
+    set_mode(LeafMode::Disconnect);
+    for attempt in 0..6 {
+        let reply = node.query("/one/lost", &format!("lost{attempt}")).await;
+        assert_ne!(reply.status, 200);
+    }
+    set_mode(LeafMode::Normal);
+    wait_until("the request is served", async || {
+        node.query("/one/lost", "after").await.status == 200
+    })
+    .await;
+}
