--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -18,16 +18,14 @@
 pub(super) const ANSWER_TTL: Duration = Duration::from_secs(1);
 /// Maximum number of addresses in one answer.
 const MAX_ADDRESSES: usize = 64;
+/// Maximum number of nodes in each list of a log line.
+const MAX_LOGGED_NODES: usize = 8;
 
 impl Gateway {
     /// Answers an address query with the selected nodes, or all nodes that are ready for requests if none are selected,
     /// in random order and at most [`MAX_ADDRESSES`].
     pub(super) fn addresses(&self, query: &DirectoryQuery) -> Answer {
-        let callers = self.settings.borrow().listen.callers;
-        let mut addresses = self.selected_addresses(callers, query.domain.as_ref());
-        if addresses.is_empty() {
-            addresses = self.ready_addresses(callers);
-        }
+        let mut addresses = self.named_addresses(query.domain.as_ref());
         if addresses.is_empty() {
             log::warn!(domain:? = query.domain; "address query rejected: no node is known to be ready");
             return empty_response(StatusCode::SERVICE_UNAVAILABLE);
@@ -38,6 +36,41 @@
         directory_answer(&addresses, ttl)
     }
 
+    /// Logs which nodes address answers name, if that has changed.
+    pub(super) fn log_named_nodes(&self) {
+        let mut named = self.named_addresses(None);
+        named.sort_unstable();
+        let previous = self.named_nodes.replace(named.clone());
+        if named == previous {
+            return;
+        }
+        if let Some(suppressed) = self.log_limiter.admit(self.now(), "named_nodes") {
+            let missing = |of: &[SocketAddr], from: &[SocketAddr]| {
+                let missing = of.iter().filter(|node| !from.contains(node));
+                let texts = missing.take(MAX_LOGGED_NODES).map(SocketAddr::to_string);
+                texts.collect::<Vec<_>>().join(",")
+            };
+            log::info!(
+                named = named.len(),
+                added = missing(&named, &previous),
+                removed = missing(&previous, &named),
+                suppressed;
+                "address answers name other nodes"
+            );
+        }
+    }
+
+    /// Returns the addresses of the nodes that a caller is told to use.
+    fn named_addresses(&self, domain: Option<&Domain>) -> Vec<SocketAddr> {
+        let callers = self.settings.borrow().listen.callers;
+        let selected = self.selected_addresses(callers, domain);
+        if selected.is_empty() {
+            self.ready_addresses(callers)
+        } else {
+            selected
+        }
+    }
+
     /// Returns the addresses of the selected nodes, those near the caller if they have capacity. The list is empty if all
     /// nodes serve callers.
     fn selected_addresses(&self, callers: SocketAddr, domain: Option<&Domain>) -> Vec<SocketAddr> {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,5 +1,6 @@
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -55,6 +56,8 @@
     pub(super) route_stats: RouteStatsMap,
     pub(super) members: Members,
     pub(super) entry: Entry,
+    /// The nodes that address answers named at last.
+    pub(super) named_nodes: RefCell<Vec<SocketAddr>>,
     pub(super) log_limiter: LogLimiter,
     pub(super) rng: RefCell<Pcg64>,
     pub(super) stopping: Cell<bool>,
@@ -139,6 +142,7 @@
         route_stats: RouteStatsMap::default(),
         members: Members::new(socket, &settings, incarnation, started),
         entry: Entry::default(),
+        named_nodes: RefCell::default(),
         log_limiter: LogLimiter::default(),
         rng: RefCell::new(rng),
         stopping: Cell::new(false),
