Failing tests of a node that has lost its links to all leaves

Two gateways with links of their own to the leaves. Once the links of one hang or are reset, none of 160 requests to it are served later than 4 s after the cut. The emulator's Link forwards connections of one node to one leaf; it can hang, refuse new connections, or reset all.

--- a/emulator/src/gateway_leaf.rs
+++ b/emulator/src/gateway_leaf.rs
@@ -114,6 +114,11 @@
         })
     }
 
+    /// Returns the address of the leaf.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns the store key of the leaf's entry.
     pub fn key(&self) -> String {
         format!("servers/{}", self.lock().id)
--- a/emulator/src/http.rs
+++ b/emulator/src/http.rs
@@ -27,6 +27,9 @@
 /// Maximum size of a request body. The platform holds values of up to 1 MB, and JSON escapes may double their size.
 const MAX_BODY_BYTES: usize = 4 << 20;
 
+/// Maximum number of connections that wait to be accepted.
+const MAX_QUEUED_CONNECTIONS: u32 = 1_024;
+
 /// Locks the state that the connections of an emulator share.
 pub(crate) fn lock<T>(state: &Mutex<T>) -> MutexGuard<'_, T> {
     state.lock().expect("lock is not poisoned")
@@ -166,7 +169,12 @@
 
     /// Opens the listener on the reserved address.
     pub(crate) fn listen(&self) -> io::Result<TcpListener> {
-        bind_reusable(self.address)?.listen(1024)
+        self.listen_with(MAX_QUEUED_CONNECTIONS)
+    }
+
+    /// Opens the listener with a queue for `queued` connections that are not accepted yet, and one more.
+    pub(crate) fn listen_with(&self, queued: u32) -> io::Result<TcpListener> {
+        bind_reusable(self.address)?.listen(queued)
     }
 }
 
--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -8,6 +8,7 @@
 mod gateway_leaf;
 mod http;
 mod layout;
+mod link;
 mod node;
 mod platform;
 mod store;
@@ -17,6 +18,7 @@
     data::{Corpus, Hit, Record, score, shard_of, terms},
     gateway_leaf::{GatewayLeaf, LeafMode},
     layout::{LeafSpec, SnapshotSpec, assign_shards, map_document},
+    link::{Link, LinkMode},
     node::{NodeSpec, vms_document},
     platform::{Platform, PlatformControl, PlatformCounters},
     store::{Access, Store, StoreCopy},
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod input;
 mod limits;
+mod links;
 mod membership;
 mod platform;
 mod requests;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -3,13 +3,14 @@
 use std::{
     fs::{self, File},
     net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::PathBuf,
     process::{Child, Command, ExitStatus, Stdio},
     sync::atomic::{AtomicU8, Ordering},
     time::Duration,
 };
 
 use cranberrychute::adapter::http1::{Connection, ExchangeError, Reply};
-use cranberrychute_emulator::{GatewayLeaf, Store};
+use cranberrychute_emulator::{GatewayLeaf, Link, LinkMode, Store};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -139,6 +140,9 @@
     pub(crate) shards: Vec<[GatewayLeaf; 2]>,
     pub(crate) folder: TempDir,
     ips: Vec<IpAddr>,
+    /// For each node a store of its own, which differs in the addresses of the leaves, and its links to the leaves. Empty if
+    /// all nodes share the store and reach the leaves directly.
+    linked: Vec<(Store, Vec<Link>)>,
     _permit: SemaphorePermit<'static>,
 }
 
@@ -172,6 +176,7 @@
         });
         let site = Self {
             ips: ips.collect(),
+            linked: Vec::new(),
             store,
             shards: pairs,
             folder: TempDir::new().unwrap(),
@@ -184,6 +189,35 @@
         site
     }
 
+    /// Starts a site in which each node reaches the leaves over links of its own.
+    pub(crate) async fn start_linked(shards: usize, nodes: usize) -> Self {
+        let mut site = Self::start(shards, nodes).await;
+        for _ in 0..nodes {
+            let store = Store::start(1).await.unwrap();
+            let mut links = Vec::new();
+            for (shard, pair) in site.shards.iter().enumerate() {
+                for (leaf, zone) in pair.iter().zip(["a", "b"]) {
+                    let link = Link::start(leaf.address()).unwrap();
+                    let mut entry = leaf.entry(&format!("s{shard}"), zone, "ready");
+                    entry["address"] = json!(link.address());
+                    store.put(&leaf.key(), &entry);
+                    links.push(link);
+                }
+            }
+            store.put("op/config", &site.config(7));
+            site.linked.push((store, links));
+        }
+        site
+    }
+
+    /// Changes the state of all links between a node and the leaves.
+    pub(crate) fn set_links(&self, node: usize, mode: LinkMode) {
+        self.linked[node]
+            .1
+            .iter()
+            .for_each(|link| link.set_mode(mode));
+    }
+
     /// Publishes both leaves of a shard in the store.
     pub(crate) fn publish(&self, shard: usize, state: &str) {
         for (leaf, zone) in self.shards[shard].iter().zip(["a", "b"]) {
@@ -234,14 +268,36 @@
 
     /// Starts a node with the given standard output.
     pub(crate) fn spawn(&self, index: usize, output: Stdio) -> Node {
+        // Nodes that know each other before they have read their own stores would take over each other's items.
+        let settings = self.write_settings(index, if self.linked.is_empty() { 3 } else { 0 });
+        let child = Command::new(env!("CARGO_BIN_EXE_cranberrychute"))
+            .arg("gateway")
+            .env("CRANBERRYCHUTE_SETTINGS", settings)
+            .stdin(Stdio::null())
+            .stdout(output)
+            .spawn()
+            .unwrap();
+        Node {
+            child,
+            ip: self.ips[index],
+            log: self.folder.path().join(format!("node-{index}.log")),
+        }
+    }
+
+    /// Writes the settings file of a node that knows some other nodes, and returns its path.
+    fn write_settings(&self, index: usize, seeds: usize) -> PathBuf {
         let ip = self.ips[index];
         let settings = self.folder.path().join(format!("node-{index}.toml"));
         let seeds: Vec<String> = self
             .ips
             .iter()
-            .take(3)
+            .take(seeds)
             .map(|ip| format!("\"{ip}:{CONTROL_PORT}\""))
             .collect();
+        let store = match self.linked.get(index) {
+            Some((store, _)) => store.address(0),
+            None => self.store.address(index),
+        };
         let text = format!(
             "node = \"node-{index}\"\nip = \"{ip}\"\nzone = \"a\"\nregion = \"r\"\ninternal_ports = [7740, 7755]\n\
              seeds = [{}]\n[zones]\na = \"r\"\nb = \"r\"\n[listen]\nfront = \"{ip}:{CALLERS_PORT}\"\n\
@@ -249,26 +305,25 @@
              [bounds]\ngrace_s = 6\nconfig_apply_ms = 3000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\n\
              retry_slack = 56\n[platform]\naddress = \"{}\"\n",
             seeds.join(", "),
-            self.store.address(index),
+            store,
         );
         fs::write(&settings, text).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_cranberrychute"))
-            .arg("gateway")
-            .env("CRANBERRYCHUTE_SETTINGS", settings)
-            .stdin(Stdio::null())
-            .stdout(output)
-            .spawn()
-            .unwrap();
-        Node {
-            child,
-            ip,
-            log: self.folder.path().join(format!("node-{index}.log")),
-        }
+        settings
     }
 
     /// Starts all nodes and waits until each of them lists all nodes.
     pub(crate) async fn nodes(&self) -> Vec<Node> {
         let nodes: Vec<Node> = (0..self.ips.len()).map(|index| self.node(index)).collect();
+        if !self.linked.is_empty() {
+            for (index, node) in nodes.iter().enumerate() {
+                wait_until("the node has read its store", async || {
+                    node.is_ready().await
+                })
+                .await;
+                self.write_settings(index, 3);
+                node.signal(Signal::HUP);
+            }
+        }
         for node in &nodes {
             wait_until("each node lists all nodes", async || {
                 node.directory().await.len() == nodes.len()
