Examine only a few lost connections at a time

A node whose link breaks loses all its calls at once. Each of them would have asked its leaf and three others for a connection, hundreds at the same moment, and none of them tells anything then: no other leaf accepts. Eight examinations run at a time; further lost calls are logged and left out. Found by reading, before it was seen.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -12,7 +12,7 @@
         Time,
         crash::{Admission, CrashEvent, CrashId, Fingerprint, Reachability, has_ended},
     },
-    gateway::{state::Gateway, upstreams::Leaf},
+    gateway::{ingress::CountGuard, state::Gateway, upstreams::Leaf},
 };
 
 /// Maximum number of crashes in a message. Together with all else that it carries, a message must fit into a datagram.
@@ -22,6 +22,9 @@
 /// Number of other leaves that are asked for a connection to tell the end of a leaf from the loss of this node's link.
 const WITNESSES: usize = 3;
 
+/// Maximum number of lost calls that are examined at a time. If this node's link breaks, all calls are lost at once.
+const MAX_EXAMINATIONS: usize = 8;
+
 /// The crashes in one message.
 pub(super) type CrashReports = SmallVec<[CrashEvent; MAX_REPORTED]>;
 
@@ -86,6 +89,17 @@
     ///
     /// Runs to the end even if the caller of the request leaves.
     pub(super) async fn examine_loss(self: &Rc<Self>, lost: LostCall) {
+        if self.examinations.get() >= MAX_EXAMINATIONS {
+            if let Some(suppressed) = self.log_limiter.admit(self.now(), "not_examined") {
+                log::info!(
+                    id = &*lost.id,
+                    leaf:% = lost.leaf.instance(),
+                    suppressed;
+                    "connection lost among many, not examined"
+                );
+            }
+            return;
+        }
         let examination = tokio::task::spawn_local(self.clone().examine(lost));
         if let Err(error) = examination.await {
             log::error!(error:% = error; "failed to examine the loss of a connection");
@@ -93,6 +107,7 @@
     }
 
     async fn examine(self: Rc<Self>, lost: LostCall) {
+        let _guard = CountGuard::new(&self.examinations);
         let leaf = self.reach(&lost.leaf).await;
         let ended = leaf == Reachability::Refused && {
             let witnesses = self.witnesses(&lost.leaf);
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -98,10 +98,10 @@
 }
 
 /// Increments a counter, and decrements it again when dropped.
-struct CountGuard<'a>(&'a Cell<usize>);
+pub(super) struct CountGuard<'a>(&'a Cell<usize>);
 
 impl<'a> CountGuard<'a> {
-    fn new(counter: &'a Cell<usize>) -> Self {
+    pub(super) fn new(counter: &'a Cell<usize>) -> Self {
         counter.set(counter.get() + 1);
         Self(counter)
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -52,6 +52,8 @@
     /// How long after their planned time answers are sent that waited for more parts until then.
     pub(super) send_delay: Cell<SendDelay>,
     pub(super) crashes: RefCell<CrashGuard>,
+    /// Lost calls that are being examined.
+    pub(super) examinations: Cell<usize>,
     pub(super) lag: Cell<LoopLag>,
     pub(super) route_stats: RouteStatsMap,
     pub(super) members: Members,
@@ -138,6 +140,7 @@
         idle_limit: RefCell::default(),
         send_delay: Cell::default(),
         crashes: RefCell::default(),
+        examinations: Cell::new(0),
         lag: Cell::default(),
         route_stats: RouteStatsMap::default(),
         members: Members::new(socket, &settings, incarnation, started),
