Hand requests of a node that reaches no leaves to one that does

Cause: a gateway took every failure for the leaf's and had no belief about its own link. It counted as ready, as that rests on the mirror and the list of leaves, and all nodes named it to callers; and there was no way for a request to another gateway.

Why it works: when leaves are silent or accept no connections, a check opens connections to some of them, and to other nodes if none accepts. If only the nodes accept, the link is lost. So callers are served whether or not they have heard of another address. Leaves get no blame, and no new connections until a check passes. If no node is ready, requests are rejected at once.

--- a/src/core/entry/table.rs
+++ b/src/core/entry/table.rs
@@ -28,6 +28,8 @@
     /// The node has no configuration yet, or does not trust its state after a pause.
     Starting,
     Ready,
+    /// The node reaches no leaves, and hands requests to nodes that do.
+    CutOff,
     Stopping,
 }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -17,6 +17,7 @@
 pub mod leaf;
 pub mod lease;
 pub mod limit;
+pub mod link;
 pub mod member;
 pub mod mirror;
 pub mod once;
--- a/src/core/placement/leaf_stats.rs
+++ b/src/core/placement/leaf_stats.rs
@@ -188,6 +188,12 @@
         }
     }
 
+    /// Forgets failures that were not the leaf's, because this node's link to it was down.
+    pub fn forgive(&mut self) {
+        self.failure_rate = 0.0;
+        self.record_alive();
+    }
+
     /// Returns the number of this node's calls in progress.
     pub fn calls(&self) -> usize {
         self.calls.len()
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -25,7 +25,7 @@
 };
 
 /// Maximum body size of a leaf's answer, bytes.
-const MAX_BODY_BYTES: usize = 4 << 20;
+pub(super) const MAX_BODY_BYTES: usize = 4 << 20;
 /// Maximum body size of a leaf's part of an answer, bytes. All leaves of a query may send as much at the same time.
 const MAX_PART_BYTES: usize = 256 << 10;
 /// Time subtracted from the timeout sent to a leaf, to allow for the network latency of its answer.
@@ -195,7 +195,7 @@
         let (mut lease, idle_time) = match self.leaf.take_idle(now, allows) {
             Some((lease, idle_time)) => (lease, Some(idle_time)),
             None => {
-                let opened = self.leaf.connect().await;
+                let opened = gateway.connect(&self.leaf).await;
                 if opened.as_ref().is_err_and(ExchangeError::is_reset) {
                     self.leaf.start_backoff(now);
                 }
@@ -210,6 +210,7 @@
             .deadline
             .since(gateway.now())
             .saturating_sub(ANSWER_TRAVEL_TIME);
+        gateway.link.record_call(gateway.now(), &self.leaf);
         let bytes = self.request.encode(&self.leaf.instance(), remaining);
         let connection = lease
             .connection
@@ -241,6 +242,7 @@
         reply: Reply,
     ) -> Result<(Reply, LeafAnswer), CallFailure> {
         let now = gateway.now();
+        gateway.link.record_answer(now);
         let latency = now.since(guard.sent_at);
         let answer = leaf_answer(&reply);
         if let Some(load) = answer.load {
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -186,7 +186,7 @@
 
     /// Tries to open a connection to a leaf, and keeps it if the leaf accepts.
     async fn reach(&self, leaf: &Rc<Leaf>) -> Reachability {
-        match timeout(PROBE_TIMEOUT, leaf.connect()).await {
+        match timeout(PROBE_TIMEOUT, self.connect(leaf)).await {
             Ok(Ok(lease)) => {
                 lease.release(self.now());
                 Reachability::Accepted
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -4,7 +4,7 @@
 use rand::seq::SliceRandom;
 
 use crate::{
-    core::Domain,
+    core::{Domain, entry::EntryState},
     gateway::{
         ingress::{Answer, empty_response},
         members::node_address,
@@ -64,11 +64,15 @@
     fn named_addresses(&self, domain: Option<&Domain>) -> Vec<SocketAddr> {
         let callers = self.settings.borrow().listen.callers;
         let selected = self.selected_addresses(callers, domain);
-        if selected.is_empty() {
-            self.ready_addresses(callers)
-        } else {
-            selected
+        if !selected.is_empty() {
+            return selected;
         }
+        let ready = self.addresses_in(callers, EntryState::Ready, self.serves_callers());
+        if !ready.is_empty() {
+            return ready;
+        }
+        // If no node reaches the leaves, those that may reach them again soon are better than none.
+        self.addresses_in(callers, EntryState::CutOff, self.is_ready())
     }
 
     /// Returns the addresses of the selected nodes, those near the caller if they have capacity. The list is empty if all
@@ -76,17 +80,19 @@
     fn selected_addresses(&self, callers: SocketAddr, domain: Option<&Domain>) -> Vec<SocketAddr> {
         let nodes = self.entry.nodes_near(domain, |node| {
             let own = node == self.members.me();
-            self.members.is_healthy(node) && (!own || self.is_ready())
+            self.members.is_healthy(node) && (!own || self.serves_callers())
         });
         let ips = nodes.iter().filter_map(node_address);
         ips.map(|address| SocketAddr::new(address.ip(), callers.port()))
             .collect()
     }
 
-    /// Returns the addresses of all nodes that are known to be ready.
-    fn ready_addresses(&self, callers: SocketAddr) -> Vec<SocketAddr> {
-        let others = self.members.ready_addresses(self.now());
-        let others = others.map(|ip| SocketAddr::new(ip, callers.port()));
-        others.chain(self.is_ready().then_some(callers)).collect()
+    /// Returns the addresses of all other nodes that are known to be in a state, and this node's if `own`.
+    fn addresses_in(&self, callers: SocketAddr, state: EntryState, own: bool) -> Vec<SocketAddr> {
+        let others = self.members.addresses_in(self.now(), state);
+        let others = others
+            .into_iter()
+            .map(|ip| SocketAddr::new(ip, callers.port()));
+        others.chain(own.then_some(callers)).collect()
     }
 }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -19,6 +19,7 @@
         ServiceName, Time,
         crash::{Admission, CrashId, Fingerprint},
         gather::{Completion, Failure, Plan, PlanSettings, Step, merge_top},
+        link::LinkState,
         retry::{Purpose, retry_after},
         routing::{Gather, Repeat, Route, Target},
     },
@@ -65,6 +66,21 @@
     pub(super) waited: Duration,
     /// The request is the first one on its connection, so its caller has also waited for the connection.
     pub(super) first: bool,
+    /// Another node has handed the request over.
+    pub(super) handed_over: bool,
+}
+
+impl Inbound {
+    /// Returns the time that the caller waits, as it stated or as on the route.
+    fn timeout(&self) -> Duration {
+        self.caller.timeout.unwrap_or(self.route.timeout)
+    }
+
+    /// Returns when the request ends.
+    fn deadline(&self) -> Time {
+        let timeout = self.timeout().min(self.route.timeout);
+        self.arrived + timeout.saturating_sub(self.waited + DEADLINE_MARGIN)
+    }
 }
 
 /// The state of one request.
@@ -95,6 +111,19 @@
 
 /// Runs a request and returns the answer to its caller.
 pub(super) async fn dispatch(gateway: Rc<Gateway>, inbound: Inbound) -> Response<Full<Bytes>> {
+    let deadline = inbound.deadline();
+    let (handed_over, repeatable) = (
+        inbound.handed_over,
+        inbound.route.repeat == Repeat::Idempotent,
+    );
+    if gateway.link.hands_over() {
+        if !handed_over && let Some(answer) = gateway.hand_over(&inbound, deadline).await {
+            return answer;
+        }
+        if gateway.link.state() == LinkState::Lost {
+            return gateway.reject_unreachable(&inbound);
+        }
+    }
     let mut dispatch = RequestDispatch::new(gateway.clone(), inbound);
     let mut calls = Calls {
         gateway: gateway.clone(),
@@ -103,6 +132,7 @@
         run: Call::run,
     };
     let mut timer = pin!(sleep(Duration::ZERO));
+    let mut link_lost = pin!(gateway.link.lost());
     let completion = loop {
         let now = gateway.now();
         match dispatch.plan.step(now) {
@@ -130,10 +160,24 @@
                     biased;
                     Some(completed) = calls.running.next() => dispatch.handle_completed(completed),
                     () = timer.as_mut() => {}
+                    () = link_lost.as_mut(), if repeatable && !handed_over => {
+                        if let Some(answer) = gateway.hand_over(&dispatch.inbound, deadline).await {
+                            return answer;
+                        }
+                        link_lost.set(gateway.link.lost());
+                    }
                 }
             }
         }
     };
+    let is_rejected = completion == Completion::Unreachable && !dispatch.plan.may_have_run();
+    if is_rejected
+        && !handed_over
+        && !gateway.link.is_up()
+        && let Some(answer) = gateway.hand_over(&dispatch.inbound, deadline).await
+    {
+        return answer;
+    }
     let missing = dispatch.missing();
     let planned = dispatch.planned_time();
     let response = dispatch.finish(completion);
@@ -199,7 +243,7 @@
             }
         };
         let arrived = inbound.arrived;
-        let caller_timeout = inbound.caller.timeout.unwrap_or(route.timeout);
+        let caller_timeout = inbound.timeout();
         // A caller whose timeout is shorter than the longest one on the route is taken to have spent the difference
         // before it sent the request.
         let (spent, hedge_delay, typical) = {
@@ -212,10 +256,7 @@
             )
         };
         let waited = inbound.waited;
-        let deadline = arrived
-            + caller_timeout
-                .min(route.timeout)
-                .saturating_sub(waited + DEADLINE_MARGIN);
+        let deadline = inbound.deadline();
         let send_delay = gateway.send_delay.get().expected();
         let send_delay = send_delay.clamp(
             MIN_SEND_DELAY,
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -12,6 +12,7 @@
     core::{
         Domain, NodeId, Time,
         entry::{Crowding, EntryReport, EntryState, EntryTable, Fleet, Role, near, select},
+        link::LinkState,
     },
     gateway::{
         members::{millis, node_address, node_id},
@@ -101,8 +102,10 @@
     pub(super) fn entry_report(&self) -> EntryReport {
         let state = if self.stopping.get() {
             EntryState::Stopping
-        } else if self.is_ready() {
+        } else if self.serves_callers() {
             EntryState::Ready
+        } else if self.is_ready() {
+            EntryState::CutOff
         } else {
             EntryState::Starting
         };
@@ -133,6 +136,12 @@
 
     /// Returns whether connections to leaves are opened before they are needed.
     pub(super) fn connects_ahead(&self) -> bool {
+        if matches!(
+            self.link.state(),
+            LinkState::Lost | LinkState::NoNewConnections
+        ) {
+            return false;
+        }
         match self.entry.role.get() {
             Role::Equal => self.now().since(self.started) >= SETTLE_TIME,
             role => role.connects_ahead(),
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -19,7 +19,9 @@
         dispatch::{Inbound, dispatch},
         state::Gateway,
     },
-    platform::{CallerAnswer, CallerRequest, LeafRequest, directory_query, is_ready_probe},
+    platform::{
+        CallerAnswer, CallerRequest, LeafRequest, directory_query, is_handed_over, is_ready_probe,
+    },
 };
 
 /// Delay after a failed accept, for example when file descriptors run out.
@@ -148,7 +150,8 @@
     match port {
         Port::Callers => {
             let _guard = CountGuard::new(&gateway.active_requests);
-            let mut answer = handle_request(gateway.clone(), request, first).await;
+            let mut answer =
+                handle_request(gateway.clone(), request, Origin::Caller { first }).await;
             if gateway.stopping.get() {
                 let close = header::HeaderValue::from_static("close");
                 answer.headers_mut().insert(header::CONNECTION, close);
@@ -167,6 +170,10 @@
             Some(query) => gateway.addresses(&query),
             None => empty_response(StatusCode::NOT_FOUND),
         },
+        Port::Peer if is_handed_over(request.headers()) => {
+            let _guard = CountGuard::new(&gateway.active_requests);
+            handle_request(gateway.clone(), request, Origin::OtherNode).await
+        }
         Port::Peer => answer_peer(&gateway, &request),
         Port::Metrics if request.uri().path() == METRICS_PATH => {
             Response::new(Full::new(gateway.metrics.render().into()))
@@ -201,7 +208,20 @@
     }
 }
 
-async fn handle_request(gateway: Rc<Gateway>, request: Request<Incoming>, first: bool) -> Answer {
+/// Where a request came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    /// `first` is set for the first request on a connection.
+    Caller { first: bool },
+    /// Another node, which has handed the request over.
+    OtherNode,
+}
+
+async fn handle_request(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+    origin: Origin,
+) -> Answer {
     let arrived = gateway.now();
     let (parts, body) = request.into_parts();
     let caller = CallerRequest::from_parts(&parts);
@@ -279,7 +299,8 @@
         route,
         arrived,
         waited,
-        first,
+        first: origin == Origin::Caller { first: true },
+        handed_over: origin == Origin::OtherNode,
     };
     dispatch(gateway, inbound).await
 }
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -53,8 +53,8 @@
 const STATUS_TTL: Duration = Duration::from_secs(10);
 /// Interval of announcements from a node that reads the store to the nodes that do not.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(400);
-/// Maximum number of nodes that are told of a request that crashes leaves at once.
-const MAX_DIRECT_REPORTS: usize = 64;
+/// Maximum number of nodes that are told of a change immediately.
+const MAX_DIRECT_MESSAGES: usize = 64;
 /// Interval of attempts to contact seeds that are not known as nodes.
 const SEED_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -169,21 +169,35 @@
         (f64::from(own) + others) / (statuses.len() + 1) as f64
     }
 
-    /// Returns the addresses of the other nodes that are ready for requests.
-    pub(super) fn ready_addresses(&self, now: Time) -> impl Iterator<Item = IpAddr> {
+    /// Returns the addresses of the other nodes in a state.
+    pub(super) fn addresses_in(&self, now: Time, state: EntryState) -> Vec<IpAddr> {
         let membership = self.membership.borrow();
         let statuses = self.statuses.borrow();
-        let ready: Vec<IpAddr> = statuses
+        statuses
             .iter()
             .filter(|(node, (status, at))| {
-                status.entry.state == EntryState::Ready
+                status.entry.state == state
                     && now.since(*at) < STATUS_TTL
                     && membership.is_healthy(node)
             })
             .filter_map(|(node, _)| node_address(node))
             .map(|address| address.ip())
-            .collect();
-        ready.into_iter()
+            .collect()
+    }
+
+    /// Returns the other nodes that are ready for requests, with what they report about themselves.
+    pub(super) fn ready_nodes(&self, now: Time) -> Vec<(NodeId, EntryReport)> {
+        let membership = self.membership.borrow();
+        let statuses = self.statuses.borrow();
+        statuses
+            .iter()
+            .filter(|(node, (status, at))| {
+                status.entry.state == EntryState::Ready
+                    && now.since(*at) < STATUS_TTL
+                    && membership.is_healthy(node)
+            })
+            .map(|(node, (status, _))| (node.clone(), status.entry.clone()))
+            .collect()
     }
 
     /// Returns the live nodes, including this one.
@@ -269,6 +283,7 @@
         loop {
             let now = self.now();
             self.sync.tick(now);
+            self.link.tick(now);
             self.contact_seeds(now);
             let status = self.status();
             let mut out = Vec::new();
@@ -359,9 +374,14 @@
     /// Reports the latest crashes to some nodes immediately. The others learn of them by gossip.
     pub(super) async fn announce_crashes(&self) {
         self.select_crash_reports(self.now());
+        self.announce_directly().await;
+    }
+
+    /// Sends this node's status to some nodes immediately. The others learn of it by gossip.
+    pub(super) async fn announce_directly(&self) {
         let mut out = self.status_for_all();
         out.shuffle(&mut *self.rng.borrow_mut());
-        out.truncate(MAX_DIRECT_REPORTS);
+        out.truncate(MAX_DIRECT_MESSAGES);
         self.send(out).await;
     }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -23,7 +23,9 @@
     gateway::{
         Settings,
         entry::Entry,
+        handover::Handovers,
         ingress,
+        link::LeafLink,
         logging::{LogLimiter, dropped_lines},
         members::{Members, node_id},
         routes::RouteStatsMap,
@@ -54,6 +56,8 @@
     pub(super) crashes: RefCell<CrashGuard>,
     /// Lost calls that are being examined.
     pub(super) examinations: Cell<usize>,
+    pub(super) link: LeafLink,
+    pub(super) handovers: Handovers,
     pub(super) lag: Cell<LoopLag>,
     pub(super) route_stats: RouteStatsMap,
     pub(super) members: Members,
@@ -85,6 +89,11 @@
             && !self.registry.borrow().is_empty()
     }
 
+    /// Returns whether callers are told to use this node.
+    pub(super) fn serves_callers(&self) -> bool {
+        self.is_ready() && self.link.is_up()
+    }
+
     async fn upkeep(self: Rc<Self>) {
         let mut rounds: u32 = 0;
         loop {
@@ -97,6 +106,7 @@
             let removals = self.registry.borrow_mut().tick(now);
             self.upstreams.apply(&self, removals);
             self.upstreams.update_pools(&self);
+            self.expire_helpers();
             self.expire_held().await;
             metrics::gauge!("cranberrychute_log_lines_dropped").set(dropped_lines() as f64);
             metrics::gauge!("cranberrychute_members_alive").set(self.members.alive_count() as f64);
@@ -141,6 +151,8 @@
         send_delay: Cell::default(),
         crashes: RefCell::default(),
         examinations: Cell::new(0),
+        link: LeafLink::default(),
+        handovers: Handovers::default(),
         lag: Cell::default(),
         route_stats: RouteStatsMap::default(),
         members: Members::new(socket, &settings, incarnation, started),
@@ -166,6 +178,7 @@
     tokio::task::spawn_local(gateway.clone().gossip());
     tokio::task::spawn_local(gateway.clone().receive_gossip());
     tokio::task::spawn_local(gateway.clone().announce_changes());
+    tokio::task::spawn_local(gateway.clone().monitor_link());
     tokio::task::spawn_local(gateway.clone().upkeep());
     ingress::serve(&gateway, listeners);
     let mut terminate = signal(SignalKind::terminate()).context("install the SIGTERM handler")?;
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -182,6 +182,16 @@
         !self.idle.borrow().is_empty()
     }
 
+    fn close_idle(&self) {
+        let closed = self.idle.take().len();
+        self.open_count.set(self.open_count.get() - closed);
+    }
+
+    /// Returns whether this node keeps connections to the leaf but has none.
+    pub(super) fn needs_connection(&self) -> bool {
+        self.pooled.get() && self.open_count.get() == 0
+    }
+
     /// Drops idle connections that the leaf has closed, or all of them if this node keeps no connections to it.
     fn prune_idle(&self) {
         let mut idle = self.idle.borrow_mut();
@@ -365,10 +375,7 @@
         self.leaves
             .borrow_mut()
             .insert(record.instance.clone(), leaf.clone());
-        let delay = gateway
-            .rng
-            .borrow_mut()
-            .random_range(Duration::ZERO..MAX_CONNECT_JITTER);
+        let delay = gateway.connect_jitter();
         tokio::task::spawn_local(warm_up(gateway.clone(), leaf, delay));
     }
 
@@ -378,11 +385,25 @@
             .leaves
             .borrow_mut()
             .retain(|other| !Rc::ptr_eq(other, leaf));
-        let closed = leaf.idle.take().len();
-        leaf.open_count.set(leaf.open_count.get() - closed);
+        leaf.close_idle();
         leaf.defunct.set(true);
     }
 
+    /// Closes all idle connections, because the link that carries them is lost.
+    pub(super) fn close_idle(&self) {
+        self.leaves
+            .borrow()
+            .values()
+            .for_each(|leaf| leaf.close_idle());
+    }
+
+    /// Forgets the failures of all leaves, because this node's link was down.
+    pub(super) fn forgive(&self) {
+        for leaf in self.leaves.borrow().values() {
+            leaf.stats.borrow_mut().forgive();
+        }
+    }
+
     /// Selects the leaves to which connections are kept, and drops idle connections that go to other leaves or were
     /// closed by their leaf.
     pub(super) fn update_pools(&self, gateway: &Rc<Gateway>) {
@@ -411,10 +432,14 @@
         }
         for leaf in self.leaves.borrow().values() {
             leaf.prune_idle();
-            let needs_connection =
-                connects_ahead && leaf.pooled.get() && !leaf.stats.borrow().is_ejected(now);
-            if leaf.open_count.get() == 0 && needs_connection {
-                tokio::task::spawn_local(warm_up(gateway.clone(), leaf.clone(), Duration::ZERO));
+            let is_usable = connects_ahead && !leaf.stats.borrow().is_ejected(now);
+            if leaf.needs_connection() && is_usable {
+                let delay = if gateway.link.returned_within(now, MAX_CONNECT_JITTER) {
+                    gateway.connect_jitter()
+                } else {
+                    Duration::ZERO
+                };
+                tokio::task::spawn_local(warm_up(gateway.clone(), leaf.clone(), delay));
             }
         }
     }
@@ -498,6 +523,14 @@
     }
 }
 
+impl Gateway {
+    /// Returns a random delay of a connection that other nodes may open at the same time.
+    fn connect_jitter(&self) -> Duration {
+        let mut rng = self.rng.borrow_mut();
+        rng.random_range(Duration::ZERO..MAX_CONNECT_JITTER)
+    }
+}
+
 /// Opens a connection in advance, so that the first call does not wait for it.
 async fn warm_up(gateway: Rc<Gateway>, leaf: Rc<Leaf>, delay: Duration) {
     sleep(delay).await;
@@ -505,7 +538,7 @@
     {
         return;
     }
-    match leaf.connect().await {
+    match gateway.connect(&leaf).await {
         Ok(lease) => lease.release(gateway.now()),
         // Only failed calls count against the leaf, so nothing is recorded here.
         Err(error) => {
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -9,6 +9,7 @@
 mod idle_limit;
 mod lag;
 mod limit;
+mod link;
 mod mirror;
 mod pause_guard;
 mod placement;
