--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -1,6 +1,7 @@
 use std::{cell::RefCell, collections::HashMap, time::Duration};
 
 use http::StatusCode;
+use rand::seq::SliceRandom;
 use smallvec::SmallVec;
 use tokio::time::timeout;
 
@@ -8,6 +9,7 @@
     adapter::http1::{Connection, ExchangeError, Reply},
     core::{
         Domain, NodeId, Time,
+        entry::EntryReport,
         link::{Handover, Helper, HelperLoad},
         placement::MIN_IDLE_TIME,
         retry::retry_after,
@@ -20,6 +22,8 @@
     platform::{CallerAnswer, is_answer_to, is_own_rejection, retry_time},
 };
 
+/// Maximum number of nodes among which helpers are chosen.
+const MAX_CANDIDATES: usize = 32;
 /// Maximum number of helpers that are asked in turn. Another one is asked only if the previous one did not run the request.
 const MAX_HELPERS: usize = 3;
 /// Timeout for opening a connection to a helper.
@@ -36,6 +40,8 @@
 pub(super) struct Handovers {
     load: RefCell<HelperLoad>,
     idle: RefCell<HashMap<NodeId, Vec<(Connection, Time)>>>,
+    /// Nodes that may help at present, with what they report about themselves.
+    candidates: RefCell<Vec<(NodeId, EntryReport)>>,
 }
 
 /// Records how a helper handled a request. If it is dropped early, the caller has left.
@@ -169,31 +175,46 @@
         }
     }
 
-    /// Returns the nodes that may run a request of this node: selected ones in its region if there are any.
+    /// Chooses the nodes that may help while this node reaches no leaves: selected ones if there are any.
+    pub(super) fn update_helpers(&self) {
+        let mut candidates = Vec::new();
+        if !self.link.is_up() {
+            candidates = self.members.ready_nodes(self.now());
+            let selected = self.entry.selected();
+            keep_preferred(&mut candidates, |(node, _)| {
+                selected.as_ref().is_some_and(|nodes| nodes.contains(node))
+            });
+            candidates.shuffle(&mut *self.rng.borrow_mut());
+            candidates.truncate(MAX_CANDIDATES);
+        }
+        *self.handovers.candidates.borrow_mut() = candidates;
+    }
+
+    /// Returns the nodes that may run a request, those in the region of this node if there are any.
     fn helpers(&self, inbound: &Inbound, asked: &[NodeId]) -> Vec<Helper> {
         let settings = self.settings.borrow();
         let region = |domain: &Domain| settings.regions.get(domain);
         let own_region = region(&settings.domain);
         let regions = &inbound.route.regions;
-        let selected = self.entry.selected();
-        let mut ready = self.members.ready_nodes(self.now());
-        ready.retain(|(node, report)| {
-            let allowed = |region| regions.contains(region);
-            let in_region = regions.is_empty() || region(&report.domain).is_some_and(allowed);
-            in_region && !asked.contains(node)
-        });
-        keep_preferred(&mut ready, |(_, report)| {
+        let candidates = self.handovers.candidates.borrow();
+        let mut allowed: Vec<_> = candidates
+            .iter()
+            .filter(|(node, report)| {
+                let is_allowed = |region| regions.contains(region);
+                let in_region =
+                    regions.is_empty() || region(&report.domain).is_some_and(is_allowed);
+                in_region && !asked.contains(node)
+            })
+            .collect();
+        keep_preferred(&mut allowed, |(_, report)| {
             region(&report.domain) == own_region
         });
-        keep_preferred(&mut ready, |(node, _)| {
-            selected.as_ref().is_some_and(|nodes| nodes.contains(node))
-        });
-        ready
+        allowed
             .into_iter()
             .map(|(node, report)| Helper {
+                node: node.clone(),
                 same_domain: report.domain == settings.domain,
                 lag_ms: report.lag_ms,
-                node,
             })
             .collect()
     }
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -159,6 +159,7 @@
             peer_accepted;
             "link to the leaves changed"
         );
+        self.update_helpers();
         match state {
             LinkState::Lost => {
                 self.upstreams.close_idle();
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -304,6 +304,7 @@
                 .retain(|node, _| is_alive(node));
             self.select_entry(self.now());
             self.log_named_nodes();
+            self.update_helpers();
             if self.sleep_and_record_lag(TICK_INTERVAL).await {
                 // Shows whether the backlog of the time before is over.
                 self.sleep_and_record_lag(LAG_RECHECK_INTERVAL).await;
