Pass on no rejection of a request that may have run

Found by reading.

Now a rejection is one without a leaf's signature, and after calls have been sent it is not passed on; the request goes on waiting for those.

an_order_that_failed_on_its_leaf_is_not_handed_over_again fails if a leaf's 503 counts as a rejection (tried on a scratch edit) and passes now.

--- a/emulator/src/gateway_leaf.rs
+++ b/emulator/src/gateway_leaf.rs
@@ -26,6 +26,8 @@
     Reject,
     /// Executes the request and answers 500.
     Fail,
+    /// Executes the request and answers 503 without stating that it was not executed.
+    FailUnavailable,
     /// Executes the request and closes the connection without an answer.
     Disconnect,
     /// Neither executes nor answers the request.
@@ -298,6 +300,7 @@
         LeafMode::Silent => std::future::pending().await,
         LeafMode::Normal
         | LeafMode::Fail
+        | LeafMode::FailUnavailable
         | LeafMode::Disconnect
         | LeafMode::CloseIdle
         | LeafMode::Endless => {}
@@ -329,6 +332,11 @@
             &headers,
             b"failed",
         )),
+        LeafMode::FailUnavailable => Ok(build_response(
+            StatusCode::SERVICE_UNAVAILABLE,
+            &headers,
+            b"failed",
+        )),
         LeafMode::Endless => {
             let mut response = build_response(StatusCode::OK, &headers, b"");
             *response.body_mut() = Payload::Endless(vec![b'x'; ENDLESS_BLOCK_BYTES].into());
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -2,14 +2,12 @@
     cell::{Cell, RefCell},
     pin::pin,
     rc::Rc,
-    sync::Arc,
     time::Duration,
 };
 
 use bytes::Bytes;
 use futures::{StreamExt, stream::FuturesUnordered};
-use http::{Response, StatusCode};
-use http_body_util::Full;
+use http::StatusCode;
 use smallvec::SmallVec;
 use tokio::time::{sleep, timeout};
 
@@ -17,20 +15,22 @@
     adapter::http1::Reply,
     core::{
         ServiceName, Time,
-        crash::{Admission, CrashId, Fingerprint},
+        crash::{Admission, CrashId},
         gather::{Completion, Failure, Plan, PlanSettings, Step, merge_top},
         link::LinkState,
         retry::{Purpose, retry_after},
-        routing::{Gather, Repeat, Route, Target},
+        routing::{Gather, Target},
     },
     gateway::{
         calls::{Call, CompletedCall},
         crashes::Trial,
+        inbound::Inbound,
+        ingress::Answer,
         routes::{RequestOutcome, RouteStats},
         state::Gateway,
         upstreams::{Leaf, LeafQuery, NoLeaf, Service},
     },
-    platform::{CallerAnswer, CallerRequest, LeafRequest},
+    platform::CallerAnswer,
 };
 
 /// Time before the objective at which an answer is sent with the parts received so far, in addition to the node's send
@@ -45,44 +45,12 @@
 /// Maximum share of the objective for which a request of the most urgent route waits for a leaf whose rate limit is used
 /// up.
 const MAX_RATE_WAIT_SHARE: f64 = 0.25;
-/// Time before the caller's timeout at which a request ends.
-const DEADLINE_MARGIN: Duration = Duration::from_millis(6);
 /// Minimum time to wait for the parts of a request that has already missed its objective.
 const MIN_PART_WAIT: Duration = Duration::from_millis(20);
 /// Time for which calls continue after their request has ended. A leaf that was only paused answers within it, so its
 /// connection stays open.
 const DETACHED_CALL_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// A caller's request as received by the gateway.
-pub(super) struct Inbound {
-    pub(super) caller: CallerRequest,
-    pub(super) request: Rc<LeafRequest>,
-    /// Identity of the request's content, which repeats of the request share.
-    pub(super) fingerprint: Fingerprint,
-    pub(super) route: Arc<Route>,
-    /// When the request head was received.
-    pub(super) arrived: Time,
-    /// How long the request may have waited in its socket before.
-    pub(super) waited: Duration,
-    /// The request is the first one on its connection, so its caller has also waited for the connection.
-    pub(super) first: bool,
-    /// Another node has handed the request over.
-    pub(super) handed_over: bool,
-}
-
-impl Inbound {
-    /// Returns the time that the caller waits, as it stated or as on the route.
-    fn timeout(&self) -> Duration {
-        self.caller.timeout.unwrap_or(self.route.timeout)
-    }
-
-    /// Returns when the request ends.
-    fn deadline(&self) -> Time {
-        let timeout = self.timeout().min(self.route.timeout);
-        self.arrived + timeout.saturating_sub(self.waited + DEADLINE_MARGIN)
-    }
-}
-
 /// The state of one request.
 struct RequestDispatch {
     gateway: Rc<Gateway>,
@@ -110,14 +78,9 @@
 }
 
 /// Runs a request and returns the answer to its caller.
-pub(super) async fn dispatch(gateway: Rc<Gateway>, inbound: Inbound) -> Response<Full<Bytes>> {
-    let deadline = inbound.deadline();
-    let (handed_over, repeatable) = (
-        inbound.handed_over,
-        inbound.route.repeat == Repeat::Idempotent,
-    );
+pub(super) async fn dispatch(gateway: Rc<Gateway>, inbound: Inbound) -> Answer {
     if gateway.link.hands_over() {
-        if !handed_over && let Some(answer) = gateway.hand_over(&inbound, deadline).await {
+        if let Some(answer) = gateway.hand_over(&inbound).await {
             return answer;
         }
         if gateway.link.state() == LinkState::Lost {
@@ -160,8 +123,8 @@
                     biased;
                     Some(completed) = calls.running.next() => dispatch.handle_completed(completed),
                     () = timer.as_mut() => {}
-                    () = link_lost.as_mut(), if repeatable && !handed_over => {
-                        if let Some(answer) = gateway.hand_over(&dispatch.inbound, deadline).await {
+                    () = link_lost.as_mut(), if dispatch.inbound.is_repeatable() => {
+                        if let Some(answer) = dispatch.hand_over_sent().await {
                             return answer;
                         }
                         link_lost.set(gateway.link.lost());
@@ -172,9 +135,8 @@
     };
     let is_rejected = completion == Completion::Unreachable && !dispatch.plan.may_have_run();
     if is_rejected
-        && !handed_over
         && !gateway.link.is_up()
-        && let Some(answer) = gateway.hand_over(&dispatch.inbound, deadline).await
+        && let Some(answer) = gateway.hand_over(&dispatch.inbound).await
     {
         return answer;
     }
@@ -276,7 +238,7 @@
             parts,
             required,
             max_attempts: route.max_attempts,
-            repeatable: route.repeat == Repeat::Idempotent,
+            repeatable: inbound.is_repeatable(),
             typical,
             hedge_delay,
             partial_at: arrived + time_left.max(MIN_PART_WAIT),
@@ -301,6 +263,14 @@
         }
     }
 
+    /// Hands over a request whose calls may have been sent before the link was lost.
+    async fn hand_over_sent(&self) -> Option<Answer> {
+        let answer = self.gateway.hand_over(&self.inbound).await?;
+        // A rejection by another node says that nothing has run, which is not known here.
+        let is_rejected = answer.status() == StatusCode::SERVICE_UNAVAILABLE;
+        (!is_rejected || !self.plan.may_have_run()).then_some(answer)
+    }
+
     /// Returns when an answer with missing parts was due: as planned, or as soon as its parts were enough.
     fn planned_time(&self) -> Time {
         let partial_at = self.plan.settings().partial_at;
@@ -503,7 +473,7 @@
         }
     }
 
-    fn finish(self, completion: Completion) -> Response<Full<Bytes>> {
+    fn finish(self, completion: Completion) -> Answer {
         let now = self.gateway.now();
         let elapsed = now.since(self.inbound.arrived);
         let id = &*self.inbound.caller.id;
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -13,13 +13,12 @@
         link::{Handover, Helper, HelperLoad},
         placement::MIN_IDLE_TIME,
         retry::retry_after,
-        routing::Repeat,
     },
     gateway::{
-        calls::MAX_BODY_BYTES, dispatch::Inbound, ingress::Answer, members::node_address,
+        calls::MAX_BODY_BYTES, inbound::Inbound, ingress::Answer, members::node_address,
         state::Gateway,
     },
-    platform::{CallerAnswer, is_answer_to, is_own_rejection, retry_time},
+    platform::{CallerAnswer, is_answer_to, is_rejection, retry_time},
 };
 
 /// Maximum number of nodes among which helpers are chosen.
@@ -71,12 +70,16 @@
 }
 
 impl Gateway {
-    /// Hands a request to a node that reaches the leaves, and returns that node's answer. `None` if no byte of the request
-    /// reached another node.
+    /// Hands a request to a node that reaches the leaves, and returns that node's answer. `None` if no other node can take
+    /// it, and none has run it.
     ///
-    /// The request is handed over once: a node runs such a request itself or rejects it. Another node is asked only if
-    /// the previous one is known not to have run it.
-    pub(super) async fn hand_over(&self, inbound: &Inbound, deadline: Time) -> Option<Answer> {
+    /// A request is handed over once: the other node runs it itself or rejects it. Another one is asked only if the previous
+    /// one is known not to have run it.
+    pub(super) async fn hand_over(&self, inbound: &Inbound) -> Option<Answer> {
+        if inbound.handed_over {
+            return None;
+        }
+        let deadline = inbound.deadline();
         let id = &inbound.caller.id;
         let mut asked = SmallVec::<[NodeId; MAX_HELPERS]>::new();
         let mut rejection = None;
@@ -96,17 +99,17 @@
             asked.push(helper.clone());
             let mut guard = HandoverGuard::start(self, &helper);
             let left = deadline.since(now);
-            let result = timeout(left, self.exchange_with(&helper, inbound, deadline)).await;
+            let result = timeout(left, self.exchange_with(&helper, inbound)).await;
             let (outcome, answer) = match result {
-                Ok(Ok(reply)) if reply.status == StatusCode::SERVICE_UNAVAILABLE.as_u16() => {
-                    let earliest = retry_time(&reply).unwrap_or_default();
-                    rejection = Some(reply);
-                    (Handover::Rejected(earliest), None)
-                }
-                Ok(Ok(reply)) if is_own_rejection(&reply) => {
-                    // The helper has another configuration than this node.
+                Ok(Ok(reply)) if is_rejection(&reply) => {
+                    let earliest = retry_time(&reply);
                     self.log_handover(inbound, &helper, &format!("rejected with {}", reply.status));
-                    (Handover::Answered, None)
+                    if earliest.is_some() {
+                        rejection = Some(reply);
+                    }
+                    // A rejection without a time is about the request, not about the helper's room.
+                    let outcome = earliest.map_or(Handover::Answered, Handover::Rejected);
+                    (outcome, None)
                 }
                 Ok(Ok(reply)) => {
                     let answer = CallerAnswer::Leaf(&reply).into_response(id);
@@ -170,7 +173,7 @@
                 id = &*inbound.caller.id,
                 helper:% = helper,
                 suppressed;
-                "request not handed over: {reason}"
+                "request not answered by another node: {reason}"
             );
         }
     }
@@ -223,14 +226,13 @@
         &self,
         helper: &NodeId,
         inbound: &Inbound,
-        deadline: Time,
     ) -> Result<Reply, ExchangeError> {
-        let repeatable = inbound.route.repeat == Repeat::Idempotent;
-        let mut connection = match self.take_idle_helper(helper, repeatable) {
+        let mut connection = match self.take_idle_helper(helper, inbound.is_repeatable()) {
             Some(connection) => connection,
             None => self.connect_helper(helper).await?,
         };
-        let left = deadline
+        let left = inbound
+            .deadline()
             .since(self.now())
             .saturating_sub(ANSWER_TRAVEL_TIME);
         let bytes = inbound.request.encode_handover(left);
--- /dev/null
+++ b/src/gateway/inbound.rs
@@ -0,0 +1,49 @@
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use crate::{
+    core::{
+        Time,
+        crash::Fingerprint,
+        routing::{Repeat, Route},
+    },
+    platform::{CallerRequest, LeafRequest},
+};
+
+/// Time before the caller's timeout at which a request ends.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(6);
+
+/// A caller's request as received by the gateway.
+#[derive(Debug)]
+pub(super) struct Inbound {
+    pub(super) caller: CallerRequest,
+    pub(super) request: Rc<LeafRequest>,
+    /// Identity of the request's content, which repeats of the request share.
+    pub(super) fingerprint: Fingerprint,
+    pub(super) route: Arc<Route>,
+    /// When the request head was received.
+    pub(super) arrived: Time,
+    /// How long the request may have waited in its socket before.
+    pub(super) waited: Duration,
+    /// The request is the first one on its connection, so its caller has also waited for the connection.
+    pub(super) first: bool,
+    /// Another node has handed the request over.
+    pub(super) handed_over: bool,
+}
+
+impl Inbound {
+    /// Returns the time that the caller waits, as it stated or as on the route.
+    pub(super) fn timeout(&self) -> Duration {
+        self.caller.timeout.unwrap_or(self.route.timeout)
+    }
+
+    /// Returns when the request ends.
+    pub(super) fn deadline(&self) -> Time {
+        let timeout = self.timeout().min(self.route.timeout);
+        self.arrived + timeout.saturating_sub(self.waited + DEADLINE_MARGIN)
+    }
+
+    /// Returns whether the request may run more than once.
+    pub(super) fn is_repeatable(&self) -> bool {
+        self.route.repeat == Repeat::Idempotent
+    }
+}
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -13,12 +13,7 @@
 
 use crate::{
     core::{crash::Admission, mirror::Position, retry::retry_after},
-    gateway::{
-        Listen,
-        crashes::fingerprint,
-        dispatch::{Inbound, dispatch},
-        state::Gateway,
-    },
+    gateway::{Listen, crashes::fingerprint, dispatch::dispatch, inbound::Inbound, state::Gateway},
     platform::{
         CallerAnswer, CallerRequest, LeafRequest, directory_query, is_handed_over, is_ready_probe,
     },
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod entry;
 mod handover;
+mod inbound;
 mod ingress;
 mod limits;
 mod link;
--- a/tests/gateway/links.rs
+++ b/tests/gateway/links.rs
@@ -138,6 +138,25 @@
     }
 }
 
+/// Guards against an order that a second helper runs because the leaf's own failure, which the first helper passes on, looks
+/// like a rejection.
+#[tokio::test]
+async fn an_order_that_failed_on_its_leaf_is_not_handed_over_again() {
+    let site = Site::start_linked(1, 3).await;
+    let nodes = site.nodes().await;
+    cut_off(&site, &nodes).await;
+    for leaf in &site.shards[0] {
+        leaf.set_mode(LeafMode::FailUnavailable);
+    }
+    for order in 0..10 {
+        let id = format!("order{order}");
+        let reply = nodes[0].send_order("/order/x", &id).await;
+        assert_eq!(reply.status, 503);
+        assert!(reply.header_str("server-stamp").is_some());
+        assert_eq!(runs(&site, &id), 1);
+    }
+}
+
 /// Guards against requests that two cut nodes hand to each other, or that wait although they cannot be served.
 #[tokio::test]
 async fn requests_are_rejected_at_once_if_no_node_reaches_leaves() {
