Test of a crashing request on a route to several services

The identity of a content does not depend on the service, so its crashes at all services of a split route, or before and after a route moves, count together.

--- a/tests/gateway/crashes.rs
+++ b/tests/gateway/crashes.rs
@@ -98,6 +98,23 @@
     );
 }
 
+/// Guards against a crashing request that counts anew at each service to which its route sends it.
+#[tokio::test]
+async fn a_request_that_crashes_leaves_of_several_services_is_not_sent_on_and_on() {
+    let site = Site::start(4, 3).await;
+    let nodes = site.nodes().await;
+    prepare(&site, "/split/crash");
+    repeat_crashing(&nodes, "/split/crash", SETTLE_TIME * 2).await;
+    let count = crashes(site.shards.iter().flatten()).len();
+    let late = late_runs(&site);
+    assert!(
+        late <= MAX_LATE_RUNS,
+        "{late} runs after the third crash, {count} in all"
+    );
+    let reply = nodes[0].query("/split/other", "other").await;
+    assert_eq!(reply.status, 200);
+}
+
 /// Guards against a rejection of a crashing request that comes late, has run, or tells the caller that its request is
 /// wrong.
 #[tokio::test]
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -226,12 +226,16 @@
         }
     }
 
-    /// Returns a configuration with three routes: `/all/` to all shards, and `/one/` and `/order/` to the first shard,
-    /// for idempotent and for non-idempotent requests.
+    /// Returns a configuration with four routes: `/all/` to all shards, `/split/` to one of them in turn, and `/one/` and
+    /// `/order/` to the first shard, for idempotent and for non-idempotent requests.
     pub(crate) fn config(&self, version: u64) -> Value {
         let names: Vec<String> = (0..self.shards.len())
             .map(|shard| format!("s{shard}"))
             .collect();
+        let split = names
+            .iter()
+            .map(|name| json!({"service": name, "weight": 1}));
+        let split: Vec<Value> = split.collect();
         let services = names.iter().map(|name| {
             json!({
                 "name": name, "health_path": "/health", "max_connections": 26, "protocol": "h1", "tls": false,
@@ -244,6 +248,8 @@
                 {"name": "all", "hostname": HOST, "prefix": "/all/", "route_type": "idempotent", "timeout_ms": 800,
                  "target_latency_ms": 200, "priority": 1, "gather": names, "attempts": 2, "top_k": 3,
                  "min_coverage": 0.7},
+                {"name": "split", "hostname": HOST, "prefix": "/split/", "route_type": "idempotent",
+                 "timeout_ms": 1000, "target_latency_ms": 250, "priority": 2, "traffic_split": split, "attempts": 2},
                 {"name": "one", "hostname": HOST, "prefix": "/one/", "route_type": "idempotent",
                  "timeout_ms": 1000, "target_latency_ms": 250, "priority": 2, "service": "s0", "attempts": 2},
                 {"name": "order", "hostname": HOST, "prefix": "/order/", "route_type": "non_idempotent",
