--- a/src/core/crash/ledger.rs
+++ b/src/core/crash/ledger.rs
@@ -46,7 +46,8 @@
     pub age_ms: u32,
     /// The distinct queries that were in flight, at most [`MAX_FINGERPRINTS`].
     pub fingerprints: SmallVec<[Fingerprint; 4]>,
-    /// Whether the only call in flight was one sent with `alone`.
+    /// Whether the only call in flight was one sent with `alone`. A gateway, which shares leaves with others, sends only one
+    /// call of a suspect at a time itself.
     pub alone: bool,
 }
 
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -293,7 +293,7 @@
     /// Chooses a leaf for a part that is due and records its call as sent. Returns None if no call can be sent now.
     fn prepare_call(&mut self, now: Time, part: usize, purpose: Option<Purpose>) -> Option<Call> {
         let gateway = self.gateway.clone();
-        let content = self.inbound.fingerprint;
+        let content = self.inbound.content;
         let admission = gateway.crashes.borrow().admit(now, content);
         match admission {
             Admission::Normal | Admission::Trial => {}
@@ -449,7 +449,7 @@
                         route = &*self.inbound.route.name,
                         service:% = self.services[part].0,
                         leaf:% = completed.leaf.instance(),
-                        fingerprint:% = self.inbound.fingerprint,
+                        fingerprint:% = self.inbound.content,
                         not_run = failure.failure != Failure::MayHaveRun,
                         elapsed_ms = now.since(self.inbound.arrived).as_millis() as u64,
                         suppressed;
@@ -502,7 +502,7 @@
                 elapsed_ms = elapsed.as_millis() as u64,
                 extra_calls = self.extra_calls,
                 missing = unanswered.join(","),
-                fingerprint:% = self.inbound.fingerprint,
+                fingerprint:% = self.inbound.content,
                 causes = self.reasons.join("; "),
                 may_have_run = self.plan.may_have_run(),
                 suppressed;
--- a/src/gateway/inbound.rs
+++ b/src/gateway/inbound.rs
@@ -18,7 +18,7 @@
     pub(super) caller: CallerRequest,
     pub(super) request: Rc<LeafRequest>,
     /// Identity of the request's content, which repeats of the request share.
-    pub(super) fingerprint: Fingerprint,
+    pub(super) content: Fingerprint,
     pub(super) route: Arc<Route>,
     /// When the request head was received.
     pub(super) arrived: Time,
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -288,7 +288,7 @@
     }
     let waited = gateway.lag.get().read_delay(arrived);
     let inbound = Inbound {
-        fingerprint: content,
+        content,
         request: Rc::new(LeafRequest::new(&parts, body)),
         caller,
         route,
