--- a/tests/decisions/link.rs
+++ b/tests/decisions/link.rs
@@ -151,6 +151,8 @@
     for seed in seeds(50) {
         let mut rng = Pcg64::seed_from_u64(seed);
         let mut load = Load::new(20);
+        // A node that no leaf has ever answered has no open connections.
+        load.run_until(LinkState::Lost, Duration::from_secs(1), &mut rng);
         load.way = Way::Refuses;
         let found = load.run_until(LinkState::NoNewConnections, SETTLE_TIME, &mut rng);
         assert!(found.is_some(), "seed {seed}");
