--- a/review/standins/src/case1.rs
+++ b/review/standins/src/case1.rs
@@ -21,7 +21,7 @@
 const CLIENTS: usize = 120;
 const DEADLINE_MS: u32 = 2_500;
 /// Orders per second, usually and in a burst of 1.7 times as many.
-const RATES: [f64; 2] = [64.0, 108.8];
+const RATES: [f64; 2] = [160.0, 272.0];
 /// The load repeats itself after this time.
 const CYCLE: Duration = Duration::from_secs(8);
 /// Start and end of the burst in a cycle.
@@ -37,7 +37,7 @@
     let settings = LeafSettings {
         slots: 2,
         queue: 2,
-        work: Duration::from_millis(60),
+        work: Duration::from_millis(20),
     };
     let leaves = [
         Leaf::start("i-7f3a91c2", "vyjazd", "a", settings, &store, &run.record),
--- a/review/standins/src/gateway.rs
+++ b/review/standins/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::{
     fs,
+    io::Write,
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
@@ -131,6 +132,7 @@
             .stderr(log)
             .spawn()
             .expect("start a gateway");
+        note_process(child.id());
         Self { child, ip }
     }
 
@@ -181,6 +183,14 @@
     }
 }
 
+/// Adds a process to the file that the script names, which ends what is left of them.
+fn note_process(id: u32) {
+    if let Some(path) = std::env::var_os("PROCESSES") {
+        let file = fs::OpenOptions::new().create(true).append(true).open(path);
+        let _ = file.and_then(|mut file| writeln!(file, "{id}"));
+    }
+}
+
 fn binary() -> PathBuf {
     PathBuf::from("target/release/cranberrychute")
 }
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -109,6 +109,17 @@
         Ok(Some(message))
     }
 
+    /// Returns whether the peer has closed the connection.
+    pub fn is_closed(&self) -> bool {
+        let _ = self.stream.set_nonblocking(true);
+        let peeked = self.stream.peek(&mut [0]);
+        let _ = self.stream.set_nonblocking(false);
+        match peeked {
+            Ok(received) => received == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     fn fill(&mut self) -> io::Result<bool> {
         let mut block = [0; 8 << 10];
         let received = self.stream.read(&mut block)?;
--- a/review/standins/src/leaf.rs
+++ b/review/standins/src/leaf.rs
@@ -7,7 +7,7 @@
         atomic::{AtomicUsize, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{
@@ -17,6 +17,8 @@
 };
 
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// Interval at which a waiting request looks whether its connection is closed.
+const CLOSE_CHECK: Duration = Duration::from_millis(5);
 
 #[derive(Clone, Copy)]
 pub struct LeafSettings {
@@ -32,6 +34,8 @@
     waiting: usize,
     answers: usize,
     runs: Vec<String>,
+    /// When each of them began.
+    began: Vec<Instant>,
     rejected: usize,
 }
 
@@ -92,6 +96,11 @@
         self.state.0.lock().unwrap().runs.clone()
     }
 
+    /// Returns when the leaf began to run requests.
+    pub fn began(&self) -> Vec<Instant> {
+        self.state.0.lock().unwrap().began.clone()
+    }
+
     pub fn rejected(&self) -> usize {
         self.state.0.lock().unwrap().rejected
     }
@@ -132,7 +141,9 @@
                     return;
                 }
             }
-            let answer = self.answer(&request);
+            let Some(answer) = self.answer(&request, &connection) else {
+                return;
+            };
             if connection.send(&answer).is_err() {
                 return;
             }
@@ -149,20 +160,21 @@
         }
     }
 
-    fn answer(&self, request: &Message) -> Vec<u8> {
+    /// Handles a request. `None` if its connection was closed while it waited for a slot.
+    fn answer(&self, request: &Message, connection: &Connection) -> Option<Vec<u8>> {
         let id = request.header("request-id").unwrap_or_default();
         if request.path() == "/health" {
-            return response("200 OK", &[("Leaf-Id", &self.id)], b"");
+            return Some(response("200 OK", &[("Leaf-Id", &self.id)], b""));
         }
         if request
             .header("target-instance")
             .is_some_and(|target| target != self.id)
         {
-            return response(
+            return Some(response(
                 "421 Misdirected Request",
                 &[("Request-Id", id), ("Not-Executed", "1")],
                 b"",
-            );
+            ));
         }
         let (lock, freed) = &*self.state;
         let mut state = lock.lock().unwrap();
@@ -172,20 +184,29 @@
                 drop(state);
                 self.record
                     .line(&format!("leaf {} rejected {id}: 503 Not-Executed", self.id));
-                return response(
+                return Some(response(
                     "503 Service Unavailable",
                     &[("Request-Id", id), ("Not-Executed", "1")],
                     b"",
-                );
+                ));
             }
             state.waiting += 1;
             while state.running >= self.settings.slots {
-                state = freed.wait(state).unwrap();
+                state = freed.wait_timeout(state, CLOSE_CHECK).unwrap().0;
+                if connection.is_closed() {
+                    state.waiting -= 1;
+                    self.record.line(&format!(
+                        "leaf {} drops {id}: its connection is closed",
+                        self.id
+                    ));
+                    return None;
+                }
             }
             state.waiting -= 1;
         }
         state.running += 1;
         state.runs.push(id.to_owned());
+        state.began.push(Instant::now());
         let run = state.runs.len();
         drop(state);
         self.record.line(&format!("leaf {} runs {id}", self.id));
@@ -193,11 +214,11 @@
         lock.lock().unwrap().running -= 1;
         freed.notify_one();
         let stamp = format!("{}.{run}.{id}", self.id);
-        response(
+        Some(response(
             "200 OK",
             &[("Request-Id", id), ("Server-Stamp", &stamp)],
             b"done",
-        )
+        ))
     }
 }
 
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,6 +4,7 @@
 
 mod case1;
 mod case2;
+mod case3;
 mod gateway;
 mod http;
 mod leaf;
@@ -50,6 +51,7 @@
     let verdict = match case.as_str() {
         "1" => case1::run(&run),
         "2" => case2::run(&run),
+        "3" => case3::run(&run),
         "soak" => soak::run(&run),
         _ => Verdict::NotRun("no such case".into()),
     };
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -1,4 +1,4 @@
-//! The platform's store: items, pages and watches, without faults of its own.
+//! The platform's store: items, pages and watches. It can be away for a moment and be restored from a copy.
 
 use std::{
     collections::BTreeMap,
@@ -12,14 +12,23 @@
 
 const PAGE_ITEMS: usize = 50;
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct State {
+    /// Number of restores.
+    era: u64,
     revision: u64,
     items: BTreeMap<String, (u64, Vec<u8>)>,
     /// Key, revision and value of each change; no value for a deletion.
     history: Vec<(String, u64, Option<Vec<u8>>)>,
+    /// Revision from which on the history is complete.
+    floor: u64,
+    /// Calls are not answered.
+    away: bool,
 }
 
+/// A copy of the content, from which the store can be restored.
+pub struct StoreCopy(State);
+
 #[derive(Clone)]
 pub struct Store {
     state: Arc<(Mutex<State>, Condvar)>,
@@ -47,6 +56,34 @@
         self.write(key, Some(value.as_bytes().to_vec()));
     }
 
+    pub fn delete(&self, key: &str) {
+        self.write(key, None);
+    }
+
+    /// Starts or ends a time in which the store answers no call. Calls of that time are not answered later either.
+    pub fn set_away(&self, away: bool) {
+        self.state.0.lock().unwrap().away = away;
+        self.state.1.notify_all();
+    }
+
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.0.lock().unwrap().clone())
+    }
+
+    /// Replaces the content with a copy and starts a new era. What was written since the copy is lost.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.state.0.lock().unwrap();
+        let copy = copy.0.clone();
+        *state = State {
+            era: state.era + 1,
+            floor: copy.revision,
+            history: Vec::new(),
+            away: state.away,
+            ..copy
+        };
+        self.state.1.notify_all();
+    }
+
     fn write(&self, key: &str, value: Option<Vec<u8>>) {
         let (state, changed) = &*self.state;
         let mut state = state.lock().unwrap();
@@ -81,18 +118,27 @@
                 pair.map(|(_, value)| value.replace("%2F", "/"))
                     .unwrap_or_default()
             };
-            let body = match path {
+            let answer = match path {
                 "/-/kv-range" => self.range(&param("prefix"), &param("after")),
                 "/-/kv-watch" => self.watch(
                     &param("prefix"),
                     param("after").parse().unwrap_or(0),
                     Duration::from_millis(param("wait_ms").parse().unwrap_or(0)),
                 ),
-                _ => "{}".to_owned(),
+                _ => Some(("404 Not Found", "{}".to_owned())),
+            };
+            let Some((status, body)) = answer else {
+                // Nothing more comes over this connection, which stays open until its peer gives up.
+                while connection.read().is_ok_and(|request| request.is_some()) {}
+                return;
             };
-            let headers = [("Content-Type", "application/json"), ("Store-Era", "1")];
+            let era = self.state.0.lock().unwrap().era.to_string();
+            let headers = [
+                ("Content-Type", "application/json"),
+                ("Store-Era", era.as_str()),
+            ];
             if connection
-                .send(&response("200 OK", &headers, body.as_bytes()))
+                .send(&response(status, &headers, body.as_bytes()))
                 .is_err()
             {
                 return;
@@ -100,8 +146,11 @@
         }
     }
 
-    fn range(&self, prefix: &str, after: &str) -> String {
+    fn range(&self, prefix: &str, after: &str) -> Option<Answer> {
         let state = self.state.0.lock().unwrap();
+        if state.away {
+            return None;
+        }
         let matching = || {
             state
                 .items
@@ -113,18 +162,27 @@
             .map(|(key, (revision, value))| item(key, *revision, Some(value)))
             .collect();
         let more = matching().count() > items.len();
-        format!(
+        let body = format!(
             "{{\"items\":[{}],\"has_more\":{more},\"current_rev\":{}}}",
             items.join(","),
             state.revision
-        )
+        );
+        Some(("200 OK", body))
     }
 
-    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> String {
+    /// Waits for changes. `None` if the store is away, or comes back, meanwhile.
+    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Option<Answer> {
         let end = Instant::now() + wait;
         let (state, changed) = &*self.state;
         let mut state = state.lock().unwrap();
+        let era = state.era;
         loop {
+            if state.away || state.era != era {
+                return None;
+            }
+            if after < state.floor || after > state.revision {
+                return Some(("410 Gone", "{}".to_owned()));
+            }
             let events: Vec<String> = state
                 .history
                 .iter()
@@ -133,17 +191,21 @@
                 .collect();
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                return format!(
-                    "{{\"events\":[{}],\"current_rev\":{}}}",
-                    events.join(","),
+                let events = events.join(",");
+                let body = format!(
+                    "{{\"events\":[{events}],\"current_rev\":{}}}",
                     state.revision
                 );
+                return Some(("200 OK", body));
             }
             state = changed.wait_timeout(state, left).unwrap().0;
         }
     }
 }
 
+/// A status line and a body.
+type Answer = (&'static str, String);
+
 fn item(key: &str, revision: u64, value: Option<&Vec<u8>>) -> String {
     match value {
         Some(value) => format!(
