--- a/review/standins/src/gateway.rs
+++ b/review/standins/src/gateway.rs
@@ -167,8 +167,9 @@
 
     /// Sends a signal, for example `TERM`.
     pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let _ = Command::new("kill").args(["-s", name, &pid]).status();
+        // The shell has `kill` built in.
+        let command = format!("kill -s {name} {}", self.child.id());
+        let _ = Command::new("sh").args(["-c", &command]).status();
     }
 
     pub fn has_exited(&mut self) -> bool {
