--- a/src/core/gather/plan.rs
+++ b/src/core/gather/plan.rs
@@ -142,6 +142,11 @@
         &self.settings
     }
 
+    /// Ends the request at `now` if it has not ended before.
+    pub fn end_at(&mut self, now: Time) {
+        self.settings.deadline = self.settings.deadline.min(now);
+    }
+
     /// Returns the next action at `now`.
     pub fn step(&self, now: Time) -> Step {
         let PartCounts { answered, pending } = self.counts();
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -28,6 +28,7 @@
 mod rendezvous;
 pub mod retry;
 pub mod routing;
+mod stop;
 mod time;
 
 pub use self::{
@@ -38,5 +39,6 @@
     },
     outbound::Outbound,
     rendezvous::{rank, score},
+    stop::{StopPhase, StopPlan},
     time::{PauseDetector, Time},
 };
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -14,7 +14,7 @@
 use crate::{
     adapter::http1::Reply,
     core::{
-        ServiceName, Time,
+        ServiceName, StopPhase, Time,
         crash::{Admission, CrashId},
         gather::{Completion, Failure, Plan, PlanSettings, Step, merge_top},
         link::LinkState,
@@ -96,6 +96,8 @@
     };
     let mut timer = pin!(sleep(Duration::ZERO));
     let mut link_lost = pin!(gateway.link.lost());
+    let mut aborted = pin!(gateway.stop.reached(StopPhase::Aborting));
+    let mut ends = false;
     let completion = loop {
         let now = gateway.now();
         match dispatch.plan.step(now) {
@@ -123,6 +125,10 @@
                     biased;
                     Some(completed) = calls.running.next() => dispatch.handle_completed(completed),
                     () = timer.as_mut() => {}
+                    () = aborted.as_mut(), if !ends => {
+                        ends = true;
+                        dispatch.plan.end_at(gateway.now());
+                    }
                     () = link_lost.as_mut(), if dispatch.inbound.is_repeatable() => {
                         if let Some(answer) = dispatch.hand_over_sent().await {
                             return answer;
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -100,7 +100,7 @@
 impl Gateway {
     /// Returns this node's report about itself.
     pub(super) fn entry_report(&self) -> EntryReport {
-        let state = if self.stopping.get() {
+        let state = if self.stop.is_stopping() {
             EntryState::Stopping
         } else if self.serves_callers() {
             EntryState::Ready
--- a/src/gateway/inbound.rs
+++ b/src/gateway/inbound.rs
@@ -28,6 +28,8 @@
     pub(super) first: bool,
     /// Another node has handed the request over.
     pub(super) handed_over: bool,
+    /// When a node that is stopping answers the request at the latest.
+    pub(super) end_by: Option<Time>,
 }
 
 impl Inbound {
@@ -39,7 +41,8 @@
     /// Returns when the request ends.
     pub(super) fn deadline(&self) -> Time {
         let timeout = self.timeout().min(self.route.timeout);
-        self.arrived + timeout.saturating_sub(self.waited + DEADLINE_MARGIN)
+        let deadline = self.arrived + timeout.saturating_sub(self.waited + DEADLINE_MARGIN);
+        self.end_by.map_or(deadline, |end| deadline.min(end))
     }
 
     /// Returns whether the request may run more than once.
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -1,4 +1,4 @@
-use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, future::pending, pin::pin, rc::Rc, time::Duration};
 
 use anyhow::Context as _;
 use bytes::Bytes;
@@ -12,8 +12,11 @@
 };
 
 use crate::{
-    core::{crash::Admission, mirror::Position, retry::retry_after},
-    gateway::{Listen, crashes::fingerprint, dispatch::dispatch, inbound::Inbound, state::Gateway},
+    core::{StopPhase, crash::Admission, mirror::Position, retry::retry_after},
+    gateway::{
+        Listen, crashes::fingerprint, dispatch::dispatch, inbound::Inbound, state::Gateway,
+        stop::ARRIVAL_WINDOW,
+    },
     platform::{
         CallerAnswer, CallerRequest, LeafRequest, directory_query, is_handed_over, is_ready_probe,
     },
@@ -80,18 +83,46 @@
     Metrics,
 }
 
+/// Accepts connections, those of callers until the intake of a stopping node ends.
 async fn accept(gateway: Rc<Gateway>, listener: TcpListener, port: Port) {
+    let serve = |stream| {
+        tokio::task::spawn_local(serve_connection(gateway.clone(), stream, port));
+    };
+    let mut intake_end = pin!(intake_end(&gateway, port));
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(gateway.clone(), stream, port));
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = intake_end.as_mut() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => serve(stream),
             Err(error) => {
                 log::warn!(port:? = port, error:% = error; "failed to accept a connection");
                 sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    match listener.into_std() {
+        Ok(listener) => waiting_connections(&listener).for_each(serve),
+        Err(error) => log::warn!(port:? = port, error:% = error; "failed to empty the backlog"),
+    }
+}
+
+/// Waits until a port accepts no more connections.
+async fn intake_end(gateway: &Gateway, port: Port) {
+    match port {
+        Port::Callers => gateway.stop.reached(StopPhase::Draining).await,
+        _ => pending().await,
+    }
+}
+
+/// Returns the connections in a listener's backlog, which closing the listener would reset.
+fn waiting_connections(listener: &std::net::TcpListener) -> impl Iterator<Item = TcpStream> {
+    let accepted = std::iter::from_fn(|| listener.accept().ok());
+    accepted.filter_map(|(stream, _)| {
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    })
 }
 
 /// Increments a counter, and decrements it again when dropped.
@@ -123,13 +154,29 @@
     });
     // hyper's timeout for the request head includes the idle time before it.
     let idle = limits.idle_timeout + limits.header_timeout;
-    let served = http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size((limits.header_bytes * 2).max(MIN_BUFFER_BYTES))
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = served.await
+    let mut connection = pin!(connection);
+    let mut reuse_end = pin!(async {
+        intake_end(&gateway, port).await;
+        if first.get() {
+            sleep(ARRIVAL_WINDOW).await;
+        }
+    });
+    let served = tokio::select! {
+        biased;
+        served = connection.as_mut() => served,
+        () = reuse_end.as_mut() => {
+            // Closes the connection at once if it is idle, otherwise after the answer in progress.
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = served
         && let Some(suppressed) = gateway.log_limiter.admit(gateway.now(), "connection")
     {
         log::debug!(port:? = port, suppressed, error:% = error; "connection failed");
@@ -143,16 +190,7 @@
     first: bool,
 ) -> Answer {
     match port {
-        Port::Callers => {
-            let _guard = CountGuard::new(&gateway.active_requests);
-            let mut answer =
-                handle_request(gateway.clone(), request, Origin::Caller { first }).await;
-            if gateway.stopping.get() {
-                let close = header::HeaderValue::from_static("close");
-                answer.headers_mut().insert(header::CONNECTION, close);
-            }
-            answer
-        }
+        Port::Callers => answer_request(gateway, request, Origin::Caller { first }).await,
         Port::Ready => {
             let ready = is_ready_probe(request.uri()) && gateway.is_ready();
             empty_response(if ready {
@@ -166,8 +204,7 @@
             None => empty_response(StatusCode::NOT_FOUND),
         },
         Port::Peer if is_handed_over(request.headers()) => {
-            let _guard = CountGuard::new(&gateway.active_requests);
-            handle_request(gateway.clone(), request, Origin::OtherNode).await
+            answer_request(gateway, request, Origin::OtherNode).await
         }
         Port::Peer => answer_peer(&gateway, &request),
         Port::Metrics if request.uri().path() == METRICS_PATH => {
@@ -212,6 +249,21 @@
     OtherNode,
 }
 
+/// Answers a request, on a connection that is closed afterwards if the node is stopping.
+async fn answer_request(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+    origin: Origin,
+) -> Answer {
+    let _guard = CountGuard::new(&gateway.active_requests);
+    let mut answer = handle_request(gateway.clone(), request, origin).await;
+    if gateway.stop.is_stopping() {
+        let close = header::HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer
+}
+
 async fn handle_request(
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
@@ -286,6 +338,19 @@
         );
         return CallerAnswer::Unavailable { retry_after }.into_response(&caller.id);
     }
+    let handed_over = origin == Origin::OtherNode;
+    let typical = gateway.route_stats.stats(&route).borrow().typical;
+    let end_by = gateway.stop.end_by();
+    let ends_early = end_by.is_some_and(|end| gateway.now() + typical > end);
+    if ends_early || handed_over && gateway.stop.is_draining() {
+        record_rejection(StatusCode::SERVICE_UNAVAILABLE, "the node is stopping");
+        let retry_after = retry_after(
+            Duration::ZERO,
+            route.priority,
+            &mut *gateway.rng.borrow_mut(),
+        );
+        return CallerAnswer::Unavailable { retry_after }.into_response(&caller.id);
+    }
     let waited = gateway.lag.get().read_delay(arrived);
     let inbound = Inbound {
         content,
@@ -295,7 +360,8 @@
         arrived,
         waited,
         first: origin == Origin::Caller { first: true },
-        handed_over: origin == Origin::OtherNode,
+        handed_over,
+        end_by,
     };
     dispatch(gateway, inbound).await
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -29,6 +29,7 @@
         logging::{LogLimiter, dropped_lines},
         members::{Members, node_id},
         routes::RouteStatsMap,
+        stop::StopState,
         sync::SyncState,
         upstreams::Upstreams,
     },
@@ -66,7 +67,7 @@
     pub(super) named_nodes: RefCell<Vec<SocketAddr>>,
     pub(super) log_limiter: LogLimiter,
     pub(super) rng: RefCell<Pcg64>,
-    pub(super) stopping: Cell<bool>,
+    pub(super) stop: StopState,
     /// Requests in progress.
     pub(super) active_requests: Cell<usize>,
     /// Open connections of callers.
@@ -83,7 +84,7 @@
     /// Returns whether the node is ready for requests.
     pub(super) fn is_ready(&self) -> bool {
         let now = self.now();
-        !self.stopping.get()
+        !self.stop.is_stopping()
             && !self.sync.is_outdated(now)
             && !self.routing.borrow().is_empty()
             && !self.registry.borrow().is_empty()
@@ -160,7 +161,7 @@
         named_nodes: RefCell::default(),
         log_limiter: LogLimiter::default(),
         rng: RefCell::new(rng),
-        stopping: Cell::new(false),
+        stop: StopState::default(),
         active_requests: Cell::new(0),
         caller_connections: Cell::new(0),
         sync: SyncState::new(started),
@@ -191,7 +192,7 @@
             _ = hangup.recv() => gateway.reload(&reload),
         }
     }
-    gateway.stop().await;
+    gateway.shut_down().await;
     Ok(())
 }
 
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -1,48 +1,100 @@
-use std::time::Duration;
+use std::{cell::Cell, time::Duration};
 
-use tokio::time::sleep;
+use tokio::{sync::Notify, time::sleep};
 
-use crate::gateway::{directory::ANSWER_TTL, state::Gateway};
+use crate::{
+    core::{StopPhase, StopPlan, Time},
+    gateway::{directory::ANSWER_TTL, state::Gateway},
+};
 
 /// Factor by which callers may exceed the TTL of an address answer.
 const TTL_FACTOR: u32 = 3;
-/// Time after the last request in which another one that was already sent may still arrive.
-const ARRIVAL_WINDOW: Duration = Duration::from_millis(300);
-/// Time before SIGKILL at which the process exits even if requests are in progress.
-const KILL_MARGIN: Duration = Duration::from_millis(250);
-/// Interval at which the process checks whether all requests have been answered.
-const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time in which a request that its caller has already sent arrives.
+pub(super) const ARRIVAL_WINDOW: Duration = Duration::from_millis(300);
+/// Interval at which the process checks whether the next phase of the stop has come.
+const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// The state of a graceful stop.
+#[derive(Debug, Default)]
+pub(super) struct StopState {
+    /// The times of the stop, once it has started.
+    plan: Cell<Option<StopPlan>>,
+    phase: Cell<StopPhase>,
+    /// Signals that the phase has changed.
+    changed: Notify,
+}
+
+impl StopState {
+    pub(super) fn is_stopping(&self) -> bool {
+        self.phase.get() != StopPhase::Running
+    }
+
+    /// Returns whether the node accepts no new connections.
+    pub(super) fn is_draining(&self) -> bool {
+        self.phase.get() >= StopPhase::Draining
+    }
+
+    /// Returns when requests in progress are answered at the latest, if the node is stopping.
+    pub(super) fn end_by(&self) -> Option<Time> {
+        self.plan.get().map(|plan| plan.abort_at())
+    }
+
+    /// Waits until the stop has reached a phase.
+    pub(super) async fn reached(&self, phase: StopPhase) {
+        loop {
+            let changed = self.changed.notified();
+            if self.phase.get() >= phase {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    fn enter(&self, phase: StopPhase) {
+        self.phase.set(phase);
+        self.changed.notify_waiters();
+    }
+}
 
 impl Gateway {
     /// Stops gracefully: withdraws the node from address answers at once, serves callers that still have its address
-    /// cached, and finishes requests in progress.
-    pub(super) async fn stop(&self) {
+    /// cached, then accepts no more connections and finishes the requests in progress.
+    pub(super) async fn shut_down(&self) {
         let started = self.now();
-        let max_wait = self
-            .settings
-            .borrow()
-            .bounds
-            .stop_grace
-            .saturating_sub(KILL_MARGIN);
-        let in_progress = self.active_requests.get();
-        log::info!(requests = in_progress, callers = self.caller_connections.get(); "stopping");
-        self.stopping.set(true);
+        let grace = self.settings.borrow().bounds.stop_grace;
+        let plan = StopPlan::new(started, grace, ANSWER_TTL * TTL_FACTOR + ARRIVAL_WINDOW);
+        self.stop.plan.set(Some(plan));
+        self.log_stop("stopping", started);
+        self.stop.enter(StopPhase::Withdrawn);
         self.announce().await;
-        let min_wait = (ANSWER_TTL * TTL_FACTOR + ARRIVAL_WINDOW).min(max_wait);
-        let mut idle_since = started;
-        loop {
+        while self.stop.phase.get() != StopPhase::Done {
             sleep(CHECK_INTERVAL).await;
-            let now = self.now();
-            if self.active_requests.get() > 0 {
-                idle_since = now;
-            }
-            let waited = now.since(started);
-            let is_idle = now.since(idle_since) >= ARRIVAL_WINDOW;
-            if waited >= max_wait || (waited >= min_wait && is_idle) {
-                break;
+            let phase = self.stop.phase.get();
+            let next = plan.next(self.now(), phase, self.unfinished());
+            if next == phase {
+                continue;
             }
+            let step = match next {
+                StopPhase::Draining => "intake ended",
+                StopPhase::Aborting => "requests in progress are ended",
+                _ => "stopped",
+            };
+            self.log_stop(step, started);
+            self.stop.enter(next);
         }
-        let waited = self.now().since(started).as_millis() as u64;
-        log::info!(waited_ms = waited, unfinished = self.active_requests.get(); "stopped");
+    }
+
+    /// Returns the number of connections and requests that have not ended.
+    fn unfinished(&self) -> usize {
+        self.caller_connections.get() + self.active_requests.get()
+    }
+
+    fn log_stop(&self, step: &str, started: Time) {
+        log::info!(
+            waited_ms = self.now().since(started).as_millis() as u64,
+            unfinished = self.active_requests.get(),
+            connections = self.caller_connections.get();
+            "{step}"
+        );
     }
 }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -20,6 +20,7 @@
 mod retry_after;
 mod routing;
 mod send_delay;
+mod stop;
 
 use cranberrychute::core::Time;
 
--- /dev/null
+++ b/tests/decisions/stop.rs
@@ -0,0 +1,88 @@
+//! When a stopping node ends its intake, its requests in progress and its process.
+
+use std::time::Duration;
+
+use cranberrychute::core::{StopPhase, StopPlan};
+use proptest::prelude::*;
+
+use crate::at;
+
+/// Time for which callers may use the address of a node that is stopping.
+const CACHED: Duration = Duration::from_millis(3_300);
+
+/// Plays a stop that starts at 1 s and is checked every 10 ms. `unfinished` returns the number of unfinished requests at
+/// a time after the start. Returns when each phase began.
+fn play(grace: Duration, unfinished: impl Fn(u64, StopPhase) -> usize) -> Vec<(u64, StopPhase)> {
+    let plan = StopPlan::new(at(1_000), grace, CACHED);
+    let mut phase = StopPhase::Running;
+    let mut phases = Vec::new();
+    for elapsed in (0..60_000).step_by(10) {
+        let next = plan.next(at(1_000 + elapsed), phase, unfinished(elapsed, phase));
+        if next != phase {
+            phases.push((elapsed, next));
+            phase = next;
+        }
+    }
+    assert_eq!(phase, StopPhase::Done, "{phases:?}");
+    phases
+}
+
+/// Guards against a node that accepts requests until it exits, since steady load leaves no moment without one.
+#[test]
+fn the_intake_ends_under_steady_load_and_requests_in_progress_finish() {
+    // Requests take 120 ms and come without a gap until the intake ends.
+    let phases = play(Duration::from_secs(6), |elapsed, phase| match phase {
+        StopPhase::Running | StopPhase::Withdrawn => 6,
+        _ => usize::from(elapsed < 3_300 + 120) * 5,
+    });
+    assert_eq!(
+        phases,
+        [
+            (0, StopPhase::Withdrawn),
+            (3_300, StopPhase::Draining),
+            (3_420, StopPhase::Done),
+        ]
+    );
+}
+
+/// Guards against requests that are cut at the exit because they take longer than the rest of the grace period.
+#[test]
+fn requests_that_do_not_finish_are_ended_before_the_exit() {
+    let phases = play(Duration::from_secs(6), |elapsed, _| {
+        usize::from(elapsed < 5_510)
+    });
+    assert_eq!(
+        phases[2..],
+        [(5_500, StopPhase::Aborting), (5_510, StopPhase::Done)]
+    );
+    // A caller that reads slowly is given up at the end.
+    let phases = play(Duration::from_secs(6), |_, _| 1);
+    assert_eq!(phases.last(), Some(&(5_750, StopPhase::Done)));
+}
+
+/// Guards against an exit with connections that wait to be accepted.
+#[test]
+fn an_unused_node_ends_its_intake_before_it_exits() {
+    let phases = play(Duration::from_secs(6), |_, _| 0);
+    assert_eq!(
+        phases[1..],
+        [(3_300, StopPhase::Draining), (3_310, StopPhase::Done)]
+    );
+}
+
+proptest! {
+    /// The phases come in order and the process exits within any grace period.
+    #[test]
+    fn a_stop_ends_within_the_grace_period(grace_ms in 300_u64..40_000, work_ms in 0_u64..50_000) {
+        let grace = Duration::from_millis(grace_ms);
+        let phases = play(grace, |elapsed, _| usize::from(elapsed < work_ms));
+        prop_assert!(phases.is_sorted_by_key(|(_, phase)| *phase));
+        let at = |phase| phases.iter().find(|(_, it)| *it == phase).map(|(at, _)| *at);
+        let (draining, done) = (at(StopPhase::Draining).unwrap(), at(StopPhase::Done).unwrap());
+        prop_assert!(done < grace_ms || grace_ms < 300);
+        prop_assert!(draining <= 3_310 && draining < done);
+        if let Some(aborting) = at(StopPhase::Aborting) {
+            prop_assert!(grace_ms < 2_500 || aborting - draining >= 1_490);
+        }
+    }
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod input;
 mod limits;
 mod links;
+mod load;
 mod membership;
 mod platform;
 mod requests;
--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -3,7 +3,10 @@
 use rustix::process::Signal;
 use tokio::time::sleep;
 
-use crate::site::{Site, wait_until};
+use crate::{
+    load::{End, Load, cut_requests},
+    site::{Node, Site, wait_until},
+};
 
 /// Time between SIGTERM and SIGKILL.
 const GRACE: Duration = Duration::from_secs(6);
@@ -68,3 +71,45 @@
     .await;
     assert_eq!(node.query("/one/x", "last").await.status, 200);
 }
+
+/// Waits until a node has exited, which it must do within [`GRACE`] of `stopped`.
+async fn wait_for_exit(node: &mut Node, stopped: Instant) {
+    wait_until("the process exits", async || node.exit_status().is_some()).await;
+    assert!(stopped.elapsed() < GRACE, "{:?}", stopped.elapsed());
+    assert!(node.exit_status().unwrap().success());
+}
+
+/// Guards against a stopping node that accepts requests until it exits and cuts those that it has passed on.
+#[tokio::test]
+async fn nodes_that_stop_together_under_steady_load_cut_no_request() {
+    let site = Site::start(1, 3).await;
+    for leaf in &site.shards[0] {
+        leaf.set_delay(Duration::from_millis(120));
+    }
+    let mut nodes = site.nodes().await;
+    let addresses: Vec<_> = nodes.iter().map(Node::callers).collect();
+    let orders = Load::start(&addresses, 12, "/order/", Duration::from_millis(60));
+    let queries = Load::start(&addresses, 6, "/one/", Duration::from_millis(60));
+    sleep(Duration::from_secs(1)).await;
+    // Two stop together; the third is killed and started again meanwhile.
+    let stopped = Instant::now();
+    nodes[0].signal(Signal::TERM);
+    nodes[1].signal(Signal::TERM);
+    sleep(Duration::from_millis(500)).await;
+    nodes[2].kill();
+    let killed = nodes[2].callers();
+    nodes[2] = site.node(2);
+    for node in &mut nodes[..2] {
+        wait_for_exit(node, stopped).await;
+    }
+    let mut requests = orders.finish().await;
+    requests.extend(queries.finish().await);
+    let served = requests
+        .iter()
+        .filter(|request| request.end == End::Status(200));
+    assert!(served.count() > 300, "of {} requests", requests.len());
+    // Those at the node that was killed are lost with it.
+    requests.retain(|request| request.node != killed);
+    let cut = cut_requests(&site, &requests);
+    assert!(cut.is_empty(), "{} requests cut: {cut:?}", cut.len());
+}
