--- a/src/core/mirror/item.rs
+++ b/src/core/mirror/item.rs
@@ -29,6 +29,9 @@
     /// Returns for how long the last known state of a key, `present` or deleted, outweighs that of a copy from which the
     /// store was restored, unless the key is written again. Returns `None` if there is no limit.
     fn hold_time(&self, key: &str, present: bool) -> Option<Duration>;
+
+    /// Returns whether the store removes an item by itself if its writer falls silent.
+    fn expires(&self, key: &str) -> bool;
 }
 
 /// The state of a key.
@@ -89,6 +92,8 @@
     /// Position of the last change, or of the deletion.
     pub(super) position: Position,
     pub(super) state: ItemState,
+    /// Revision of the last value of a deleted key, if this node has seen it.
+    pub(super) written: Option<u64>,
     /// When the key was deleted.
     pub(super) deleted_at: Option<Time>,
     /// Set if the state is from an earlier era than the store's.
@@ -108,15 +113,21 @@
         Self {
             position,
             state: ItemState::Present(value),
+            written: None,
             deleted_at: None,
             hold: None,
         }
     }
 
-    pub(super) fn deleted(position: Position, last: Bytes, now: Time) -> Self {
+    /// Returns the entry of this key after its deletion.
+    pub(super) fn into_deleted(self, position: Position, now: Time) -> Self {
+        let stored = self.stored().map(|(at, _)| at.revision);
         Self {
             position,
-            state: ItemState::Deleted { last },
+            written: stored.or(self.written),
+            state: ItemState::Deleted {
+                last: self.state.last_value().clone(),
+            },
             deleted_at: Some(now),
             hold: None,
         }
--- a/src/core/mirror/state.rs
+++ b/src/core/mirror/state.rs
@@ -52,6 +52,55 @@
     }
 }
 
+/// What a mirror knows about the era before a restore.
+#[derive(Debug)]
+struct Before {
+    position: Position,
+    floor: u64,
+    /// The changes of that era after `floor`.
+    history: VecDeque<Change>,
+}
+
+impl Before {
+    /// Returns whether all changes at a revision are known.
+    fn is_complete_at(&self, revision: u64) -> bool {
+        self.floor < revision && revision <= self.position.revision
+    }
+
+    /// Returns whether the copy may have this value of a key, written at this revision. `known` is the state of the key at
+    /// the end of the era.
+    fn may_have(&self, key: &Arc<str>, known: &Entry, revision: u64, value: &Bytes) -> bool {
+        let last_write = match &known.state {
+            ItemState::Present(_) => known.position.revision,
+            ItemState::Deleted { .. } => known.written.unwrap_or(known.position.revision),
+        };
+        if !self.is_complete_at(revision) {
+            return revision <= last_write;
+        }
+        let is_known = revision == last_write && known.state.last_value() == value;
+        let in_history = |change: &Change| {
+            change.position.revision == revision
+                && change.key == *key
+                && change.value.as_ref() == Some(value)
+        };
+        is_known || self.history.iter().any(in_history)
+    }
+
+    /// Returns the highest revision that the copy is known to include: that of the latest item which the store has had
+    /// since before the restore.
+    fn included(&self, entries: &BTreeMap<Arc<str>, Entry>, items: &[Change]) -> u64 {
+        let is_old = |item: &&Change| {
+            entries.get(&item.key).is_some_and(|known| {
+                let position = Position::new(self.position.era, item.position.revision);
+                known.position == position && known.state.value() == item.value.as_ref()
+            })
+        };
+        let revisions = items.iter().filter(is_old);
+        let revisions = revisions.map(|item| item.position.revision);
+        revisions.max().unwrap_or(0)
+    }
+}
+
 /// A node's copy of the store's items.
 #[derive(Debug, Default)]
 pub struct Mirror<O> {
@@ -232,7 +281,14 @@
         position: Position,
         copied: u64,
     ) -> Vec<Change> {
-        self.history.clear();
+        let before = Before {
+            position: self.position,
+            floor: self.floor,
+            history: std::mem::take(&mut self.history),
+        };
+        let included = before.included(&self.entries, &items);
+        // The copy may have changes of eras in between that this node has not seen.
+        let follows = position.era == before.position.era + 1;
         self.floor = position.revision;
         self.position = position;
         self.copied = copied;
@@ -245,7 +301,23 @@
         let mut changed = Vec::new();
         for (key, known) in std::mem::take(&mut self.entries) {
             let stored = stored.remove(&key);
-            let winner = self.winner(&key, &known.state, stored.as_ref().map(|(_, value)| value));
+            let changed_since = match &stored {
+                Some((at, value)) => !before.may_have(&key, &known, at.revision, value),
+                None => {
+                    !self.order.expires(&key)
+                        && known.position.era == before.position.era
+                        && known.position.revision <= included
+                }
+            };
+            if let Some((at, _)) = &stored
+                && changed_since
+                && follows
+                && before.is_complete_at(at.revision)
+            {
+                self.copied = self.copied.min(at.revision - 1);
+            }
+            let stored_value = stored.as_ref().map(|(_, value)| value);
+            let winner = self.winner(&key, &known.state, stored_value, changed_since);
             match (winner, stored) {
                 (Winner::Store, Some((position, value))) => {
                     if known.state.value() != Some(&value) {
@@ -257,7 +329,15 @@
                     }
                     self.entries.insert(key, Entry::present(position, value));
                 }
-                (winner, stored) => {
+                (Winner::Store, None) => {
+                    changed.push(Change {
+                        key: key.clone(),
+                        position,
+                        value: None,
+                    });
+                    self.entries.insert(key, known.into_deleted(position, now));
+                }
+                (winner @ Winner::Known(_), stored) => {
                     let until = winner.hold_time().map(|time| now + time);
                     let hold = Some(Hold { stored, until });
                     self.held.insert(key.clone());
@@ -277,11 +357,19 @@
     }
 
     /// Returns whether a state known from an earlier era outweighs the one that the store has after a restore.
-    fn winner(&self, key: &str, known: &ItemState, stored: Option<&Bytes>) -> Winner {
+    /// `changed_since` is set if the store's state is known to be later than its return.
+    fn winner(
+        &self,
+        key: &str,
+        known: &ItemState,
+        stored: Option<&Bytes>,
+        changed_since: bool,
+    ) -> Winner {
         let order = |value: &Bytes| self.order.compare(key, value, known.last_value());
         let present = known.value().is_some();
         let held = Winner::Known(self.order.hold_time(key, present));
         match (known, stored.map(order)) {
+            (ItemState::Present(_), None) | (_, Some(None)) if changed_since => Winner::Store,
             (ItemState::Present(_), Some(Some(Ordering::Less))) => Winner::Known(None),
             (ItemState::Present(_), Some(_)) => Winner::Store,
             (ItemState::Deleted { .. }, Some(Some(Ordering::Greater))) => Winner::Store,
@@ -318,11 +406,14 @@
             Some(mine) => mine.stored().map(|(at, value)| (at, value.clone())),
             None => None,
         };
-        let Winner::Known(time) = self.winner(
-            &item.key,
-            &item.state,
-            stored.as_ref().map(|(_, value)| value),
-        ) else {
+        // Any revision above that of the deletion was given out after it, in whichever era.
+        let changed_since = item.state.value().is_none()
+            && stored
+                .as_ref()
+                .is_some_and(|(at, _)| at.revision > item.position.revision);
+        let stored_value = stored.as_ref().map(|(_, value)| value);
+        let winner = self.winner(&item.key, &item.state, stored_value, changed_since);
+        let Winner::Known(time) = winner else {
             return None;
         };
         let was_written = stored
@@ -338,6 +429,7 @@
         self.held.insert(item.key.clone());
         let entry = Entry {
             position: item.position,
+            written: mine.and_then(|mine| mine.written),
             deleted_at: value.is_none().then_some(now),
             state: item.state,
             hold: Some(Hold { stored, until }),
@@ -360,7 +452,7 @@
         let previous = entry.state.clone();
         *entry = match stored {
             Some((position, value)) => Entry::present(position, value),
-            None => Entry::deleted(position, previous.last_value().clone(), now),
+            None => entry.clone().into_deleted(position, now),
         };
         (entry.state.value() != previous.value()).then(|| Change {
             key: key.clone(),
@@ -424,7 +516,7 @@
                 Applied::Changed
             }
             (true, None) => {
-                *entry = Entry::deleted(*position, entry.state.last_value().clone(), now);
+                *entry = entry.clone().into_deleted(*position, now);
                 Applied::Changed
             }
         }
@@ -466,7 +558,7 @@
         let previous = entry.state.clone();
         *entry = match &change.value {
             Some(value) => Entry::present(change.position, value.clone()),
-            None => Entry::deleted(change.position, previous.last_value().clone(), now),
+            None => entry.clone().into_deleted(change.position, now),
         };
         self.held.remove(&change.key);
         if entry.state.value() == previous.value() {
--- a/tests/decisions/mirror.rs
+++ b/tests/decisions/mirror.rs
@@ -21,6 +21,10 @@
     fn hold_time(&self, key: &str, present: bool) -> Option<Duration> {
         (!present || !key.starts_with("vc")).then_some(HOLD_TIME)
     }
+
+    fn expires(&self, _: &str) -> bool {
+        true
+    }
 }
 
 type Mirror = mirror::Mirror<TestOrder>;
--- a/tests/decisions/restore.rs
+++ b/tests/decisions/restore.rs
@@ -28,6 +28,10 @@
     fn hold_time(&self, key: &str, _: bool) -> Option<Duration> {
         (key != CONFIG).then_some(HOLD_TIME)
     }
+
+    fn expires(&self, key: &str) -> bool {
+        key.starts_with("leaf")
+    }
 }
 
 type Mirror = mirror::Mirror<TestOrder>;
@@ -235,6 +239,104 @@
     assert_eq!(values(&changes), [("leaf-1", Some(4))]);
 }
 
+/// Returns a mirror at position 1:54 that has seen a flag set at 51 and deleted at 53, and leaves written at 52 and 54.
+fn mirror_with_deleted_flag() -> Mirror {
+    let mut mirror = mirror_with(&[("leaf-1", 4), ("leaf-2", 4)]);
+    let changes = vec![
+        change("flag-1", (1, 51), Some(1)),
+        change("leaf-1", (1, 52), Some(5)),
+        change("flag-1", (1, 53), None),
+        change("leaf-2", (1, 54), Some(5)),
+    ];
+    mirror.advance(at(0), changes, Position::new(1, 54));
+    mirror
+}
+
+/// Guards against an item that was set again right after the restore and is ignored, because its earlier deletion is
+/// believed to outweigh the copy. The copy may be older than the deletion, so the revision alone does not tell.
+#[test]
+fn an_item_set_again_before_the_first_read_is_in_force_at_once() {
+    for revision in [52, 53, 54, 55, 60] {
+        let mut mirror = mirror_with_deleted_flag();
+        let items = vec![
+            change("flag-1", (2, revision), Some(1)),
+            change("leaf-1", (2, 40), Some(4)),
+        ];
+        let changes = mirror.replace(at(0), items, Position::new(2, 60));
+        let expected = [("flag-1", Some(1))];
+        assert_eq!(values(&changes), expected, "revision {revision}");
+        // Peers learn it as well, also one that holds the deletion.
+        let mut peer = mirror_with_deleted_flag();
+        peer.replace(at(0), Vec::new(), Position::new(2, revision - 1));
+        let update = peer.update_since(at(0), mirror.position());
+        assert_eq!(mirror.merge(at(0), update), [], "revision {revision}");
+        let update = mirror.update_since(at(0), peer.position());
+        let changes = peer.merge(at(0), update);
+        assert_eq!(values(&changes), expected, "revision {revision}");
+    }
+}
+
+/// Guards against an item that was set again and that a node without memory deletes, because a peer that has decided by
+/// an earlier rule still holds the deletion.
+#[test]
+fn a_node_without_memory_keeps_an_item_that_is_later_than_a_held_deletion() {
+    let mut peer = mirror_with_deleted_flag();
+    peer.replace(at(0), Vec::new(), Position::new(2, 54));
+    let mut update = peer.update_since(at(0), Position::new(2, 60));
+    (update.position, update.copied) = (Position::new(2, 60), 60);
+    let mut started = Mirror::default();
+    let items = vec![change("flag-1", (2, 56), Some(1))];
+    started.replace(at(0), items, Position::new(2, 60));
+    let changes = started.merge(at(0), update);
+    assert!(changes.iter().all(|change| &*change.key != "flag-1"));
+}
+
+/// Guards against a deletion that the copy undoes: the store has the item as it was before.
+#[test]
+fn an_item_of_the_copy_does_not_undo_its_deletion() {
+    let mut mirror = mirror_with_deleted_flag();
+    let items = vec![change("flag-1", (2, 51), Some(1))];
+    assert_eq!(mirror.replace(at(0), items, Position::new(2, 60)), []);
+    // A copy that is older than the mirror's history, with an earlier value.
+    let mut mirror = mirror_with_deleted_flag();
+    let items = vec![change("flag-1", (2, 30), Some(1))];
+    assert_eq!(mirror.replace(at(0), items, Position::new(2, 60)), []);
+    // The copy of a second restore has the item as the first one had it.
+    let items = vec![change("flag-1", (3, 30), Some(1))];
+    assert_eq!(mirror.replace(at(100), items, Position::new(3, 58)), []);
+}
+
+/// Guards against an item that its owner has deleted right after the restore and that is held as if the copy lacked it.
+/// A later item that the store has had since before shows that the copy had this one, too.
+#[test]
+fn an_item_deleted_before_the_first_read_is_not_held() {
+    let with_flag = || {
+        let mut mirror = mirror_with(&[("leaf-1", 4), ("leaf-2", 4)]);
+        let changes = vec![
+            change("flag-1", (1, 51), Some(1)),
+            change("leaf-1", (1, 52), Some(5)),
+        ];
+        mirror.advance(at(0), changes, Position::new(1, 54));
+        mirror
+    };
+    let mut mirror = with_flag();
+    let items = vec![change("leaf-1", (2, 52), Some(5))];
+    let changes = mirror.replace(at(0), items, Position::new(2, 60));
+    assert_eq!(values(&changes), [("flag-1", None)]);
+    // The entry of the other leaf may have expired, so it is held.
+    assert_eq!(mirror.held_count(), 1);
+    // A peer that holds the item does not bring it back.
+    let mut peer = with_flag();
+    peer.replace(at(0), Vec::new(), Position::new(2, 50));
+    let update = peer.update_since(at(0), Position::default());
+    assert_eq!(mirror.merge(at(0), update), []);
+    // Nothing shows that the copy had the item: it is lost until it is written again.
+    let mut mirror = with_flag();
+    let items = vec![change("leaf-1", (2, 55), Some(6))];
+    let changes = mirror.replace(at(0), items, Position::new(2, 60));
+    assert_eq!(values(&changes), [("leaf-1", Some(6))]);
+}
+
 type Items = BTreeMap<Arc<str>, (u64, u8)>;
 
 /// A store that can be restored, and what its writers last wrote.
@@ -248,6 +350,8 @@
     written: BTreeMap<Arc<str>, Option<u8>>,
     /// Values given out so far; versions only grow.
     version: u8,
+    /// Highest revision of the eras before.
+    highest: u64,
 }
 
 impl World {
@@ -298,6 +402,7 @@
 
     fn restore(&mut self, lost: usize) {
         let kept = self.log.len().saturating_sub(lost);
+        self.highest = self.highest.max(self.revision());
         self.era += 1;
         self.states.truncate(kept + 1);
         self.log.truncate(kept);
@@ -380,6 +485,19 @@
         let changes = self.mirror.merge(now, update);
         self.apply(changes);
     }
+
+    /// Checks that flags are set here which were set after the last restore, as far as their revisions show it.
+    fn check_flags(&self, world: &World) {
+        if self.mirror.position() != world.position() {
+            return;
+        }
+        for (key, (revision, _)) in world.items() {
+            if key.starts_with("flag") && *revision > world.highest {
+                let value = self.applied.get(key).copied().flatten();
+                assert!(value.is_some(), "{key} was set at {revision}");
+            }
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -446,6 +564,7 @@
                     late.retain(|(to, _)| *to != node);
                 }
             }
+            nodes.iter().for_each(|node| node.check_flags(&world));
         }
         for (to, update) in late {
             nodes[to].merge(at(0), update);
--- a/tests/gateway/restore.rs
+++ b/tests/gateway/restore.rs
@@ -10,6 +10,8 @@
 
 /// Time within which an accepted configuration must be active.
 const ACTIVATION_TIME: Duration = Duration::from_secs(3);
+/// Time within which an evacuation must be in force.
+const EVACUATION_TIME: Duration = Duration::from_secs(5);
 /// Time for which the store is away before it returns.
 const OUTAGE: Duration = Duration::from_millis(500);
 
@@ -193,3 +195,43 @@
     site.store.delete("op/evacuate/a");
     wait_until("the domain gets calls again", async || !out().await).await;
 }
+
+/// Guards against an evacuation that nodes ignore because they remember that an earlier one was lifted. It is set right
+/// after the store has returned, before the nodes have read the store again.
+#[tokio::test]
+async fn an_evacuation_set_again_right_after_a_restore_is_in_force_in_time() {
+    let site = Site::start(1, 3).await;
+    let mut nodes = site.nodes().await;
+    let [evacuated, _] = &site.shards[0];
+    let gets_calls = async |nodes: &[Node]| {
+        let before = evacuated.request_count();
+        for request in 0..20 {
+            for node in nodes {
+                node.query("/one/x", &format!("q{request}")).await;
+            }
+        }
+        evacuated.request_count() > before
+    };
+    site.store.put("op/evacuate/a", &json!({}));
+    wait_until("the domain gets no calls", async || {
+        !gets_calls(&nodes).await
+    })
+    .await;
+    site.store.delete("op/evacuate/a");
+    wait_until("the domain gets calls", async || gets_calls(&nodes).await).await;
+    let copy = site.store.copy();
+    nodes[2].kill();
+    restore(&site, &copy).await;
+    site.store.put("op/evacuate/a", &json!({}));
+    let set = Instant::now();
+    nodes[2] = site.node(2);
+    wait_until("the started node is ready", async || {
+        nodes[2].is_ready().await
+    })
+    .await;
+    wait_until("the domain gets no calls", async || {
+        !gets_calls(&nodes).await
+    })
+    .await;
+    assert!(set.elapsed() < EVACUATION_TIME, "{:?}", set.elapsed());
+}
