--- a/src/adapter/http1/mod.rs
+++ b/src/adapter/http1/mod.rs
@@ -8,6 +8,6 @@
 mod reply;
 
 pub use self::{
-    connection::{Connection, ExchangeError, ExchangeStep},
+    connection::{Connection, ConnectionId, ExchangeError, ExchangeStep},
     reply::Reply,
 };
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -4,6 +4,7 @@
 //! answers. Designed for leaves of different speed that pause briefly at independent times, and some of which are
 //! slow, fail, shed calls or do not answer for seconds.
 
+mod connection;
 mod contention;
 mod idle_limit;
 mod leaf_stats;
@@ -11,6 +12,7 @@
 mod share;
 
 pub use self::{
+    connection::{ConnectionChoice, choose_connection},
     contention::Contention,
     idle_limit::{IdleLimit, MIN_IDLE_TIME},
     leaf_stats::{CallToken, LeafLoad, LeafStats, Outcome},
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -17,6 +17,7 @@
     },
     gateway::{
         crashes::{LostCall, Trial},
+        inbound::Carriers,
         routes::RouteStats,
         state::Gateway,
         upstreams::Leaf,
@@ -45,6 +46,8 @@
     pub(super) request: Rc<LeafRequest>,
     /// Id of the caller's request.
     pub(super) id: Arc<str>,
+    /// Connections that have carried the request.
+    pub(super) carriers: Carriers,
     /// Deadline of the caller's request.
     pub(super) deadline: Time,
     pub(super) objective: Duration,
@@ -192,7 +195,8 @@
             idle_time < MIN_IDLE_TIME
                 || self.repeatable && gateway.idle_limit.borrow().allows(now, idle_time)
         };
-        let (mut lease, idle_time) = match self.leaf.take_idle(now, allows) {
+        let idle = self.leaf.take_idle(now, &self.carriers.borrow(), allows);
+        let (mut lease, idle_time) = match idle {
             Some((lease, idle_time)) => (lease, Some(idle_time)),
             None => {
                 let opened = gateway.connect(&self.leaf).await;
@@ -216,6 +220,7 @@
             .connection
             .as_mut()
             .expect("the lease holds a connection");
+        self.carriers.borrow_mut().push(connection.id());
         let limit = if self.partial {
             MAX_PART_BYTES
         } else {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -340,10 +340,12 @@
             .map(|(_, leaf)| leaf.clone())
             .collect();
         let typical = self.route_stats.borrow().typical;
+        let carriers = self.inbound.carriers.borrow().clone();
         let query = LeafQuery {
             typical,
             regions: &self.inbound.route.regions,
             tried: &tried,
+            carriers: &carriers,
             limited: purpose.is_none_or(Purpose::is_retry),
             least_used: is_trial,
         };
@@ -397,6 +399,7 @@
             leaf,
             request: self.inbound.request.clone(),
             id: self.inbound.caller.id.clone(),
+            carriers: self.inbound.carriers.clone(),
             deadline,
             objective: self.inbound.route.objective,
             partial: self.gather().is_some(),
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -2,7 +2,6 @@
 
 use http::StatusCode;
 use rand::seq::SliceRandom;
-use smallvec::SmallVec;
 use tokio::time::timeout;
 
 use crate::{
@@ -74,18 +73,17 @@
     /// it, and none has run it.
     ///
     /// A request is handed over once: the other node runs it itself or rejects it. Another one is asked only if the previous
-    /// one is known not to have run it.
+    /// one is known not to have run it, and none is asked twice.
     pub(super) async fn hand_over(&self, inbound: &Inbound) -> Option<Answer> {
         if inbound.handed_over {
             return None;
         }
         let deadline = inbound.deadline();
         let id = &inbound.caller.id;
-        let mut asked = SmallVec::<[NodeId; MAX_HELPERS]>::new();
         let mut rejection = None;
-        while asked.len() < MAX_HELPERS {
+        while inbound.asked.borrow().len() < MAX_HELPERS {
             let now = self.now();
-            let helpers = self.helpers(inbound, &asked);
+            let helpers = self.helpers(inbound, &inbound.asked.borrow());
             let priority = inbound.route.priority;
             let chosen = self.handovers.load.borrow().choose(
                 now,
@@ -96,7 +94,7 @@
             let Some(helper) = chosen else {
                 break;
             };
-            asked.push(helper.clone());
+            inbound.asked.borrow_mut().push(helper.clone());
             let mut guard = HandoverGuard::start(self, &helper);
             let left = deadline.since(now);
             let result = timeout(left, self.exchange_with(&helper, inbound)).await;
--- a/src/gateway/inbound.rs
+++ b/src/gateway/inbound.rs
@@ -1,8 +1,11 @@
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
+
+use smallvec::SmallVec;
 
 use crate::{
+    adapter::http1::ConnectionId,
     core::{
-        Time,
+        NodeId, Time,
         crash::Fingerprint,
         routing::{Repeat, Route},
     },
@@ -12,6 +15,9 @@
 /// Time before the caller's timeout at which a request ends.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(6);
 
+/// Connections that have carried a request, shared by its calls.
+pub(super) type Carriers = Rc<RefCell<SmallVec<[ConnectionId; 8]>>>;
+
 /// A caller's request as received by the gateway.
 #[derive(Debug)]
 pub(super) struct Inbound {
@@ -28,6 +34,10 @@
     pub(super) first: bool,
     /// Another node has handed the request over.
     pub(super) handed_over: bool,
+    /// Connections that have carried the request.
+    pub(super) carriers: Carriers,
+    /// Nodes to which the request was handed over.
+    pub(super) asked: RefCell<SmallVec<[NodeId; 3]>>,
     /// When a node that is stopping answers the request at the latest.
     pub(super) end_by: Option<Time>,
 }
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -1,4 +1,11 @@
-use std::{cell::Cell, convert::Infallible, future::pending, pin::pin, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    convert::Infallible,
+    future::pending,
+    pin::pin,
+    rc::Rc,
+    time::Duration,
+};
 
 use anyhow::Context as _;
 use bytes::Bytes;
@@ -14,7 +21,11 @@
 use crate::{
     core::{StopPhase, crash::Admission, mirror::Position, retry::retry_after},
     gateway::{
-        Listen, crashes::fingerprint, dispatch::dispatch, inbound::Inbound, state::Gateway,
+        Listen,
+        crashes::fingerprint,
+        dispatch::dispatch,
+        inbound::{Carriers, Inbound},
+        state::Gateway,
         stop::ARRIVAL_WINDOW,
     },
     platform::{
@@ -361,6 +372,8 @@
         waited,
         first: origin == Origin::Caller { first: true },
         handed_over,
+        carriers: Carriers::default(),
+        asked: RefCell::default(),
         end_by,
     };
     dispatch(gateway, inbound).await
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -12,11 +12,14 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    adapter::http1::{Connection, ExchangeError},
+    adapter::http1::{Connection, ConnectionId, ExchangeError},
     core::{
         Domain, Instance, ServiceName, Time,
         limit::{Allowance, LeafLimit, Tally},
-        placement::{Candidate, Contention, LeafStats, connection_share, pick},
+        placement::{
+            Candidate, ConnectionChoice, Contention, LeafStats, choose_connection,
+            connection_share, pick,
+        },
         registry::{LeafChange, LeafRecord},
         retry::RetryBudget,
         score,
@@ -134,17 +137,32 @@
         self.cold_until.get().is_some_and(|until| now < until)
     }
 
-    /// Takes an idle connection whose idle time is accepted by `allows`, and returns it with that time. Connections
-    /// that do not qualify are closed. The connection counts as open until the lease is released or dropped.
+    /// Takes an idle connection that is not among `carriers` and whose idle time is accepted by `allows`, and returns it with
+    /// that time. Connections that do not qualify are closed, one of the carriers if there are no others. The connection
+    /// counts as open until the lease is released or dropped.
     pub(super) fn take_idle(
         self: &Rc<Self>,
         now: Time,
+        carriers: &[ConnectionId],
         allows: impl Fn(Duration) -> bool,
     ) -> Option<(ConnectionLease, Duration)> {
         loop {
-            let (mut connection, since) = self.idle.borrow_mut().pop()?;
+            let (choice, (mut connection, since)) =
+                {
+                    let mut idle = self.idle.borrow_mut();
+                    let ids: SmallVec<[ConnectionId; 8]> =
+                        idle.iter().map(|(connection, _)| connection.id()).collect();
+                    match choose_connection(&ids, carriers) {
+                        ConnectionChoice::Open => return None,
+                        choice @ (ConnectionChoice::Reuse(index)
+                        | ConnectionChoice::Replace(index)) => (choice, idle.remove(index)),
+                    }
+                };
             let idle_time = now.since(since);
             let mut lease = ConnectionLease::new(self);
+            if let ConnectionChoice::Replace(_) = choice {
+                return None;
+            }
             if allows(idle_time) && connection.is_idle() {
                 lease.connection = Some(connection);
                 return Some((lease, idle_time));
@@ -178,8 +196,11 @@
         !self.idle.borrow().is_empty() || !backing_off && self.open_count.get() < max_connections
     }
 
-    fn has_idle(&self) -> bool {
-        !self.idle.borrow().is_empty()
+    /// Returns whether a connection other than `carriers` is idle.
+    fn has_idle(&self, carriers: &[ConnectionId]) -> bool {
+        let idle = self.idle.borrow();
+        let mut ids = idle.iter().map(|(connection, _)| connection.id());
+        ids.any(|id| !carriers.contains(&id))
     }
 
     fn close_idle(&self) {
@@ -276,6 +297,8 @@
     pub(super) regions: &'a [Arc<str>],
     /// Leaves that must not be called.
     pub(super) tried: &'a [Rc<Leaf>],
+    /// Connections that have carried the request.
+    pub(super) carriers: &'a [ConnectionId],
     /// Whether leaves that name a rate limit may be called.
     pub(super) limited: bool,
     /// Whether to choose among the leaves with the fewest calls of this node in progress.
@@ -507,7 +530,7 @@
                 same_domain: leaf.record.borrow().domain == settings.domain,
                 outside_subset: !leaf.pooled.get(),
                 cold: leaf.is_cold(now),
-                connected: leaf.has_idle(),
+                connected: leaf.has_idle(query.carriers),
             };
             (*index, candidate)
         });
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 #[path = "../seeds/mod.rs"]
 mod seeds;
 
+mod connection;
 mod crash;
 mod entry;
 mod gather;
--- /dev/null
+++ b/tests/gateway/copies.rs
@@ -0,0 +1,158 @@
+//! A leaf sends second copies of its rejections, late: right before its answer to the next request on the connection.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use futures::future::join_all;
+use serde_json::json;
+use tokio::{
+    io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+
+use crate::site::{Site, wait_until};
+
+const LEAF: &str = "i-copies";
+/// Beginning of the ids of requests that the leaf rejects once before it runs them.
+const REJECTED: &str = "rejected";
+
+/// What a leaf has seen of each request.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    arrivals: u32,
+    runs: u32,
+}
+
+type Requests = Arc<Mutex<HashMap<String, Seen>>>;
+
+/// Starts a leaf that rejects some requests once and copies each rejection.
+async fn start_leaf() -> (SocketAddr, Requests) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let requests = Requests::default();
+    let seen = requests.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(stream, seen.clone()));
+        }
+    });
+    (address, requests)
+}
+
+async fn serve(stream: TcpStream, requests: Requests) {
+    let mut stream = BufReader::new(stream);
+    let mut copy = None::<String>;
+    while let Some(id) = read_request(&mut stream).await {
+        if let Some(copy) = copy.take() {
+            let _ = stream.write_all(copy.as_bytes()).await;
+            // The copy arrives by itself, as one that is sent late does.
+            sleep(Duration::from_millis(5)).await;
+        }
+        let runs = {
+            let mut requests = requests.lock().unwrap();
+            let seen = requests.entry(id.clone()).or_default();
+            seen.arrivals += 1;
+            let runs = seen.arrivals > 1 || !id.starts_with(REJECTED);
+            seen.runs += u32::from(runs);
+            runs
+        };
+        let reply = if runs {
+            sleep(Duration::from_millis(10)).await;
+            format!(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: {LEAF}.{id}\r\nContent-Length: 2\r\n\r\nok"
+            )
+        } else {
+            format!(
+                "HTTP/1.1 503 Busy\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            )
+        };
+        copy = (!runs).then(|| reply.clone());
+        if stream.write_all(reply.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads a request and returns its id, `None` if the connection has ended.
+async fn read_request(stream: &mut BufReader<TcpStream>) -> Option<String> {
+    let (mut id, mut length) = (None, 0);
+    loop {
+        let mut line = String::new();
+        if stream.read_line(&mut line).await.ok()? == 0 {
+            return None;
+        }
+        let line = line.trim().to_ascii_lowercase();
+        if line.is_empty() {
+            break;
+        }
+        if let Some(value) = line.strip_prefix("request-id:") {
+            id = Some(value.trim().to_owned());
+        }
+        if let Some(value) = line.strip_prefix("content-length:") {
+            length = value.trim().parse().unwrap();
+        }
+    }
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(id.unwrap_or_default())
+}
+
+/// Guards against the copy of a rejection that is taken as the answer to the same order sent again: the order then runs
+/// twice, or is answered as not run although it has run.
+#[tokio::test]
+async fn a_late_copy_of_a_rejection_is_no_answer_to_the_order_sent_again() {
+    let site = Site::start(1, 2).await;
+    let (address, requests) = start_leaf().await;
+    for leaf in &site.shards[0] {
+        site.store.delete(&leaf.key());
+    }
+    let entry = json!({
+        "service": "s0", "address": address, "zone": "a", "config_version": "v1", "slots": 8,
+        "state": "ready", "warmup_left_ms": 0, "sequence": 1,
+    });
+    site.store.put(&format!("servers/{LEAF}"), &entry);
+    // One connection for each node, so that a request that is sent again finds the one that has carried it.
+    let mut config = site.config(8);
+    config["services"][0]["max_connections"] = json!(2);
+    site.store.put("op/config", &config);
+    let mut nodes = site.nodes().await;
+    for node in &nodes {
+        wait_until("the node uses the leaf", async || {
+            node.query("/one/x", "probe").await.status == 200
+        })
+        .await;
+    }
+    nodes[1].kill();
+    nodes[1] = site.node(1);
+    wait_until("the node is back", async || nodes[1].is_ready().await).await;
+    let mut statuses = HashMap::new();
+    for round in 0..10 {
+        let sends = nodes.iter().enumerate().map(async |(index, node)| {
+            let id = format!("{REJECTED}-{round}-{index}");
+            let reply = node.send_order("/order/x", &id).await;
+            (id, reply.status)
+        });
+        statuses.extend(join_all(sends).await);
+    }
+    sleep(Duration::from_millis(100)).await;
+    let requests = requests.lock().unwrap();
+    for (id, status) in &statuses {
+        let runs = requests[id].runs;
+        assert!(runs <= 1, "{id} ran {runs} times");
+        assert!(
+            runs == 0 || !matches!(status, 429 | 503),
+            "{id} has run and was answered {status}"
+        );
+    }
+    let served = statuses.values().filter(|status| **status == 200).count();
+    assert!(
+        served > statuses.len() / 2,
+        "{served} of {}",
+        statuses.len()
+    );
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests of gateway processes against an emulated platform store and emulated leaves.
 
+mod copies;
 mod crashes;
 mod input;
 mod limits;
