Handle signals from the start of a gateway

Cause: the handlers were installed after the listening sockets were bound and the tasks started; without a handler both signals end a process.

Fix: the handlers are installed first.

Also a test of answers that are read slowly around overlapping stops and reloads.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -131,6 +131,10 @@
     settings: Settings,
     reload: impl Fn() -> anyhow::Result<Settings> + 'static,
 ) -> anyhow::Result<()> {
+    // Without a handler, a signal during the start would end the process.
+    let mut terminate = signal(SignalKind::terminate()).context("install the SIGTERM handler")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("install the SIGINT handler")?;
+    let mut hangup = signal(SignalKind::hangup()).context("install the SIGHUP handler")?;
     let clock = Clock;
     let mut rng = Pcg64::from_os_rng();
     let incarnation = Incarnation(rng.random());
@@ -182,9 +186,6 @@
     tokio::task::spawn_local(gateway.clone().monitor_link());
     tokio::task::spawn_local(gateway.clone().upkeep());
     ingress::serve(&gateway, listeners);
-    let mut terminate = signal(SignalKind::terminate()).context("install the SIGTERM handler")?;
-    let mut interrupt = signal(SignalKind::interrupt()).context("install the SIGINT handler")?;
-    let mut hangup = signal(SignalKind::hangup()).context("install the SIGHUP handler")?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/tests/gateway/load.rs
+++ b/tests/gateway/load.rs
@@ -1,6 +1,7 @@
 //! Callers that send requests without a break, each on a connection of its own that it keeps open.
 
 use std::{
+    io,
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -11,6 +12,8 @@
 
 use cranberrychute::adapter::http1::{Connection, ExchangeError};
 use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpSocket,
     task::JoinSet,
     time::{sleep, timeout},
 };
@@ -19,6 +22,9 @@
 
 /// Time that a caller waits for an answer.
 const TIMEOUT: Duration = Duration::from_secs(5);
+/// Size of the pieces in which a slow caller reads, and the pause after each.
+const PIECE_BYTES: usize = 64 << 10;
+const PIECE_PAUSE: Duration = Duration::from_millis(10);
 /// Pause of a caller that no node accepts.
 const REFUSED_PAUSE: Duration = Duration::from_millis(50);
 
@@ -31,6 +37,14 @@
     Timeout,
 }
 
+/// How a caller reads an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reading {
+    AtOnce,
+    /// In small pieces, on a connection of its own with a small receive buffer.
+    Slowly,
+}
+
 /// A request that has ended.
 #[derive(Clone, Debug)]
 pub(crate) struct Request {
@@ -54,6 +68,17 @@
         callers: usize,
         path: &'static str,
         pause: Duration,
+    ) -> Self {
+        Self::start_with(nodes, callers, path, pause, Reading::AtOnce)
+    }
+
+    /// Starts callers like [`Load::start`] that read their answers in this way.
+    pub(crate) fn start_with(
+        nodes: &[SocketAddr],
+        callers: usize,
+        path: &'static str,
+        pause: Duration,
+        reading: Reading,
     ) -> Self {
         let (ended, stopped) = (
             Arc::<Mutex<Vec<_>>>::default(),
@@ -72,6 +97,18 @@
                     if stopped.load(Ordering::Relaxed) {
                         return;
                     }
+                    if reading == Reading::Slowly {
+                        let id = format!("{path}slow-{caller}-{request}");
+                        match read_slowly(nodes[0], path, &id).await {
+                            Some(end) => {
+                                let node = nodes[0];
+                                ended.lock().unwrap().push(Request { id, node, end });
+                            }
+                            None => nodes.rotate_left(1),
+                        }
+                        sleep(pause).await;
+                        continue;
+                    }
                     let Some(open) = connect(&mut nodes, connection.take()).await else {
                         sleep(REFUSED_PAUSE).await;
                         continue;
@@ -139,7 +176,7 @@
         "{method} {path}x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 4000\r\n\
          Content-Length: 0\r\n\r\n"
     );
-    let exchange = connection.exchange(request.as_bytes(), 1 << 20, |_| true);
+    let exchange = connection.exchange(request.as_bytes(), 4 << 20, |_| true);
     let end = match timeout(TIMEOUT, exchange).await {
         Ok(Ok(reply)) => End::Status(reply.status),
         Ok(Err(ExchangeError { .. })) => End::Cut,
@@ -148,3 +185,49 @@
     let kept = matches!(end, End::Status(_)) && connection.is_idle();
     (end, kept.then_some(connection))
 }
+
+/// Sends a request on a new connection and reads its answer in pieces of [`PIECE_BYTES`]. Returns `None` if the node refuses
+/// the connection.
+async fn read_slowly(node: SocketAddr, path: &str, id: &str) -> Option<End> {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(PIECE_BYTES as u32).unwrap();
+    let mut stream = socket.connect(node).await.ok()?;
+    let request = format!(
+        "GET {path}x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 4000\r\n\r\n"
+    );
+    let read = async {
+        stream.write_all(request.as_bytes()).await?;
+        let mut answer = Vec::new();
+        let mut piece = vec![0; PIECE_BYTES];
+        loop {
+            let received = stream.read(&mut piece).await?;
+            answer.extend_from_slice(&piece[..received]);
+            if received == 0 || is_whole(&answer) {
+                return io::Result::Ok(answer);
+            }
+            sleep(PIECE_PAUSE).await;
+        }
+    };
+    let end = match timeout(TIMEOUT, read).await {
+        Ok(Ok(answer)) if is_whole(&answer) => {
+            let status = std::str::from_utf8(&answer[9..12]).unwrap();
+            End::Status(status.parse().unwrap())
+        }
+        Ok(_) => End::Cut,
+        Err(_) => End::Timeout,
+    };
+    Some(end)
+}
+
+/// Returns whether an answer has arrived up to its stated length.
+fn is_whole(answer: &[u8]) -> bool {
+    let Some(head) = answer.windows(4).position(|bytes| bytes == b"\r\n\r\n") else {
+        return false;
+    };
+    let text = String::from_utf8_lossy(&answer[..head]).to_ascii_lowercase();
+    let length = text
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length:"));
+    let length: usize = length.map_or(0, |length| length.trim().parse().unwrap());
+    answer.len() >= head + 4 + length
+}
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -149,21 +149,23 @@
 impl Site {
     /// Starts a store and two leaves for each shard, and assigns addresses to `nodes` nodes without starting them.
     pub(crate) async fn start(shards: usize, nodes: usize) -> Self {
+        // Both leaves of a shard hold the same records.
+        Self::start_with_records(shards, nodes, &[7; 16]).await
+    }
+
+    /// Starts a site whose leaves answer with `records`, of which the first byte is the number of the shard.
+    pub(crate) async fn start_with_records(shards: usize, nodes: usize, records: &[u8]) -> Self {
         let permit = SITE_PERMITS.acquire().await.unwrap();
         let store = Store::start(nodes).await.unwrap();
         let mut pairs = Vec::new();
         for shard in 0..shards {
-            let records = |leaf: u8| {
-                let mut record = [leaf; 16];
-                record[0] = shard as u8;
-                record
-            };
-            // Both leaves of a shard hold the same records.
+            let mut records = records.to_vec();
+            records[0] = shard as u8;
             let pair = [
-                GatewayLeaf::start(&format!("i-{shard}a"), &records(7))
+                GatewayLeaf::start(&format!("i-{shard}a"), &records)
                     .await
                     .unwrap(),
-                GatewayLeaf::start(&format!("i-{shard}b"), &records(7))
+                GatewayLeaf::start(&format!("i-{shard}b"), &records)
                     .await
                     .unwrap(),
             ];
--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -4,7 +4,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    load::{End, Load, cut_requests},
+    load::{End, Load, Reading, cut_requests},
     site::{Node, Site, wait_until},
 };
 
@@ -113,3 +113,57 @@
     let cut = cut_requests(&site, &requests);
     assert!(cut.is_empty(), "{} requests cut: {cut:?}", cut.len());
 }
+
+/// Guards against answers that are cut because their handler has returned: the caller has not read them yet.
+#[tokio::test]
+async fn overlapping_stops_and_reloads_cut_no_answer_that_is_read_slowly() {
+    let site = Site::start_with_records(1, 3, &[7; 4_000_000]).await;
+    for leaf in &site.shards[0] {
+        leaf.set_delay(Duration::from_millis(30));
+    }
+    let mut nodes = site.nodes().await;
+    let addresses: Vec<_> = nodes.iter().map(Node::callers).collect();
+    let pause = Duration::from_millis(200);
+    let slow = Load::start_with(&addresses, 12, "/one/", pause, Reading::Slowly);
+    let orders = Load::start(&addresses, 6, "/order/", pause);
+    sleep(Duration::from_secs(1)).await;
+    let mut stops = Vec::new();
+    for (index, pause_ms) in [(0, 900), (1, 1_600), (2, 0)] {
+        nodes[index].signal(Signal::TERM);
+        stops.push(Instant::now());
+        for node in &nodes {
+            node.signal(Signal::HUP);
+        }
+        sleep(Duration::from_millis(pause_ms)).await;
+        nodes[index].signal(Signal::TERM);
+    }
+    for (index, stopped) in stops.into_iter().enumerate() {
+        wait_for_exit(&mut nodes[index], stopped).await;
+        nodes[index] = site.node(index);
+    }
+    let mut requests = orders.finish().await;
+    requests.extend(slow.finish().await);
+    let served = requests
+        .iter()
+        .filter(|request| request.end == End::Status(200));
+    assert!(served.count() > 60, "of {} requests", requests.len());
+    let cut = cut_requests(&site, &requests);
+    assert!(cut.is_empty(), "{} requests cut: {cut:?}", cut.len());
+}
+
+/// Guards against a signal during the start that ends the process at once: its handler is installed too late.
+#[tokio::test]
+async fn signals_during_the_start_are_handled() {
+    let site = Site::start(1, 1).await;
+    for signal in [Signal::HUP, Signal::TERM].into_iter().cycle().take(40) {
+        let mut node = site.node(0);
+        let listens = || std::net::TcpStream::connect(node.callers()).is_ok();
+        while !listens() {
+            std::hint::spin_loop();
+        }
+        node.signal(signal);
+        sleep(Duration::from_millis(30)).await;
+        let status = node.exit_status();
+        assert!(status.is_none(), "{signal:?}: {status:?}");
+    }
+}
