Answer requests that wait for another node before the exit

Callers saw (in a test only): a request that a node without links to the leaves had handed to another node, and that took longer than the grace period, ended without an answer when the node stopped.

Cause: the wait for the other node's answer lasted until the request's deadline, whatever the stop had reached.

Fix: the wait ends with the phase in which requests in progress are answered. The other node may have run the request, so the answer is 504, never a rejection.

--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -7,7 +7,7 @@
 use crate::{
     adapter::http1::{Connection, ExchangeError, Reply},
     core::{
-        Domain, NodeId, Time,
+        Domain, NodeId, StopPhase, Time,
         entry::EntryReport,
         link::{Handover, Helper, HelperLoad},
         placement::MIN_IDLE_TIME,
@@ -97,9 +97,12 @@
             inbound.asked.borrow_mut().push(helper.clone());
             let mut guard = HandoverGuard::start(self, &helper);
             let left = deadline.since(now);
-            let result = timeout(left, self.exchange_with(&helper, inbound)).await;
+            let result = tokio::select! {
+                result = timeout(left, self.exchange_with(&helper, inbound)) => result.ok(),
+                () = self.stop.reached(StopPhase::Aborting) => None,
+            };
             let (outcome, answer) = match result {
-                Ok(Ok(reply)) if is_rejection(&reply) => {
+                Some(Ok(reply)) if is_rejection(&reply) => {
                     let earliest = retry_time(&reply);
                     self.log_handover(inbound, &helper, &format!("rejected with {}", reply.status));
                     if earliest.is_some() {
@@ -109,20 +112,20 @@
                     let outcome = earliest.map_or(Handover::Answered, Handover::Rejected);
                     (outcome, None)
                 }
-                Ok(Ok(reply)) => {
+                Some(Ok(reply)) => {
                     let answer = CallerAnswer::Leaf(&reply).into_response(id);
                     (Handover::Answered, Some(answer))
                 }
-                Ok(Err(error)) if error.is_unsent() => {
+                Some(Err(error)) if error.is_unsent() => {
                     self.log_handover(inbound, &helper, &error.to_string());
                     (Handover::Unreachable, None)
                 }
-                Ok(Err(error)) => {
+                Some(Err(error)) => {
                     self.log_handover(inbound, &helper, &error.to_string());
                     let answer = CallerAnswer::MayHaveRun(StatusCode::BAD_GATEWAY);
                     (Handover::Unanswered, Some(answer.into_response(id)))
                 }
-                Err(_) => {
+                None => {
                     self.log_handover(inbound, &helper, "no answer in time");
                     let answer = CallerAnswer::MayHaveRun(StatusCode::GATEWAY_TIMEOUT);
                     (Handover::Unanswered, Some(answer.into_response(id)))
--- a/tests/gateway/links.rs
+++ b/tests/gateway/links.rs
@@ -99,7 +99,7 @@
 }
 
 /// Cuts node 0 off from all leaves and waits until the other nodes no longer name it to callers.
-async fn cut_off(site: &Site, nodes: &[Node]) {
+pub(crate) async fn cut_off(site: &Site, nodes: &[Node]) {
     site.set_links(0, LinkMode::Hang);
     // Requests show that the leaves do not answer.
     let requests = async {
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -212,6 +212,13 @@
         site
     }
 
+    /// Writes a configuration to the stores of all nodes.
+    pub(crate) fn put_configs(&self, config: &Value) {
+        for (store, _) in &self.linked {
+            store.put("op/config", config);
+        }
+    }
+
     /// Changes the state of all links between a node and the leaves.
     pub(crate) fn set_links(&self, node: usize, mode: LinkMode) {
         self.linked[node]
--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -1,11 +1,13 @@
 use std::time::{Duration, Instant};
 
 use rustix::process::Signal;
+use serde_json::{Value, json};
 use tokio::time::sleep;
 
 use crate::{
+    links::cut_off,
     load::{End, Load, Reading, cut_requests},
-    site::{Node, Site, wait_until},
+    site::{HOST, Node, Site, send, wait_until},
 };
 
 /// Time between SIGTERM and SIGKILL.
@@ -167,3 +169,66 @@
         assert!(status.is_none(), "{signal:?}: {status:?}");
     }
 }
+
+/// Sets the timeouts of all routes.
+fn with_timeouts(site: &Site, version: u64, timeout: Duration) -> Value {
+    let mut config = site.config(version);
+    for route in config["routes"].as_array_mut().unwrap() {
+        route["timeout_ms"] = json!(timeout.as_millis());
+    }
+    config
+}
+
+/// Sends requests that take longer than the grace period to node 0, which then stops. Returns their statuses.
+async fn stop_during_long_requests(site: &Site, mut nodes: Vec<Node>) -> Vec<u16> {
+    let long = GRACE + Duration::from_secs(2);
+    for leaf in &site.shards[0] {
+        leaf.set_delay(long);
+    }
+    let address = nodes[0].callers();
+    let requests = ["GET /one/", "POST /order/"].map(|target| {
+        tokio::spawn(async move {
+            let request = format!(
+                "{target}long HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {target}\r\nDeadline-Ms: 9000\r\n\
+                 Content-Length: 0\r\n\r\n"
+            );
+            send(address, request.as_bytes()).await
+        })
+    });
+    sleep(Duration::from_millis(300)).await;
+    let stopped = Instant::now();
+    nodes[0].signal(Signal::TERM);
+    wait_for_exit(&mut nodes[0], stopped).await;
+    let mut statuses = Vec::new();
+    for request in requests {
+        let reply = request.await.unwrap();
+        statuses.push(reply.expect("the request is answered").status);
+    }
+    statuses
+}
+
+/// Guards against requests that are cut at the exit since their leaves take longer than the grace period. They have run, so
+/// they are not rejected.
+#[tokio::test]
+async fn requests_longer_than_the_grace_period_are_answered_before_the_exit() {
+    let site = Site::start(1, 2).await;
+    let nodes = site.nodes().await;
+    let timeout = Duration::from_secs(9);
+    site.store
+        .put("op/config", &with_timeouts(&site, 8, timeout));
+    sleep(Duration::from_secs(1)).await;
+    let statuses = stop_during_long_requests(&site, nodes).await;
+    assert_eq!(statuses, [504, 504]);
+}
+
+/// Guards against the same cut for requests that wait for the answer of another node.
+#[tokio::test]
+async fn long_requests_that_were_handed_over_are_answered_before_the_exit() {
+    let site = Site::start_linked(1, 2).await;
+    let nodes = site.nodes().await;
+    cut_off(&site, &nodes).await;
+    site.put_configs(&with_timeouts(&site, 8, Duration::from_secs(9)));
+    sleep(Duration::from_secs(1)).await;
+    let statuses = stop_during_long_requests(&site, nodes).await;
+    assert_eq!(statuses, [504, 504]);
+}
