Seeded schedules of stops, reloads, kills and pauses of real processes

Checks that no request is cut at a node that only stops or reloads, that no order runs twice, and that no order is called not run although it has run.

--- a/tests/gateway/load.rs
+++ b/tests/gateway/load.rs
@@ -15,7 +15,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpSocket,
     task::JoinSet,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::site::{HOST, Site};
@@ -25,11 +25,9 @@
 /// Size of the pieces in which a slow caller reads, and the pause after each.
 const PIECE_BYTES: usize = 64 << 10;
 const PIECE_PAUSE: Duration = Duration::from_millis(10);
-/// Pause of a caller that no node accepts.
-const REFUSED_PAUSE: Duration = Duration::from_millis(50);
 
 /// How a request ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum End {
     Status(u16),
     /// The connection ended before the whole answer.
@@ -50,9 +48,23 @@
 pub(crate) struct Request {
     pub(crate) id: String,
     pub(crate) node: SocketAddr,
+    pub(crate) sent: Instant,
+    pub(crate) ended: Instant,
     pub(crate) end: End,
 }
 
+impl Request {
+    fn new(id: String, node: SocketAddr, sent: Instant, end: End) -> Self {
+        Self {
+            id,
+            node,
+            sent,
+            ended: Instant::now(),
+            end,
+        }
+    }
+}
+
 /// Callers of some nodes, and how their requests ended.
 pub(crate) struct Load {
     tasks: JoinSet<()>,
@@ -97,27 +109,31 @@
                     if stopped.load(Ordering::Relaxed) {
                         return;
                     }
-                    if reading == Reading::Slowly {
+                    let sent = Instant::now();
+                    let (id, end) = if reading == Reading::Slowly {
                         let id = format!("{path}slow-{caller}-{request}");
-                        match read_slowly(nodes[0], path, &id).await {
-                            Some(end) => {
-                                let node = nodes[0];
-                                ended.lock().unwrap().push(Request { id, node, end });
+                        let end = read_slowly(nodes[0], path, &id).await;
+                        (id, end)
+                    } else {
+                        let id = format!("{path}{caller}-{request}");
+                        let end = match connect(nodes[0], connection.take()).await {
+                            Some(open) => {
+                                let (end, kept) = send(open, path, &id).await;
+                                connection = kept;
+                                Some(end)
                             }
-                            None => nodes.rotate_left(1),
+                            None => None,
+                        };
+                        (id, end)
+                    };
+                    match end {
+                        Some(end) => {
+                            let request = Request::new(id, nodes[0], sent, end);
+                            ended.lock().unwrap().push(request);
                         }
-                        sleep(pause).await;
-                        continue;
+                        // The node accepts no connections.
+                        None => nodes.rotate_left(1),
                     }
-                    let Some(open) = connect(&mut nodes, connection.take()).await else {
-                        sleep(REFUSED_PAUSE).await;
-                        continue;
-                    };
-                    let id = format!("{path}{caller}-{request}");
-                    let (end, kept) = send(open, path, &id).await;
-                    connection = kept;
-                    let node = nodes[0];
-                    ended.lock().unwrap().push(Request { id, node, end });
                     sleep(pause).await;
                 }
             });
@@ -152,17 +168,12 @@
         .collect()
 }
 
-async fn connect(nodes: &mut [SocketAddr], kept: Option<Connection>) -> Option<Connection> {
-    if kept.is_some() {
-        return kept;
-    }
-    for _ in 0..nodes.len() {
-        if let Ok(opened) = Connection::open(nodes[0]).await {
-            return Some(opened);
-        }
-        nodes.rotate_left(1);
+/// Returns the connection that is kept, or a new one. `None` if the node refuses it.
+async fn connect(node: SocketAddr, kept: Option<Connection>) -> Option<Connection> {
+    match kept {
+        Some(kept) => Some(kept),
+        None => Connection::open(node).await.ok(),
     }
-    None
 }
 
 /// Sends a request. Returns the connection if it stays open.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,5 +1,8 @@
 //! Tests of gateway processes against an emulated platform store and emulated leaves.
 
+#[path = "../seeds/mod.rs"]
+mod seeds;
+
 mod copies;
 mod crashes;
 mod input;
@@ -12,3 +15,4 @@
 mod restore;
 mod site;
 mod stop;
+mod stop_schedules;
