Write the last log lines before a gateway exits

Cause: lines are written in batches 100 ms apart, and the process exits right after its last line.

Fix: the exit waits until the lines queued so far are written, for 100 ms at most, and wakes the writer, so that it need not wait for its interval. A reader that does not read delays the exit by these 100 ms only.

Measured: the_end_of_a_stop_is_logged failed before ("intake ended is not logged") and passes; an_unread_log_delays_no_request passes.

--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -42,7 +42,10 @@
         };
         match run() {
             // Exiting the process closes the connections that are still open.
-            Ok(()) => std::process::exit(0),
+            Ok(()) => {
+                gateway::flush_logs();
+                std::process::exit(0)
+            }
             Err(error) => {
                 super::print_error(&format!("cranberrychute: {error:#}"));
                 ExitCode::FAILURE
--- a/src/gateway/logging.rs
+++ b/src/gateway/logging.rs
@@ -3,11 +3,12 @@
     collections::HashMap,
     io::{self, Write},
     sync::{
+        OnceLock,
         atomic::{AtomicU64, Ordering},
         mpsc::{Receiver, SyncSender, sync_channel},
     },
-    thread,
-    time::Duration,
+    thread::{self, Thread},
+    time::{Duration, Instant},
 };
 
 use anyhow::Context as _;
@@ -24,7 +25,15 @@
 /// Sustained rate of lines of one kind, per second.
 const LINES_PER_SECOND: f64 = 10.0;
 
+/// Maximum time for which the exit of the process waits for the last lines to be written.
+const MAX_FLUSH_TIME: Duration = Duration::from_millis(100);
+/// Interval at which the exit checks whether they are written.
+const FLUSH_CHECK_INTERVAL: Duration = Duration::from_millis(1);
+
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
+static QUEUED_LINES: AtomicU64 = AtomicU64::new(0);
+static WRITTEN_LINES: AtomicU64 = AtomicU64::new(0);
+static WRITER: OnceLock<Thread> = OnceLock::new();
 
 /// Starts logging structured lines to standard output.
 ///
@@ -36,11 +45,12 @@
 /// Fails if a logger is already installed or the thread cannot be started.
 pub fn start_logging(level: LevelFilter) -> anyhow::Result<()> {
     let (sender, receiver) = sync_channel(QUEUE_LINES);
-    thread::Builder::new()
+    let writer = thread::Builder::new()
         .name("log".into())
         .stack_size(128 << 10)
         .spawn(move || write_lines(&receiver))
         .context("start the log thread")?;
+    WRITER.get_or_init(|| writer.thread().clone());
     let queue: Box<dyn Write + Send> = Box::new(QueueWriter {
         sender,
         line: Vec::new(),
@@ -51,13 +61,28 @@
         .context("install the logger")
 }
 
+/// Waits until the lines logged so far are written, for 100 ms at most. To be called before the process exits.
+pub fn flush_logs() {
+    let Some(writer) = WRITER.get() else {
+        return;
+    };
+    let queued = QUEUED_LINES.load(Ordering::Relaxed);
+    let end = Instant::now() + MAX_FLUSH_TIME;
+    while WRITTEN_LINES.load(Ordering::Relaxed) < queued && Instant::now() < end {
+        writer.unpark();
+        thread::sleep(FLUSH_CHECK_INTERVAL);
+    }
+}
+
 fn write_lines(lines: &Receiver<Vec<u8>>) {
     let mut reported = 0;
     while let Ok(first) = lines.recv() {
-        thread::sleep(WRITE_INTERVAL);
+        thread::park_timeout(WRITE_INTERVAL);
         let mut batch = first;
+        let mut count = 1;
         for line in lines.try_iter() {
             batch.extend_from_slice(&line);
+            count += 1;
         }
         let dropped = DROPPED_LINES.load(Ordering::Relaxed);
         if dropped > reported {
@@ -69,6 +94,7 @@
         }
         // A failed write to standard output cannot be reported anywhere.
         let _ = write_whole(&mut io::stdout().lock(), &batch);
+        WRITTEN_LINES.fetch_add(count, Ordering::Relaxed);
     }
 }
 
@@ -108,8 +134,12 @@
 
     fn flush(&mut self) -> io::Result<()> {
         let line = std::mem::take(&mut self.line);
-        if !line.is_empty() && self.sender.try_send(line).is_err() {
-            DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
+        if !line.is_empty() {
+            let counter = match self.sender.try_send(line) {
+                Ok(()) => &QUEUED_LINES,
+                Err(_) => &DROPPED_LINES,
+            };
+            counter.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,7 +25,7 @@
 mod upstreams;
 
 pub use self::{
-    logging::start_logging,
+    logging::{flush_logs, start_logging},
     settings::{Bounds, Listen, Settings},
     state::run,
 };
--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -232,3 +232,17 @@
     let statuses = stop_during_long_requests(&site, nodes).await;
     assert_eq!(statuses, [504, 504]);
 }
+
+/// Guards against a stop whose last lines are lost, because lines are written in batches.
+#[tokio::test]
+async fn the_end_of_a_stop_is_logged() {
+    let site = Site::start(1, 1).await;
+    let mut nodes = site.nodes().await;
+    let stopped = Instant::now();
+    nodes[0].signal(Signal::TERM);
+    wait_for_exit(&mut nodes[0], stopped).await;
+    let log = nodes[0].log();
+    for step in ["stopping", "intake ended", "stopped"] {
+        assert!(log.contains(&format!("\"{step}\"")), "{step} is not logged");
+    }
+}
