End the intake of a stopping gateway in a moment without requests

Cause: the intake ended at a fixed time, and callers were refused while the process still waited for its last requests.

Fix: from the time at which callers can no longer hold the address, the intake ends in the first moment without a request in progress, and one second later if there is none.

Failed try: nodes serve until that last moment while no other node is ready.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -39,6 +39,6 @@
     },
     outbound::Outbound,
     rendezvous::{rank, score},
-    stop::{StopPhase, StopPlan},
+    stop::{StopPhase, StopPlan, Unfinished},
     time::{PauseDetector, Time},
 };
--- a/src/core/stop.rs
+++ b/src/core/stop.rs
@@ -10,6 +10,9 @@
 /// enough.
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(1_500);
 
+/// Time for which a moment without requests is awaited before the intake ends.
+const MAX_QUIET_WAIT: Duration = Duration::from_millis(1_000);
+
 /// How far a graceful stop has come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopPhase {
@@ -26,12 +29,23 @@
     Done,
 }
 
+/// What has not ended yet on a node that is stopping.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unfinished {
+    /// Requests in progress.
+    pub requests: usize,
+    /// Open connections of callers.
+    pub connections: usize,
+}
+
 /// Times of a graceful stop.
 ///
-/// Under a steady load there is no moment without requests, so the intake ends at a fixed time, early enough for the
-/// requests in progress to end before the process has to exit.
+/// The intake ends in a moment without requests, so that no caller is refused while the process waits for others. Under a
+/// steady load there is no such moment. The intake then ends at a fixed time, early enough for the requests in progress to
+/// end before the process has to exit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopPlan {
+    drain_from: Time,
     drain_at: Time,
     abort_at: Time,
     exit_at: Time,
@@ -43,22 +57,30 @@
     pub fn new(now: Time, grace: Duration, cached: Duration) -> Self {
         let exit = grace.saturating_sub(KILL_MARGIN);
         let abort = exit.saturating_sub(FLUSH_TIME);
-        let drain = cached.min(abort.saturating_sub(MIN_DRAIN_TIME));
+        let last_drain = abort.saturating_sub(MIN_DRAIN_TIME);
         Self {
-            drain_at: now + drain,
+            drain_from: now + cached.min(last_drain),
+            drain_at: now + (cached + MAX_QUIET_WAIT).min(last_drain),
             abort_at: now + abort,
             exit_at: now + exit,
         }
     }
 
-    /// Returns the phase that follows `phase` at `now`, given the number of connections and requests that have not ended.
+    /// Returns the phase that follows `phase` at `now`.
     ///
     /// The intake always ends before the process exits, so that connections that wait to be accepted are noticed.
-    pub fn next(&self, now: Time, phase: StopPhase, unfinished: usize) -> StopPhase {
+    pub fn next(&self, now: Time, phase: StopPhase, unfinished: Unfinished) -> StopPhase {
+        let Unfinished {
+            requests,
+            connections,
+        } = unfinished;
         match phase {
             StopPhase::Running => StopPhase::Withdrawn,
             StopPhase::Withdrawn if now >= self.drain_at => StopPhase::Draining,
-            StopPhase::Draining | StopPhase::Aborting if unfinished == 0 || now >= self.exit_at => {
+            StopPhase::Withdrawn if now >= self.drain_from && requests == 0 => StopPhase::Draining,
+            StopPhase::Draining | StopPhase::Aborting
+                if requests + connections == 0 || now >= self.exit_at =>
+            {
                 StopPhase::Done
             }
             StopPhase::Draining if now >= self.abort_at => StopPhase::Aborting,
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -3,7 +3,7 @@
 use tokio::{sync::Notify, time::sleep};
 
 use crate::{
-    core::{StopPhase, StopPlan, Time},
+    core::{StopPhase, StopPlan, Time, Unfinished},
     gateway::{directory::ANSWER_TTL, state::Gateway},
 };
 
@@ -84,17 +84,19 @@
         }
     }
 
-    /// Returns the number of connections and requests that have not ended.
-    fn unfinished(&self) -> usize {
-        self.caller_connections.get() + self.active_requests.get()
+    fn unfinished(&self) -> Unfinished {
+        Unfinished {
+            requests: self.active_requests.get(),
+            connections: self.caller_connections.get(),
+        }
     }
 
     fn log_stop(&self, step: &str, started: Time) {
-        log::info!(
-            waited_ms = self.now().since(started).as_millis() as u64,
-            unfinished = self.active_requests.get(),
-            connections = self.caller_connections.get();
-            "{step}"
-        );
+        let Unfinished {
+            requests,
+            connections,
+        } = self.unfinished();
+        let waited = self.now().since(started).as_millis() as u64;
+        log::info!(waited_ms = waited, unfinished = requests, connections; "{step}");
     }
 }
