--- a/src/core/stop.rs
+++ b/src/core/stop.rs
@@ -9,7 +9,6 @@
 /// Minimum time between the end of the intake and the end of the requests in progress, if the grace period is long
 /// enough.
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(1_500);
-
 /// Time for which a moment without requests is awaited before the intake ends.
 const MAX_QUIET_WAIT: Duration = Duration::from_millis(1_000);
 
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -340,7 +340,7 @@
             .map(|(_, leaf)| leaf.clone())
             .collect();
         let typical = self.route_stats.borrow().typical;
-        let carriers = self.inbound.carriers.borrow().clone();
+        let carriers = self.inbound.carriers.borrow();
         let query = LeafQuery {
             typical,
             regions: &self.inbound.route.regions,
@@ -350,6 +350,7 @@
             least_used: is_trial,
         };
         let chosen = gateway.upstreams.choose(&gateway, &service, query);
+        drop(carriers);
         let leaf = match chosen {
             Ok(leaf) => leaf,
             Err(NoLeaf::Full) => {
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -23,7 +23,7 @@
 /// Maximum number of nodes among which helpers are chosen.
 const MAX_CANDIDATES: usize = 32;
 /// Maximum number of helpers that are asked in turn. Another one is asked only if the previous one did not run the request.
-const MAX_HELPERS: usize = 3;
+pub(super) const MAX_HELPERS: usize = 3;
 /// Timeout for opening a connection to a helper.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for which an idle connection to a helper is kept. Helpers close theirs later.
--- a/src/gateway/inbound.rs
+++ b/src/gateway/inbound.rs
@@ -9,6 +9,7 @@
         crash::Fingerprint,
         routing::{Repeat, Route},
     },
+    gateway::handover::MAX_HELPERS,
     platform::{CallerRequest, LeafRequest},
 };
 
@@ -37,7 +38,7 @@
     /// Connections that have carried the request.
     pub(super) carriers: Carriers,
     /// Nodes to which the request was handed over.
-    pub(super) asked: RefCell<SmallVec<[NodeId; 3]>>,
+    pub(super) asked: RefCell<SmallVec<[NodeId; MAX_HELPERS]>>,
     /// When a node that is stopping answers the request at the latest.
     pub(super) end_by: Option<Time>,
 }
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -350,10 +350,12 @@
         return CallerAnswer::Unavailable { retry_after }.into_response(&caller.id);
     }
     let handed_over = origin == Origin::OtherNode;
-    let typical = gateway.route_stats.stats(&route).borrow().typical;
     let end_by = gateway.stop.end_by();
-    let ends_early = end_by.is_some_and(|end| gateway.now() + typical > end);
-    if ends_early || handed_over && gateway.stop.is_draining() {
+    let is_too_late = end_by.is_some_and(|end| {
+        let typical = gateway.route_stats.stats(&route).borrow().typical;
+        gateway.now() + typical > end
+    });
+    if is_too_late || handed_over && gateway.stop.is_draining() {
         record_rejection(StatusCode::SERVICE_UNAVAILABLE, "the node is stopping");
         let retry_after = retry_after(
             Duration::ZERO,
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -147,20 +147,19 @@
         allows: impl Fn(Duration) -> bool,
     ) -> Option<(ConnectionLease, Duration)> {
         loop {
-            let (choice, (mut connection, since)) =
-                {
-                    let mut idle = self.idle.borrow_mut();
-                    let ids: SmallVec<[ConnectionId; 8]> =
-                        idle.iter().map(|(connection, _)| connection.id()).collect();
-                    match choose_connection(&ids, carriers) {
-                        ConnectionChoice::Open => return None,
-                        choice @ (ConnectionChoice::Reuse(index)
-                        | ConnectionChoice::Replace(index)) => (choice, idle.remove(index)),
-                    }
-                };
+            let ids: SmallVec<[ConnectionId; 8]> = {
+                let idle = self.idle.borrow();
+                idle.iter().map(|(connection, _)| connection.id()).collect()
+            };
+            let (index, reuse) = match choose_connection(&ids, carriers) {
+                ConnectionChoice::Open => return None,
+                ConnectionChoice::Reuse(index) => (index, true),
+                ConnectionChoice::Replace(index) => (index, false),
+            };
+            let (mut connection, since) = self.idle.borrow_mut().remove(index);
             let idle_time = now.since(since);
             let mut lease = ConnectionLease::new(self);
-            if let ConnectionChoice::Replace(_) = choice {
+            if !reuse {
                 return None;
             }
             if allows(idle_time) && connection.is_idle() {
--- a/tests/decisions/restore.rs
+++ b/tests/decisions/restore.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use cranberrychute::core::{
     Time,
-    mirror::{self, Change, ItemOrder, Position, Update},
+    mirror::{self, Change, HeldItem, ItemOrder, ItemState, Position, Update},
 };
 use proptest::{collection::vec, prelude::*};
 
@@ -16,6 +16,10 @@
 /// The configuration: its value is its version, and it is held until it is written again.
 const CONFIG: &str = "config";
 
+/// An encoded update of commit 4edd690.
+const GOLDEN_UPDATE: &str = "02ac02a202010206636f6e66696702a702010109066c6561662d3102ab02000206666c61672d3101b602\
+    01010101a84606636f6e66696701b70200010b00";
+
 /// Values of the configuration and of leaves are versions; those of flags do not show their age.
 #[derive(Debug, Default)]
 struct TestOrder;
@@ -588,3 +592,36 @@
         }
     }
 }
+
+/// Guards against a change of the update's encoding, which nodes of other builds could not read.
+#[test]
+fn updates_are_encoded_as_nodes_of_earlier_builds_read_them() {
+    let update = Update {
+        position: Position::new(2, 300),
+        copied: 290,
+        full: true,
+        changes: vec![
+            change(CONFIG, (2, 295), Some(9)),
+            change("leaf-1", (2, 299), None),
+        ],
+        held: vec![
+            HeldItem {
+                key: "flag-1".into(),
+                position: Position::new(1, 310),
+                state: ItemState::Deleted {
+                    last: Bytes::from_static(&[1]),
+                },
+                left_ms: Some(9_000),
+            },
+            HeldItem {
+                key: CONFIG.into(),
+                position: Position::new(1, 311),
+                state: ItemState::Present(Bytes::from_static(&[11])),
+                left_ms: None,
+            },
+        ],
+    };
+    let bytes = postcard::to_allocvec(&update).unwrap();
+    assert_eq!(hex::encode(&bytes), GOLDEN_UPDATE);
+    assert_eq!(postcard::from_bytes::<Update>(&bytes).unwrap(), update);
+}
