Name the requests that a stop cuts, and those that it answers late

The users' record names requests that leaves received and whose connections ended around a stop. No line of their node names them: answered requests have no line, nor had those that the exit cuts, and `stopped` only counted them, at level INFO also when callers were cut.

Each connection of a caller or of another node now has an entry with the request on it: id, age, stage (body, running, answer), length of the answer and bytes written. From it come, bounded: - `request cut by the exit`, one for each request whose answer is not written whole when the process exits; - `request answered after the end of the intake`, for those that were in progress then; - `connection ended before the answer`, at any time, so a caller that left has a line, too; - `cut` in `stopped`, at level WARN if it is above 0.

a_stop_names_the_requests_that_it_cuts failed before (no line for any of the three requests; `stopped` said unfinished 0, connections 1 at level INFO although an answer of 4 MB was cut) and passes.

--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -11,7 +11,11 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    body::{Body as _, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -22,6 +26,7 @@
     core::{StopPhase, crash::Admission, mirror::Position, retry::retry_after},
     gateway::{
         Listen,
+        connections::{CountedStream, OpenConnection},
         crashes::fingerprint,
         dispatch::dispatch,
         inbound::{Carriers, Inbound},
@@ -156,12 +161,13 @@
     // Nagle's algorithm would delay answers until earlier segments are acknowledged.
     let _ = stream.set_nodelay(true);
     let limits = gateway.routing.borrow().limits();
-    let _guard = (port == Port::Callers).then(|| CountGuard::new(&gateway.caller_connections));
+    let open = Rc::new(OpenConnection::new(&gateway, port == Port::Callers));
+    let stream = CountedStream::new(stream, open.clone());
     let first = Cell::new(true);
     let service = service_fn(|request| {
-        let gateway = gateway.clone();
+        let (gateway, open) = (gateway.clone(), open.clone());
         let first = first.replace(false);
-        async move { Ok::<_, Infallible>(answer(gateway, request, port, first).await) }
+        async move { Ok::<_, Infallible>(answer(gateway, request, port, first, &open).await) }
     });
     // hyper's timeout for the request head includes the idle time before it.
     let idle = limits.idle_timeout + limits.header_timeout;
@@ -199,9 +205,10 @@
     request: Request<Incoming>,
     port: Port,
     first: bool,
+    open: &OpenConnection,
 ) -> Answer {
     match port {
-        Port::Callers => answer_request(gateway, request, Origin::Caller { first }).await,
+        Port::Callers => answer_request(gateway, request, Origin::Caller { first }, open).await,
         Port::Ready => {
             let ready = is_ready_probe(request.uri()) && gateway.is_ready();
             empty_response(if ready {
@@ -215,7 +222,7 @@
             None => empty_response(StatusCode::NOT_FOUND),
         },
         Port::Peer if is_handed_over(request.headers()) => {
-            answer_request(gateway, request, Origin::OtherNode).await
+            answer_request(gateway, request, Origin::OtherNode, open).await
         }
         Port::Peer => answer_peer(&gateway, &request),
         Port::Metrics if request.uri().path() == METRICS_PATH => {
@@ -265,9 +272,11 @@
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
     origin: Origin,
+    open: &OpenConnection,
 ) -> Answer {
     let _guard = CountGuard::new(&gateway.active_requests);
-    let mut answer = handle_request(gateway.clone(), request, origin).await;
+    let mut answer = handle_request(gateway.clone(), request, origin, open).await;
+    open.answer(answer.status(), answer.body().size_hint().lower());
     if gateway.stop.is_stopping() {
         let close = header::HeaderValue::from_static("close");
         answer.headers_mut().insert(header::CONNECTION, close);
@@ -279,10 +288,12 @@
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
     origin: Origin,
+    open: &OpenConnection,
 ) -> Answer {
     let arrived = gateway.now();
     let (parts, body) = request.into_parts();
     let caller = CallerRequest::from_parts(&parts);
+    open.start(&caller.id, arrived);
     let routing = gateway.routing.borrow().clone();
     let record_rejection = |status: StatusCode, reason: &str| {
         let labels = [("status", status.as_str().to_owned())];
@@ -338,6 +349,7 @@
             );
         }
     };
+    open.run();
     let content = fingerprint(&parts, &host, &body);
     if let Admission::Reject(until) = gateway.crashes.borrow().admit(arrived, content) {
         let reason = format!("its content {content} crashes leaves");
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! module performs the I/O.
 
 mod calls;
+mod connections;
 mod crashes;
 mod directory;
 mod dispatch;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -22,6 +22,7 @@
     },
     gateway::{
         Settings,
+        connections::Connections,
         entry::Entry,
         handover::Handovers,
         ingress,
@@ -70,8 +71,7 @@
     pub(super) stop: StopState,
     /// Requests in progress.
     pub(super) active_requests: Cell<usize>,
-    /// Open connections of callers.
-    pub(super) caller_connections: Cell<usize>,
+    pub(super) connections: Connections,
     pub(super) sync: SyncState,
     pub(super) metrics: PrometheusHandle,
 }
@@ -167,7 +167,7 @@
         rng: RefCell::new(rng),
         stop: StopState::default(),
         active_requests: Cell::new(0),
-        caller_connections: Cell::new(0),
+        connections: Connections::default(),
         sync: SyncState::new(started),
         metrics: start_metrics(),
         settings: RefCell::new(settings),
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -1,5 +1,6 @@
 use std::{cell::Cell, time::Duration};
 
+use log::Level;
 use tokio::{sync::Notify, time::sleep};
 
 use crate::{
@@ -34,6 +35,11 @@
         self.phase.get() >= StopPhase::Draining
     }
 
+    /// Returns whether the process exits.
+    pub(super) fn is_done(&self) -> bool {
+        self.phase.get() == StopPhase::Done
+    }
+
     /// Returns when requests in progress are answered at the latest, if the node is stopping.
     pub(super) fn end_by(&self) -> Option<Time> {
         self.plan.get().map(|plan| plan.abort_at())
@@ -74,20 +80,32 @@
             if next == phase {
                 continue;
             }
-            let step = match next {
-                StopPhase::Draining => "intake ended",
-                StopPhase::Aborting => "requests in progress are ended",
-                _ => "stopped",
-            };
-            self.log_stop(step, started);
+            match next {
+                StopPhase::Done => self.log_end(started),
+                StopPhase::Aborting => self.log_stop("requests in progress are ended", started),
+                _ => self.log_stop("intake ended", started),
+            }
             self.stop.enter(next);
         }
     }
 
+    /// Logs the end of a stop and the requests that the exit cuts.
+    fn log_end(&self, started: Time) {
+        let now = self.now();
+        let cut = self.connections.log_cut_requests(now);
+        let level = if cut > 0 { Level::Warn } else { Level::Info };
+        let Unfinished {
+            requests,
+            connections,
+        } = self.unfinished();
+        let waited = now.since(started).as_millis() as u64;
+        log::log!(level, waited_ms = waited, unfinished = requests, connections, cut; "stopped");
+    }
+
     fn unfinished(&self) -> Unfinished {
         Unfinished {
             requests: self.active_requests.get(),
-            connections: self.caller_connections.get(),
+            connections: self.connections.caller_count(),
         }
     }
 
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -101,6 +101,15 @@
     pub(crate) fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
     }
+
+    /// Returns the fields of each log line.
+    pub(crate) fn log_lines(&self) -> Vec<Value> {
+        let log = self.log();
+        let lines = log.lines().map(serde_json::from_str);
+        lines
+            .map(|fields| fields.expect("a line is JSON"))
+            .collect()
+    }
 }
 
 impl Drop for Node {
--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -2,7 +2,7 @@
 
 use rustix::process::Signal;
 use serde_json::{Value, json};
-use tokio::time::sleep;
+use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
 
 use crate::{
     links::cut_off,
@@ -246,3 +246,60 @@
         assert!(log.contains(&format!("\"{step}\"")), "{step} is not logged");
     }
 }
+
+/// Guards against a stop after which the log does not tell requests that were cut from those that were answered or not read.
+#[tokio::test]
+async fn a_stop_names_the_requests_that_it_cuts() {
+    let site = Site::start_with_records(1, 1, &[7; 4_000_000]).await;
+    for leaf in &site.shards[0] {
+        leaf.set_delay(Duration::from_millis(400));
+    }
+    let mut nodes = site.nodes().await;
+    let address = nodes[0].callers();
+    let open = async |id| {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let head = format!("GET /one/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream
+    };
+    let left = open("left").await;
+    let _unread = open("unread").await;
+    let load = Load::start(&[address], 6, "/one/", Duration::ZERO);
+    sleep(Duration::from_millis(200)).await;
+    drop(left);
+    let stopped = Instant::now();
+    nodes[0].signal(Signal::TERM);
+    wait_for_exit(&mut nodes[0], stopped).await;
+    let requests = load.finish().await;
+    let answered = requests
+        .iter()
+        .filter(|request| request.end == End::Status(200));
+    let last = answered.max_by_key(|request| request.ended).unwrap();
+    let lines = nodes[0].log_lines();
+    let line = |message: &str, id: &str| {
+        let found = lines
+            .iter()
+            .find(|line| line["message"] == message && line["id"] == id);
+        found.unwrap_or_else(|| panic!("no line \"{message}\" for {id}"))
+    };
+    assert_eq!(
+        line("request answered after the end of the intake", &last.id)["status"],
+        200
+    );
+    assert_eq!(
+        line("connection ended before the answer", "left")["stage"],
+        "running"
+    );
+    let cut = line("request cut by the exit", "unread");
+    assert_eq!(
+        (&cut["stage"], &cut["answer_bytes"]),
+        (&json!("answer"), &json!(4_000_000))
+    );
+    assert!(cut["written_bytes"].as_u64().unwrap() < 4_000_000, "{cut}");
+    assert!(cut["age_ms"].as_u64().unwrap() > 5_000, "{cut}");
+    let end = lines
+        .iter()
+        .find(|line| line["message"] == "stopped")
+        .unwrap();
+    assert_eq!((&end["level"], &end["cut"]), (&json!("WARN"), &json!(1)));
+}
