Wait for the last log lines until shortly before the process is killed

An exit waited 100 ms for its last lines. If the output or the thread that writes it is later than that, the lines of the stop are lost, those that name the requests it cut among them.

The exit now waits up to a second, and to 50 ms before SIGKILL. Nobody else waits meanwhile: all connections have ended. The runtime is dropped without waiting for values that are still being decoded.

--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -38,12 +38,15 @@
         let run = || {
             let runtime = Builder::new_current_thread().enable_all().build()?;
             let reload = || Ok(platform::load_settings()?);
-            LocalSet::new().block_on(&runtime, gateway::run(settings, reload))
+            let left = LocalSet::new().block_on(&runtime, gateway::run(settings, reload));
+            // Dropping the runtime would wait for values that are still being decoded.
+            runtime.shutdown_background();
+            left
         };
         match run() {
             // Exiting the process closes the connections that are still open.
-            Ok(()) => {
-                gateway::flush_logs();
+            Ok(left) => {
+                gateway::flush_logs(left);
                 std::process::exit(0)
             }
             Err(error) => {
--- a/src/core/stop.rs
+++ b/src/core/stop.rs
@@ -4,6 +4,8 @@
 
 /// Time before SIGKILL at which the process exits at the latest.
 const KILL_MARGIN: Duration = Duration::from_millis(250);
+/// Time before SIGKILL at which the last log lines are given up.
+const LOG_MARGIN: Duration = Duration::from_millis(50);
 /// Time before the exit at which the requests that are still in progress are answered, so that the answers are written.
 const FLUSH_TIME: Duration = Duration::from_millis(250);
 /// Minimum time between the end of the intake and the end of the requests in progress, if the grace period is long
@@ -48,6 +50,7 @@
     drain_at: Time,
     abort_at: Time,
     exit_at: Time,
+    logged_by: Time,
 }
 
 impl StopPlan {
@@ -62,6 +65,7 @@
             drain_at: now + (cached + MAX_QUIET_WAIT).min(last_drain),
             abort_at: now + abort,
             exit_at: now + exit,
+            logged_by: now + grace.saturating_sub(LOG_MARGIN),
         }
     }
 
@@ -91,4 +95,9 @@
     pub fn abort_at(&self) -> Time {
         self.abort_at
     }
+
+    /// Returns the time left at `now` for the last log lines.
+    pub fn time_left(&self, now: Time) -> Duration {
+        self.logged_by.since(now)
+    }
 }
--- a/src/gateway/logging.rs
+++ b/src/gateway/logging.rs
@@ -25,8 +25,9 @@
 /// Sustained rate of lines of one kind, per second.
 const LINES_PER_SECOND: f64 = 10.0;
 
-/// Maximum time for which the exit of the process waits for the last lines to be written.
-const MAX_FLUSH_TIME: Duration = Duration::from_millis(100);
+/// Maximum time for which the exit of the process waits for the last lines to be written. A reader that is late by more is
+/// taken to read no more.
+const MAX_FLUSH_TIME: Duration = Duration::from_secs(1);
 /// Interval at which the exit checks whether they are written.
 const FLUSH_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -61,13 +62,13 @@
         .context("install the logger")
 }
 
-/// Waits until the lines logged so far are written, for 100 ms at most. To be called before the process exits.
-pub fn flush_logs() {
+/// Waits until the lines logged so far are written, for `left` and 1 s at most. To be called before the process exits.
+pub fn flush_logs(left: Duration) {
     let Some(writer) = WRITER.get() else {
         return;
     };
     let queued = QUEUED_LINES.load(Ordering::Relaxed);
-    let end = Instant::now() + MAX_FLUSH_TIME;
+    let end = Instant::now() + left.min(MAX_FLUSH_TIME);
     while WRITTEN_LINES.load(Ordering::Relaxed) < queued && Instant::now() < end {
         writer.unpark();
         thread::sleep(FLUSH_CHECK_INTERVAL);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -122,7 +122,8 @@
     }
 }
 
-/// Runs the process until SIGTERM or SIGINT stops it. SIGHUP reloads the settings.
+/// Runs the process until SIGTERM or SIGINT stops it. SIGHUP reloads the settings. Returns the time left until the process is
+/// killed.
 ///
 /// # Errors
 ///
@@ -130,7 +131,7 @@
 pub async fn run(
     settings: Settings,
     reload: impl Fn() -> anyhow::Result<Settings> + 'static,
-) -> anyhow::Result<()> {
+) -> anyhow::Result<Duration> {
     // Without a handler, a signal during the start would end the process.
     let mut terminate = signal(SignalKind::terminate()).context("install the SIGTERM handler")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("install the SIGINT handler")?;
@@ -193,8 +194,8 @@
             _ = hangup.recv() => gateway.reload(&reload),
         }
     }
-    gateway.shut_down().await;
-    Ok(())
+    let plan = gateway.shut_down().await;
+    Ok(plan.time_left(gateway.now()))
 }
 
 impl Gateway {
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -64,8 +64,8 @@
 
 impl Gateway {
     /// Stops gracefully: withdraws the node from address answers at once, serves callers that still have its address
-    /// cached, then accepts no more connections and finishes the requests in progress.
-    pub(super) async fn shut_down(&self) {
+    /// cached, then accepts no more connections and finishes the requests in progress. Returns the plan of the stop.
+    pub(super) async fn shut_down(&self) -> StopPlan {
         let started = self.now();
         let grace = self.settings.borrow().bounds.stop_grace;
         let plan = StopPlan::new(started, grace, ANSWER_TTL * TTL_FACTOR + ARRIVAL_WINDOW);
@@ -87,6 +87,7 @@
             }
             self.stop.enter(next);
         }
+        plan
     }
 
     /// Logs the end of a stop and the requests that the exit cuts.
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -423,6 +423,32 @@
     }
 }
 
+/// Guards against an exit that loses the last log lines, because their reader or their thread is late.
+#[tokio::test]
+async fn the_last_log_lines_are_written_for_a_late_reader() {
+    let site = Site::start(1, 1).await;
+    let (mut reader, writer) = UnixStream::pair().unwrap();
+    writer.set_nonblocking(true).unwrap();
+    set_socket_send_buffer_size(&writer, 4_096).unwrap();
+    let mut node = site.spawn(0, OwnedFd::from(writer).into());
+    wait_until("the node is ready", async || node.is_ready().await).await;
+    for request in 0..50 {
+        let reply = node.query("/unknown/x", &format!("q{request}")).await;
+        assert_eq!(reply.status, 404);
+    }
+    node.signal(Signal::TERM);
+    // Without requests, the process exits after 3.3 s.
+    sleep(Duration::from_millis(3_700)).await;
+    let text = tokio::task::spawn_blocking(move || {
+        let mut text = String::new();
+        reader.read_to_string(&mut text).unwrap();
+        text
+    });
+    let text = text.await.unwrap();
+    assert!(text.contains("\"stopped\""), "{text}");
+    wait_until("the process exits", async || node.exit_status().is_some()).await;
+}
+
 /// Guards against requests that wait until thousands of changes are applied, and against a log line for each change.
 #[tokio::test]
 async fn thousands_of_changes_delay_no_request() {
