Name the build in the started lines and by a command

The started lines of the gateway and of the node, and `cranberrychute version`, now name the version of the crate, the commit, a digest of the sources and the architecture.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -9,6 +9,7 @@
 mod node;
 mod questionnaire;
 mod state;
+mod version;
 
 pub use self::{
     check::Check,
@@ -35,7 +36,8 @@
     example = "{command_name} check settings node.toml",
     example = "{command_name} ask --seed 127.0.0.1:8001 --service parts wok burner jet",
     example = "{command_name} state 127.0.0.1:8001",
-    example = "{command_name} questionnaire --out parts.toml"
+    example = "{command_name} questionnaire --out parts.toml",
+    example = "{command_name} version"
 )]
 struct Cranberrychute {
     #[argh(subcommand)]
@@ -52,6 +54,7 @@
     State(state::State),
     Key(key::Key),
     Questionnaire(questionnaire::Questionnaire),
+    Version(version::Version),
 }
 
 /// Parses the command-line arguments, runs the command and returns the exit code.
@@ -94,6 +97,7 @@
             Command::State(command) => command.run(),
             Command::Key(command) => command.run(),
             Command::Questionnaire(command) => command.run(),
+            Command::Version(command) => command.run(),
         }
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     adapter::{Clock, peer::ControlSocket},
+    build::BUILD,
     core::{
         Incarnation, Time, crash::CrashGuard, gather::SendDelay, lag::LoopLag, mirror::Mirror,
         placement::IdleLimit, registry::Registry, routing::Routing,
@@ -177,7 +178,11 @@
         node = &*gateway.settings.borrow().name,
         callers:% = listen.callers,
         peer:% = listen.peer,
-        incarnation = incarnation.0;
+        incarnation = incarnation.0,
+        crate_version = BUILD.crate_version,
+        commit = BUILD.commit,
+        sources = BUILD.sources,
+        arch = BUILD.arch;
         "started"
     );
     tokio::task::spawn_local(gateway.clone().watch_store());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! that platform occur only in [`platform`], a separate folder next to `src`. `docs/design.md` explains the structure.
 
 pub mod adapter;
+pub mod build;
 pub mod cli;
 pub mod client;
 pub mod core;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -54,6 +54,7 @@
         peer::{ControlSocket, Identity, PeerTransport},
         upstream::{LeafPool, PoolSettings},
     },
+    build::BUILD,
     core::{
         Incarnation, NodeId, PartitionId, ServiceName, Time,
         alarm::Alarms,
@@ -140,8 +141,15 @@
     };
     let server = CallerServer::bind(settings.caller, limits).await?;
     let (node, crashes) = Node::bind(settings).await?;
-    log::info!(node = node.me.as_str(), caller = node.settings.caller.to_string().as_str();
-        "node started");
+    log::info!(
+        node = node.me.as_str(),
+        caller = node.settings.caller.to_string().as_str(),
+        crate_version = BUILD.crate_version,
+        commit = BUILD.commit,
+        sources = BUILD.sources,
+        arch = BUILD.arch;
+        "node started"
+    );
     let (stop, stopped) = watch::channel(false);
     let serve =
         tokio::spawn(server.serve(Arc::new(caller::Api(node.clone())), stop::wait(stopped)));
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 #[path = "../seeds/mod.rs"]
 mod seeds;
 
+mod build;
 mod copies;
 mod crashes;
 mod input;
