Log panics as structured lines and answer requests whose handlers panic

A hook now writes one line, "a task panicked", with location, reason, thread and the number of panics, at most ten in a second. It does not use the logger, whose lock the panicking thread may hold: gateways put the line into the queue of the log thread, nodes write it if standard error takes it at once. cranberrychute_panics_total counts panics. LogFlush writes the last lines of a gateway whose main task panics, too. A handler that panics is caught; the caller gets 502, which promises nothing, since the request may have run, and a line names its id.

What a panic leaves behind: borrows of cells, counts of requests and connections, calls of leaves, trials and handovers are released by guards. Calls that were sent go on for 300 ms as after any end of a request. A call that was planned and not sent keeps the tokens of its leaf's rate limit and of the retry budget, so the node sends less, never more. A panic in a task that is not a request's (the watch of the store, membership) still ends that task.

--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -31,10 +31,13 @@
                 return ExitCode::from(super::EXIT_USAGE);
             }
         };
-        if let Err(error) = gateway::start_logging(self.log) {
-            super::print_error(&format!("{error:#}"));
-            return ExitCode::FAILURE;
-        }
+        let flush = match gateway::start_logging(self.log) {
+            Ok(flush) => flush,
+            Err(error) => {
+                super::print_error(&format!("{error:#}"));
+                return ExitCode::FAILURE;
+            }
+        };
         let run = || {
             let runtime = Builder::new_current_thread().enable_all().build()?;
             let reload = || Ok(platform::load_settings()?);
@@ -46,7 +49,7 @@
         match run() {
             // Exiting the process closes the connections that are still open.
             Ok(left) => {
-                gateway::flush_logs(left);
+                flush.within(left);
                 std::process::exit(0)
             }
             Err(error) => {
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -2,6 +2,7 @@
     cell::{Cell, RefCell},
     convert::Infallible,
     future::pending,
+    panic::AssertUnwindSafe,
     pin::pin,
     rc::Rc,
     time::Duration,
@@ -9,6 +10,7 @@
 
 use anyhow::Context as _;
 use bytes::Bytes;
+use futures::FutureExt;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{
@@ -33,8 +35,10 @@
         state::Gateway,
         stop::ARRIVAL_WINDOW,
     },
+    node::render_metrics,
     platform::{
         CallerAnswer, CallerRequest, LeafRequest, directory_query, is_handed_over, is_ready_probe,
+        request_id,
     },
 };
 
@@ -167,7 +171,11 @@
     let service = service_fn(|request| {
         let (gateway, open) = (gateway.clone(), open.clone());
         let first = first.replace(false);
-        async move { Ok::<_, Infallible>(answer(gateway, request, port, first, &open).await) }
+        async move {
+            let answer = answer_always(gateway, request, port, first, &open).await;
+            open.answer(answer.status(), answer.body().size_hint().lower());
+            Ok::<_, Infallible>(answer)
+        }
     });
     // hyper's timeout for the request head includes the idle time before it.
     let idle = limits.idle_timeout + limits.header_timeout;
@@ -200,6 +208,24 @@
     }
 }
 
+/// Answers a request even if its handler panics. It may have run then.
+async fn answer_always(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+    port: Port,
+    first: bool,
+    open: &OpenConnection,
+) -> Answer {
+    let id = request_id(request.headers());
+    let handler = AssertUnwindSafe(answer(gateway.clone(), request, port, first, open));
+    handler.catch_unwind().await.unwrap_or_else(|_| {
+        if let Some(suppressed) = gateway.log_limiter.admit(gateway.now(), "panicked") {
+            log::error!(id = &*id, port:? = port, suppressed; "request ended: its handler panicked");
+        }
+        CallerAnswer::MayHaveRun(StatusCode::BAD_GATEWAY).into_response(&id)
+    })
+}
+
 async fn answer(
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
@@ -226,7 +252,7 @@
         }
         Port::Peer => answer_peer(&gateway, &request),
         Port::Metrics if request.uri().path() == METRICS_PATH => {
-            Response::new(Full::new(gateway.metrics.render().into()))
+            Response::new(Full::new(render_metrics(&gateway.metrics).into()))
         }
         Port::Metrics => empty_response(StatusCode::NOT_FOUND),
     }
@@ -276,7 +302,6 @@
 ) -> Answer {
     let _guard = CountGuard::new(&gateway.active_requests);
     let mut answer = handle_request(gateway.clone(), request, origin, open).await;
-    open.answer(answer.status(), answer.body().size_hint().lower());
     if gateway.stop.is_stopping() {
         let close = header::HeaderValue::from_static("close");
         answer.headers_mut().insert(header::CONNECTION, close);
--- a/src/gateway/logging.rs
+++ b/src/gateway/logging.rs
@@ -14,7 +14,10 @@
 use anyhow::Context as _;
 use log::LevelFilter;
 
-use crate::{core::Time, node::log_dispatch};
+use crate::{
+    core::Time,
+    node::{log_dispatch, log_panics},
+};
 
 /// Maximum number of lines queued for a slow reader of standard output. Further lines are dropped and counted.
 const QUEUE_LINES: usize = 2_048;
@@ -36,7 +39,7 @@
 static WRITTEN_LINES: AtomicU64 = AtomicU64::new(0);
 static WRITER: OnceLock<Thread> = OnceLock::new();
 
-/// Starts logging structured lines to standard output.
+/// Starts logging structured lines, also about panics, to standard output.
 ///
 /// A reader that stops reading does not delay the process: a separate thread writes the lines, and lines are dropped
 /// when its queue is full.
@@ -44,7 +47,7 @@
 /// # Errors
 ///
 /// Fails if a logger is already installed or the thread cannot be started.
-pub fn start_logging(level: LevelFilter) -> anyhow::Result<()> {
+pub fn start_logging(level: LevelFilter) -> anyhow::Result<LogFlush> {
     let (sender, receiver) = sync_channel(QUEUE_LINES);
     let writer = thread::Builder::new()
         .name("log".into())
@@ -53,22 +56,42 @@
         .context("start the log thread")?;
     WRITER.get_or_init(|| writer.thread().clone());
     let queue: Box<dyn Write + Send> = Box::new(QueueWriter {
-        sender,
+        sender: sender.clone(),
         line: Vec::new(),
     });
     log_dispatch(level, true)
         .chain(queue)
         .apply()
-        .context("install the logger")
+        .context("install the logger")?;
+    log_panics(true, move |line| enqueue(&sender, line.into_bytes()));
+    Ok(LogFlush(()))
+}
+
+/// Waits, when dropped, until the lines logged so far are written, for 1 s at most. To be dropped before the process exits,
+/// which a panic does, too.
+#[derive(Debug)]
+pub struct LogFlush(());
+
+impl LogFlush {
+    /// Waits like a drop, for `left` at most.
+    pub fn within(self, left: Duration) {
+        flush_logs(left.min(MAX_FLUSH_TIME));
+        std::mem::forget(self);
+    }
 }
 
-/// Waits until the lines logged so far are written, for `left` and 1 s at most. To be called before the process exits.
-pub fn flush_logs(left: Duration) {
+impl Drop for LogFlush {
+    fn drop(&mut self) {
+        flush_logs(MAX_FLUSH_TIME);
+    }
+}
+
+fn flush_logs(limit: Duration) {
     let Some(writer) = WRITER.get() else {
         return;
     };
     let queued = QUEUED_LINES.load(Ordering::Relaxed);
-    let end = Instant::now() + left.min(MAX_FLUSH_TIME);
+    let end = Instant::now() + limit;
     while WRITTEN_LINES.load(Ordering::Relaxed) < queued && Instant::now() < end {
         writer.unpark();
         thread::sleep(FLUSH_CHECK_INTERVAL);
@@ -136,16 +159,20 @@
     fn flush(&mut self) -> io::Result<()> {
         let line = std::mem::take(&mut self.line);
         if !line.is_empty() {
-            let counter = match self.sender.try_send(line) {
-                Ok(()) => &QUEUED_LINES,
-                Err(_) => &DROPPED_LINES,
-            };
-            counter.fetch_add(1, Ordering::Relaxed);
+            enqueue(&self.sender, line);
         }
         Ok(())
     }
 }
 
+fn enqueue(sender: &SyncSender<Vec<u8>>, line: Vec<u8>) {
+    let counter = match sender.try_send(line) {
+        Ok(()) => &QUEUED_LINES,
+        Err(_) => &DROPPED_LINES,
+    };
+    counter.fetch_add(1, Ordering::Relaxed);
+}
+
 /// Rate limit for log lines of each kind.
 #[derive(Debug, Default)]
 pub(super) struct LogLimiter {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,7 +26,7 @@
 mod upstreams;
 
 pub use self::{
-    logging::{flush_logs, start_logging},
+    logging::{LogFlush, start_logging},
     settings::{Bounds, Listen, Settings},
     state::run,
 };
--- a/src/node/caller.rs
+++ b/src/node/caller.rs
@@ -8,7 +8,7 @@
     alarm::RequestOutcome,
     api::{self, AddressesAnswer, QueryAnswer, QueryBody},
     query::{self, Mode},
-    telemetry,
+    render_metrics, telemetry,
 };
 use crate::{
     adapter::caller::{ApiError, CallerPort, ErrorCode, QueryRequest, Reply},
@@ -155,7 +155,7 @@
 
     fn metrics(&self) -> String {
         self.0.metrics.run_upkeep();
-        self.0.metrics.render()
+        render_metrics(&self.0.metrics)
     }
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,6 +11,7 @@
 mod caller;
 mod control;
 mod once;
+mod panics;
 mod peers;
 mod platform;
 mod ports;
@@ -21,11 +22,15 @@
 mod stop;
 mod telemetry;
 
-pub(crate) use self::telemetry::{log_dispatch, start_metrics};
 pub use self::{
+    panics::log_panics,
     settings::{Limits, LogFormat, LogSettings, Settings, SettingsError},
     telemetry::{recent_spans, start_logging},
 };
+pub(crate) use self::{
+    panics::render_metrics,
+    telemetry::{log_dispatch, start_metrics},
+};
 
 use std::{
     collections::{BTreeSet, HashMap, HashSet},
--- a/src/node/telemetry.rs
+++ b/src/node/telemetry.rs
@@ -1,12 +1,19 @@
-use std::{collections::VecDeque, fmt, sync::Mutex, time::SystemTime};
+use std::{
+    collections::VecDeque,
+    fmt,
+    io::{self, Write as _},
+    sync::Mutex,
+    time::SystemTime,
+};
 
 use anyhow::Context;
 use fern::{Dispatch, FormatCallback};
 use log::{LevelFilter, Record, kv};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use serde_json::{Map, Value, json};
 
-use super::span;
+use super::{panics::log_panics, span};
 
 /// Target of the log lines that carry finished trace spans.
 const SPAN_TARGET: &str = "trace";
@@ -22,9 +29,20 @@
 /// Fails when a logger is already installed.
 pub fn start_logging(level: LevelFilter, json: bool) -> anyhow::Result<()> {
     log_dispatch(level, json)
-        .chain(std::io::stderr())
+        .chain(io::stderr())
         .apply()
-        .context("install the logger")
+        .context("install the logger")?;
+    log_panics(json, |line| {
+        let mut stderr = [PollFd::from_borrowed_fd(
+            rustix::stdio::stderr(),
+            PollFlags::OUT,
+        )];
+        // The line is lost if nobody reads. A pipe that is ready takes 4 KB.
+        if poll(&mut stderr, Some(&Timespec::default())).is_ok_and(|ready| ready > 0) {
+            let _ = io::stderr().write_all(line.as_bytes());
+        }
+    });
+    Ok(())
 }
 
 /// Returns a log dispatch with levels and line format but without an output.
@@ -34,7 +52,9 @@
         .level(LevelFilter::Warn)
         .level_for("cranberrychute", level)
         .level_for(SPAN_TARGET, level)
-        .format(format)
+        .format(move |out: FormatCallback<'_>, message, record| {
+            out.finish(format_args!("{}", format(message, record)));
+        })
 }
 
 /// Installs the global metrics recorder and returns its handle.
@@ -60,19 +80,16 @@
         .collect()
 }
 
-fn format_text(out: FormatCallback<'_>, message: &fmt::Arguments<'_>, record: &Record<'_>) {
+pub(super) fn format_text(message: &fmt::Arguments<'_>, record: &Record<'_>) -> String {
     let time = humantime::format_rfc3339_millis(SystemTime::now());
     let mut fields = String::new();
     let mut visitor = TextFields(&mut fields);
     let _ = record.key_values().visit(&mut visitor);
-    out.finish(format_args!(
-        "{time} {:5} {} {message}{fields}",
-        record.level(),
-        record.target()
-    ));
+    let (level, target) = (record.level(), record.target());
+    format!("{time} {level:5} {target} {message}{fields}")
 }
 
-fn format_json(out: FormatCallback<'_>, message: &fmt::Arguments<'_>, record: &Record<'_>) {
+pub(super) fn format_json(message: &fmt::Arguments<'_>, record: &Record<'_>) -> String {
     let mut line = Map::new();
     let time = humantime::format_rfc3339_millis(SystemTime::now()).to_string();
     line.insert("time".into(), time.into());
@@ -80,7 +97,7 @@
     line.insert("target".into(), record.target().into());
     line.insert("message".into(), message.to_string().into());
     let _ = record.key_values().visit(&mut JsonFields(&mut line));
-    out.finish(format_args!("{}", Value::Object(line)));
+    Value::Object(line).to_string()
 }
 
 struct TextFields<'a>(&'a mut String);
