Tests of stops at the edges that hold: slow heads, other grace periods, a store away, handed-over load

* A node without links to leaves, the node that runs its requests, and both at once.
* A configuration that changes the idle timeout, the header timeout, the routes' timeouts and services every 150 ms.

The grace period is a field of the test site, and the slow reader is shared.

--- a/tests/gateway/load.rs
+++ b/tests/gateway/load.rs
@@ -13,7 +13,7 @@
 use cranberrychute::adapter::http1::{Connection, ExchangeError};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpSocket,
+    net::{TcpSocket, TcpStream},
     task::JoinSet,
     time::{Instant, sleep, timeout},
 };
@@ -197,8 +197,7 @@
     (end, kept.then_some(connection))
 }
 
-/// Sends a request on a new connection and reads its answer in pieces of [`PIECE_BYTES`]. Returns `None` if the node refuses
-/// the connection.
+/// Sends a request on a new connection and reads its answer slowly. Returns `None` if the node refuses the connection.
 async fn read_slowly(node: SocketAddr, path: &str, id: &str) -> Option<End> {
     let socket = TcpSocket::new_v4().unwrap();
     socket.set_recv_buffer_size(PIECE_BYTES as u32).unwrap();
@@ -208,28 +207,36 @@
     );
     let read = async {
         stream.write_all(request.as_bytes()).await?;
-        let mut answer = Vec::new();
-        let mut piece = vec![0; PIECE_BYTES];
-        loop {
-            let received = stream.read(&mut piece).await?;
-            answer.extend_from_slice(&piece[..received]);
-            if received == 0 || is_whole(&answer) {
-                return io::Result::Ok(answer);
-            }
-            sleep(PIECE_PAUSE).await;
-        }
+        read_pieces(&mut stream, PIECE_PAUSE).await
     };
     let end = match timeout(TIMEOUT, read).await {
-        Ok(Ok(answer)) if is_whole(&answer) => {
-            let status = std::str::from_utf8(&answer[9..12]).unwrap();
-            End::Status(status.parse().unwrap())
-        }
+        Ok(Ok(answer)) => status(&answer).map_or(End::Cut, End::Status),
         Ok(_) => End::Cut,
         Err(_) => End::Timeout,
     };
     Some(end)
 }
 
+/// Reads an answer in pieces of [`PIECE_BYTES`], up to its stated length or the end of the connection.
+pub(crate) async fn read_pieces(stream: &mut TcpStream, pause: Duration) -> io::Result<Vec<u8>> {
+    let mut answer = Vec::new();
+    let mut piece = vec![0; PIECE_BYTES];
+    loop {
+        let received = stream.read(&mut piece).await?;
+        answer.extend_from_slice(&piece[..received]);
+        if received == 0 || is_whole(&answer) {
+            return Ok(answer);
+        }
+        sleep(pause).await;
+    }
+}
+
+/// Returns the status of an answer that is whole.
+pub(crate) fn status(answer: &[u8]) -> Option<u16> {
+    let status = std::str::from_utf8(answer.get(9..12)?).ok()?;
+    is_whole(answer).then(|| status.parse().unwrap())
+}
+
 /// Returns whether an answer has arrived up to its stated length.
 fn is_whole(answer: &[u8]) -> bool {
     let Some(head) = answer.windows(4).position(|bytes| bytes == b"\r\n\r\n") else {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -16,4 +16,5 @@
 mod restore;
 mod site;
 mod stop;
+mod stop_edges;
 mod stop_schedules;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -20,6 +20,8 @@
 };
 
 pub(crate) const HOST: &str = "parts.example";
+/// Time between SIGTERM and SIGKILL, unless a test sets another.
+pub(crate) const GRACE: Duration = Duration::from_secs(6);
 /// Maximum wait for an answer or a state that must be reached. It only stops tests that would hang.
 const STATE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Limits the number of sites that run at the same time, since more would slow each other down.
@@ -148,6 +150,8 @@
     /// The two leaves of each service, one in failure domain a and one in b.
     pub(crate) shards: Vec<[GatewayLeaf; 2]>,
     pub(crate) folder: TempDir,
+    /// Time between SIGTERM and SIGKILL in the settings of nodes that are started from now on.
+    pub(crate) grace: Duration,
     ips: Vec<IpAddr>,
     /// For each node a store of its own, which differs in the addresses of the leaves, and its links to the leaves. Empty if
     /// all nodes share the store and reach the leaves directly.
@@ -191,6 +195,7 @@
             store,
             shards: pairs,
             folder: TempDir::new().unwrap(),
+            grace: GRACE,
             _permit: permit,
         };
         for shard in 0..shards {
@@ -326,9 +331,10 @@
             "node = \"node-{index}\"\nip = \"{ip}\"\nzone = \"a\"\nregion = \"r\"\ninternal_ports = [7740, 7755]\n\
              seeds = [{}]\n[zones]\na = \"r\"\nb = \"r\"\n[listen]\nfront = \"{ip}:{CALLERS_PORT}\"\n\
              ready = \"{ip}:{READY_PORT}\"\ncontrol = \"{ip}:{CONTROL_PORT}\"\ndirectory = \"{ip}:{DIRECTORY_PORT}\"\n\
-             [bounds]\ngrace_s = 6\nconfig_apply_ms = 3000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\n\
+             [bounds]\ngrace_s = {}\nconfig_apply_ms = 3000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\n\
              retry_slack = 56\n[platform]\naddress = \"{}\"\n",
             seeds.join(", "),
+            self.grace.as_secs(),
             store,
         );
         fs::write(&settings, text).unwrap();
--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -7,12 +7,9 @@
 use crate::{
     links::cut_off,
     load::{End, Load, Reading, cut_requests},
-    site::{HOST, Node, Site, send, wait_until},
+    site::{GRACE, HOST, Node, Site, send, wait_until},
 };
 
-/// Time between SIGTERM and SIGKILL.
-const GRACE: Duration = Duration::from_secs(6);
-
 /// Guards against a stop that aborts requests in progress, and against a stopping node that stays in address answers.
 #[tokio::test]
 async fn a_stopping_node_finishes_requests_and_leaves_the_directory_at_once() {
@@ -74,10 +71,10 @@
     assert_eq!(node.query("/one/x", "last").await.status, 200);
 }
 
-/// Waits until a node has exited, which it must do within [`GRACE`] of `stopped`.
-async fn wait_for_exit(node: &mut Node, stopped: Instant) {
+/// Waits until a node has exited, which it must do within `grace` of `stopped`.
+pub(crate) async fn wait_for_exit(node: &mut Node, stopped: Instant, grace: Duration) {
     wait_until("the process exits", async || node.exit_status().is_some()).await;
-    assert!(stopped.elapsed() < GRACE, "{:?}", stopped.elapsed());
+    assert!(stopped.elapsed() < grace, "{:?}", stopped.elapsed());
     assert!(node.exit_status().unwrap().success());
 }
 
@@ -102,7 +99,7 @@
     let killed = nodes[2].callers();
     nodes[2] = site.node(2);
     for node in &mut nodes[..2] {
-        wait_for_exit(node, stopped).await;
+        wait_for_exit(node, stopped, GRACE).await;
     }
     let mut requests = orders.finish().await;
     requests.extend(queries.finish().await);
@@ -140,7 +137,7 @@
         nodes[index].signal(Signal::TERM);
     }
     for (index, stopped) in stops.into_iter().enumerate() {
-        wait_for_exit(&mut nodes[index], stopped).await;
+        wait_for_exit(&mut nodes[index], stopped, GRACE).await;
         nodes[index] = site.node(index);
     }
     let mut requests = orders.finish().await;
@@ -171,7 +168,7 @@
 }
 
 /// Sets the timeouts of all routes.
-fn with_timeouts(site: &Site, version: u64, timeout: Duration) -> Value {
+pub(crate) fn with_timeouts(site: &Site, version: u64, timeout: Duration) -> Value {
     let mut config = site.config(version);
     for route in config["routes"].as_array_mut().unwrap() {
         route["timeout_ms"] = json!(timeout.as_millis());
@@ -198,7 +195,7 @@
     sleep(Duration::from_millis(300)).await;
     let stopped = Instant::now();
     nodes[0].signal(Signal::TERM);
-    wait_for_exit(&mut nodes[0], stopped).await;
+    wait_for_exit(&mut nodes[0], stopped, GRACE).await;
     let mut statuses = Vec::new();
     for request in requests {
         let reply = request.await.unwrap();
@@ -240,7 +237,7 @@
     let mut nodes = site.nodes().await;
     let stopped = Instant::now();
     nodes[0].signal(Signal::TERM);
-    wait_for_exit(&mut nodes[0], stopped).await;
+    wait_for_exit(&mut nodes[0], stopped, GRACE).await;
     let log = nodes[0].log();
     for step in ["stopping", "intake ended", "stopped"] {
         assert!(log.contains(&format!("\"{step}\"")), "{step} is not logged");
@@ -269,7 +266,7 @@
     drop(left);
     let stopped = Instant::now();
     nodes[0].signal(Signal::TERM);
-    wait_for_exit(&mut nodes[0], stopped).await;
+    wait_for_exit(&mut nodes[0], stopped, GRACE).await;
     let requests = load.finish().await;
     let answered = requests
         .iter()
--- a/tests/gateway/stop_schedules.rs
+++ b/tests/gateway/stop_schedules.rs
@@ -12,12 +12,10 @@
 use crate::{
     load::{End, Load, Reading, Request},
     seeds,
-    site::{Node, Site},
+    site::{GRACE, Node, Site},
 };
 
 const NODES: usize = 4;
-/// Time between SIGTERM and SIGKILL.
-const GRACE: Duration = Duration::from_secs(6);
 /// Time in which signals are sent.
 const LENGTH: Duration = Duration::from_secs(10);
 /// Time after a pause for which its node may still be late.
