Answer requests whose bodies do not come before a stopping node exits

Callers saw: a request whose head was sent before SIGTERM and whose body did not come, or came after the exit, ended with a closed connection and no status, 5.76 to 5.80 s after SIGTERM.

Cause: the body of a request is awaited without an end. The phase in which a stop answers the requests in progress only ends those that have been passed on.

Now the wait for the body ends in that phase, with 503 and `Connection: close`. This is true: nothing of such a request has been passed on. A body that comes in time is served as before.

--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -362,12 +362,24 @@
             "request head too large",
         );
     }
-    let body = match Limited::new(body, limits.body_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => {
+    let reject_stopping = || {
+        record_rejection(StatusCode::SERVICE_UNAVAILABLE, "the node is stopping");
+        let rng = &mut *gateway.rng.borrow_mut();
+        let retry_after = retry_after(Duration::ZERO, route.priority, rng);
+        CallerAnswer::Unavailable { retry_after }.into_response(&caller.id)
+    };
+    let body = tokio::select! {
+        biased;
+        body = Limited::new(body, limits.body_bytes).collect() => Some(body),
+        () = gateway.stop.reached(StopPhase::Aborting) => None,
+    };
+    let body = match body {
+        None => return reject_stopping(),
+        Some(Ok(body)) => body.to_bytes(),
+        Some(Err(error)) if error.is::<LengthLimitError>() => {
             return reject(StatusCode::PAYLOAD_TOO_LARGE, "request body too large");
         }
-        Err(error) => {
+        Some(Err(error)) => {
             return reject(
                 StatusCode::BAD_REQUEST,
                 &format!("failed to read the body: {error}"),
@@ -393,13 +405,7 @@
         gateway.now() + typical > end
     });
     if is_too_late || handed_over && gateway.stop.is_draining() {
-        record_rejection(StatusCode::SERVICE_UNAVAILABLE, "the node is stopping");
-        let retry_after = retry_after(
-            Duration::ZERO,
-            route.priority,
-            &mut *gateway.rng.borrow_mut(),
-        );
-        return CallerAnswer::Unavailable { retry_after }.into_response(&caller.id);
+        return reject_stopping();
     }
     let waited = gateway.lag.get().read_delay(arrived);
     let inbound = Inbound {
--- a/tests/gateway/stop_edges.rs
+++ b/tests/gateway/stop_edges.rs
@@ -19,7 +19,7 @@
     links::cut_off,
     load::{End, Load, Request, cut_requests, read_pieces, status},
     site::{GRACE, HOST, Node, Site, wait_until},
-    stop::wait_for_exit,
+    stop::{wait_for_exit, with_timeouts},
 };
 
 /// Size of the part of a request that arrives late, bytes.
@@ -95,6 +95,13 @@
     }
 }
 
+/// Sets the timeouts of all routes and waits until the nodes have read them.
+async fn put_timeouts(site: &Site, timeout: Duration) {
+    let config = with_timeouts(site, 8, timeout);
+    site.store.put("op/config", &config);
+    sleep(Duration::from_secs(1)).await;
+}
+
 /// Checks that no request was cut after it had run, none was called not run although it had, and no order ran twice.
 fn assert_kept(site: &Site, requests: &[Request], min_served: usize) {
     let cut = cut_requests(site, requests);
@@ -135,6 +142,50 @@
     requests
 }
 
+/// Guards against a request that gets no answer since the rest of its body never comes, and against one that is refused
+/// although its body comes before the process ends.
+#[tokio::test]
+async fn requests_whose_bodies_come_slowly_around_a_stop_are_answered() {
+    let site = Site::start(1, 1).await;
+    let mut nodes = site.nodes().await;
+    put_timeouts(&site, Duration::from_secs(9)).await;
+    let address = nodes[0].callers();
+    let stopped = Instant::now() + START_TIME;
+    let mut requests = Vec::new();
+    for kept in [false, true] {
+        for rest_ms in [None, Some(0), Some(1_000), Some(4_700), Some(7_000)] {
+            let id = format!("body-{kept}-{rest_ms:?}");
+            let request = LateRequest {
+                id: id.clone(),
+                kept,
+                has_body: true,
+                rest_at: rest_ms.map(|after| stopped + Duration::from_millis(after)),
+            };
+            let expected = match rest_ms {
+                None | Some(7_000) => (Some(503), 0),
+                Some(_) => (Some(200), 1),
+            };
+            requests.push((id, request.send(address), expected));
+        }
+    }
+    sleep(stopped.saturating_duration_since(Instant::now())).await;
+    nodes[0].signal(Signal::TERM);
+    wait_for_exit(&mut nodes[0], stopped, GRACE).await;
+    println!("exit after {:?}", stopped.elapsed());
+    let mut failed = Vec::new();
+    for (id, answer, expected) in requests {
+        let answer = answer.await.unwrap();
+        let text = String::from_utf8_lossy(&answer).to_ascii_lowercase();
+        let closes = text.contains("connection: close");
+        let seen = (status(&answer), runs(&site, &id));
+        println!("{id}: {seen:?}, closes {closes}");
+        if seen != expected || !closes {
+            failed.push(id);
+        }
+    }
+    assert!(failed.is_empty(), "{failed:?}");
+}
+
 /// Guards against a request that is cut although its head was whole while the node accepted requests, and against one that
 /// was run and then cut.
 #[tokio::test]
