Answer the requests of a stopping node that was paused until it has to exit

Callers saw: requests in progress at a node that is stopping end without a status, if the process is paused during the stop until 250 ms before SIGKILL or later.

Cause: the phases of a stop are entered one after another when they are due, but at the time of the exit the process went from the end of its intake directly to the exit, without the phase in which requests in progress are answered.

Now that phase is entered first as long as requests are in progress. If it begins late, the exit waits for the answers to be written for the same time as otherwise, until 100 ms before SIGKILL.

Evidence: `requests_are_answered_after_a_pause_until_the_end_of_a_stop` pauses three nodes until 5.3, 5.6 and 5.8 s after SIGTERM and sends SIGKILL after 6 s. `requests_are_answered_however_late_their_end_is_noticed` failed before, too, and passes.

--- a/src/core/stop.rs
+++ b/src/core/stop.rs
@@ -8,6 +8,8 @@
 const LOG_MARGIN: Duration = Duration::from_millis(50);
 /// Time before the exit at which the requests that are still in progress are answered, so that the answers are written.
 const FLUSH_TIME: Duration = Duration::from_millis(250);
+/// Time before SIGKILL at which a process exits at the latest that ends its requests late, because it was paused.
+const LATE_KILL_MARGIN: Duration = Duration::from_millis(100);
 /// Minimum time between the end of the intake and the end of the requests in progress, if the grace period is long
 /// enough.
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(1_500);
@@ -50,6 +52,7 @@
     drain_at: Time,
     abort_at: Time,
     exit_at: Time,
+    late_exit_at: Time,
     logged_by: Time,
 }
 
@@ -65,6 +68,7 @@
             drain_at: now + (cached + MAX_QUIET_WAIT).min(last_drain),
             abort_at: now + abort,
             exit_at: now + exit,
+            late_exit_at: now + grace.saturating_sub(LATE_KILL_MARGIN),
             logged_by: now + grace.saturating_sub(LOG_MARGIN),
         }
     }
@@ -72,7 +76,7 @@
     /// Returns the phase that follows `phase` at `now`.
     ///
     /// The intake always ends before the process exits, so that connections that wait to be accepted are noticed.
-    pub fn next(&self, now: Time, phase: StopPhase, unfinished: Unfinished) -> StopPhase {
+    pub fn next(&mut self, now: Time, phase: StopPhase, unfinished: Unfinished) -> StopPhase {
         let Unfinished {
             requests,
             connections,
@@ -81,12 +85,16 @@
             StopPhase::Running => StopPhase::Withdrawn,
             StopPhase::Withdrawn if now >= self.drain_at => StopPhase::Draining,
             StopPhase::Withdrawn if now >= self.drain_from && requests == 0 => StopPhase::Draining,
-            StopPhase::Draining | StopPhase::Aborting
-                if requests + connections == 0 || now >= self.exit_at =>
-            {
+            StopPhase::Draining | StopPhase::Aborting if requests + connections == 0 => {
                 StopPhase::Done
             }
-            StopPhase::Draining if now >= self.abort_at => StopPhase::Aborting,
+            StopPhase::Draining if requests > 0 && now >= self.abort_at => {
+                // A process that was paused until it has to exit still answers its requests.
+                let written_at = (now + FLUSH_TIME).min(self.late_exit_at);
+                self.exit_at = self.exit_at.max(written_at);
+                StopPhase::Aborting
+            }
+            StopPhase::Draining | StopPhase::Aborting if now >= self.exit_at => StopPhase::Done,
             phase => phase,
         }
     }
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -68,7 +68,7 @@
     pub(super) async fn shut_down(&self) -> StopPlan {
         let started = self.now();
         let grace = self.settings.borrow().bounds.stop_grace;
-        let plan = StopPlan::new(started, grace, ANSWER_TTL * TTL_FACTOR + ARRIVAL_WINDOW);
+        let mut plan = StopPlan::new(started, grace, ANSWER_TTL * TTL_FACTOR + ARRIVAL_WINDOW);
         self.stop.plan.set(Some(plan));
         self.log_stop("stopping", started);
         self.stop.enter(StopPhase::Withdrawn);
--- a/tests/decisions/stop.rs
+++ b/tests/decisions/stop.rs
@@ -13,7 +13,7 @@
 /// Plays a stop that starts at 1 s and is checked every 10 ms. `requests` returns the number of requests in progress at a
 /// time after the start; each has a connection. Returns when each phase began.
 fn play(grace: Duration, requests: impl Fn(u64, StopPhase) -> usize) -> Vec<(u64, StopPhase)> {
-    let plan = StopPlan::new(at(1_000), grace, CACHED);
+    let mut plan = StopPlan::new(at(1_000), grace, CACHED);
     let mut phase = StopPhase::Running;
     let mut phases = Vec::new();
     for elapsed in (0..60_000).step_by(10) {
@@ -68,12 +68,12 @@
 /// Guards against an exit with answers that are not written yet: their requests have ended, their connections have not.
 #[test]
 fn connections_are_waited_for_after_their_requests() {
-    let plan = StopPlan::new(at(0), Duration::from_secs(6), CACHED);
+    let mut plan = StopPlan::new(at(0), Duration::from_secs(6), CACHED);
     let unfinished = |connections| Unfinished {
         requests: 0,
         connections,
     };
-    let next =
+    let mut next =
         |at_ms, connections| plan.next(at(at_ms), StopPhase::Draining, unfinished(connections));
     assert_eq!(next(3_500, 2), StopPhase::Draining);
     assert_eq!(next(3_500, 0), StopPhase::Done);
@@ -105,6 +105,26 @@
     );
 }
 
+/// Guards against requests that are cut since the process was paused from the intake's end until it has to exit.
+#[test]
+fn requests_are_answered_however_late_their_end_is_noticed() {
+    let mut plan = StopPlan::new(at(0), Duration::from_secs(6), CACHED);
+    let unfinished = Unfinished {
+        requests: 2,
+        connections: 2,
+    };
+    let mut next = |at_ms, phase| plan.next(at(at_ms), phase, unfinished);
+    assert_eq!(next(5_900, StopPhase::Withdrawn), StopPhase::Draining);
+    assert_eq!(next(5_910, StopPhase::Draining), StopPhase::Aborting);
+    assert_eq!(next(5_920, StopPhase::Aborting), StopPhase::Done);
+    // Many answers are not written within one interval of the checks.
+    let mut plan = StopPlan::new(at(0), Duration::from_secs(6), CACHED);
+    let mut next = |at_ms, phase| plan.next(at(at_ms), phase, unfinished);
+    assert_eq!(next(5_760, StopPhase::Draining), StopPhase::Aborting);
+    assert_eq!(next(5_890, StopPhase::Aborting), StopPhase::Aborting);
+    assert_eq!(next(5_900, StopPhase::Aborting), StopPhase::Done);
+}
+
 proptest! {
     /// The phases come in order and the process exits within any grace period.
     #[test]
--- a/tests/gateway/stop_edges.rs
+++ b/tests/gateway/stop_edges.rs
@@ -6,6 +6,7 @@
 };
 
 use cranberrychute_emulator::Access;
+use futures::future::join_all;
 use rustix::process::Signal;
 use serde_json::json;
 use tokio::{
@@ -26,6 +27,8 @@
 const LATE_BYTES: usize = 4;
 /// Time from the first bytes of slow requests to a stop.
 const START_TIME: Duration = Duration::from_secs(1);
+/// Number of requests that wait for a leaf with room at a node that stops.
+const WAITING: usize = 80;
 /// Time after which a caller has an answer or none will come.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -259,6 +262,56 @@
     false
 }
 
+/// Stops nodes that each have two long requests in progress, and others that mostly wait for a leaf with room, and pauses each of them at some times from SIGTERM. All have to
+/// answer and exit before SIGKILL.
+async fn stop_during_long_requests(pauses_ms: &[Vec<(i64, i64)>]) {
+    let site = Site::start(1, pauses_ms.len()).await;
+    let mut nodes = site.nodes().await;
+    let timeout = Duration::from_secs(20);
+    put_timeouts(&site, timeout).await;
+    set_delay(&site, timeout);
+    let send = |address: SocketAddr, target: &str| {
+        let request = format!(
+            "{target}long HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {target}{address}\r\n\
+             Deadline-Ms: 19000\r\nContent-Length: 0\r\n\r\n"
+        );
+        tokio::spawn(async move { exchange(address, &request).await })
+    };
+    let requests: Vec<_> = nodes
+        .iter()
+        .map(|node| ["GET /one/", "POST /order/"].map(|target| send(node.callers(), target)))
+        .collect();
+    sleep(Duration::from_millis(500)).await;
+    let others: Vec<_> = nodes
+        .iter()
+        .flat_map(|node| (0..WAITING).map(|id| send(node.callers(), &format!("GET /one/{id}/"))))
+        .collect();
+    sleep(Duration::from_millis(500)).await;
+    let stops = nodes.iter_mut().zip(pauses_ms);
+    let stops = stops.map(|(node, pauses)| stop_with_pauses(node, GRACE, pauses));
+    let exits = join_all(stops).await;
+    for node in &nodes {
+        let log = node.log();
+        let steps = log.lines().filter(|line| line.contains("gateway::stop"));
+        steps.for_each(|line| println!("{line}"));
+    }
+    let mut results = Vec::new();
+    for (exited, [one, order]) in exits.into_iter().zip(requests) {
+        results.push((exited, [one.await.unwrap(), order.await.unwrap()]));
+    }
+    assert_eq!(results, vec![(true, [Some(504); 2]); pauses_ms.len()]);
+    let others = join_all(others).await;
+    let cut = others
+        .into_iter()
+        .filter(|other| other.as_ref().unwrap().is_none());
+    assert_eq!(
+        cut.count(),
+        0,
+        "of {} other requests",
+        WAITING * nodes.len()
+    );
+}
+
 /// Sends a request on a new connection and returns the status of its answer, `None` if the connection ends without one.
 async fn exchange(address: SocketAddr, request: &str) -> Option<u16> {
     let mut stream = TcpStream::connect(address).await.unwrap();
@@ -267,6 +320,13 @@
     status(&answer.unwrap_or_default())
 }
 
+/// Guards against requests that are cut since a pause during the stop lasts beyond the time at which they were to be ended.
+#[tokio::test]
+async fn requests_are_answered_after_a_pause_until_the_end_of_a_stop() {
+    let pauses = [(500, 5_300), (1_000, 5_600), (3_600, 5_800)];
+    stop_during_long_requests(&pauses.map(|pause| vec![pause])).await;
+}
+
 /// Stops a node with this grace period under steady load and during requests that take longer than it.
 async fn stop_under_load(grace: Duration, min_served: usize) {
     let mut site = Site::start(2, 2).await;
