Write all answers of callers before a stopping node closes their connections

Callers of a stopping node process lost requests at the end of its intake, although the node ran on: connections that were open but not yet used, or still in the backlog, were closed with the request unread or reset, and a kept HTTP/1 connection could be closed while a request was on its way.

The cause is in the HTTP library's server: it drops the socket, which resets the backlog, cancels connections whose first byte has not arrived, and gives up after 10 s, which is no longer than the longest query. The caller server now accepts connections itself, as gateways do: for the last second of the intake each answer ends its HTTP/1 connection, then the backlog is emptied and the socket closed, unused connections are kept for 300 ms, and the server waits up to 12 s until the answers are written.

--- a/src/adapter/caller/server.rs
+++ b/src/adapter/caller/server.rs
@@ -1,18 +1,39 @@
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    pin::pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use anyhow::Context;
 use bytes::Bytes;
 use futures::{FutureExt, future::BoxFuture};
-use http::{HeaderMap, HeaderValue, StatusCode, header::CONTENT_TYPE};
+use http::{
+    HeaderMap, HeaderValue, StatusCode, Version,
+    header::{CONNECTION, CONTENT_TYPE},
+};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::service::{Service, service_fn};
 use hyper_util::{
-    rt::{TokioExecutor, TokioTimer},
+    rt::{TokioExecutor, TokioIo, TokioTimer},
     server::conn::auto::Builder,
 };
-use tokio::net::TcpListener;
-use viz::{Body, IntoResponse, Request, RequestExt, Response, Router};
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    time::{sleep, timeout},
+};
+use tokio_util::task::TaskTracker;
+use viz::{Body, Incoming, IntoResponse, Request, RequestExt, Responder, Response, Router, Tree};
 
-use super::{ApiError, CallerPort, ErrorCode, QueryRequest, Reply, listener::LimitedListener};
+use super::{
+    ApiError, CallerPort, ErrorCode, QueryRequest, Reply,
+    listener::{Accepted, LimitedListener},
+};
 use crate::core::{RequestId, ServiceName};
 
 /// Maximum size of the request headers, bytes.
@@ -26,6 +47,18 @@
 /// Maximum value of `x-deadline-ms`; the policy of the service lowers it further.
 const MAX_DEADLINE_MS: u64 = 600_000;
 
+/// Delay after a failed accept, for example when file descriptors run out.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time before the end of the intake in which each answer ends its HTTP/1 connection, so that callers that use one without
+/// a break send no request on it in the moment in which it is closed.
+const LAST_ANSWERS_TIME: Duration = Duration::from_secs(1);
+/// Time after the end of the intake in which the first request on an open connection arrives. A caller may have sent it
+/// before it can know that the node stops.
+const ARRIVAL_WINDOW: Duration = Duration::from_millis(300);
+/// Maximum time from the end of the intake to the end of the last connection: the longest deadline of a query, 10 s, and
+/// time to write its answer.
+const MAX_DRAIN_TIME: Duration = Duration::from_secs(12);
+
 /// Limits of the server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
@@ -59,33 +92,146 @@
         })
     }
 
-    /// Serves requests until `stop` completes, then finishes those in progress.
+    /// Serves requests until `stop` completes, and [`LAST_ANSWERS_TIME`] longer. Then accepts the connections that wait in
+    /// the backlog, closes the socket, and waits until the answers to all requests are written, at most for
+    /// [`MAX_DRAIN_TIME`].
     ///
     /// # Errors
     ///
-    /// Fails if the listener fails.
+    /// Fails if the backlog cannot be emptied.
     pub async fn serve<P: CallerPort>(
         self,
         port: Arc<P>,
         stop: impl Future<Output = ()> + Send + 'static,
     ) -> anyhow::Result<()> {
-        let mut builder = Builder::new(TokioExecutor::new());
-        builder
-            .http1()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEADER_TIMEOUT)
-            .max_buf_size(MAX_HEADER_BYTES);
-        builder
-            .http2()
-            .timer(TokioTimer::new())
-            .max_header_list_size(MAX_HEADER_BYTES as u32);
-        viz::Server::with_builder(self.listener, routes(port, self.max_body_bytes), builder)
-            .signal(stop)
-            .await?;
+        let connections = Connections {
+            routes: Arc::new(routes(port, self.max_body_bytes).into()),
+            intake: watch::Sender::default(),
+            open: TaskTracker::new(),
+        };
+        connections.accept(&self.listener, stop).await;
+        connections.intake.send_replace(Intake::LastAnswers);
+        connections
+            .accept(&self.listener, sleep(LAST_ANSWERS_TIME))
+            .await;
+        let waiting = self.listener.close().context("empty the backlog")?;
+        waiting.for_each(|accepted| connections.serve(accepted));
+        connections.intake.send_replace(Intake::Ended);
+        connections.open.close();
+        let ended = timeout(MAX_DRAIN_TIME, connections.open.wait()).await;
+        if ended.is_err() {
+            let open = connections.open.len();
+            log::warn!(open; "connections of callers are closed: their answers were not read in time");
+        }
         Ok(())
     }
 }
 
+/// Whether requests are accepted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Intake {
+    #[default]
+    Open,
+    /// Requests are accepted, and each answer ends its HTTP/1 connection.
+    LastAnswers,
+    /// No more connections are accepted.
+    Ended,
+}
+
+/// The open connections of callers.
+struct Connections {
+    routes: Arc<Tree>,
+    intake: watch::Sender<Intake>,
+    open: TaskTracker,
+}
+
+impl Connections {
+    /// Accepts connections until `end` completes.
+    async fn accept(&self, listener: &LimitedListener, end: impl Future<Output = ()>) {
+        let mut end = pin!(end);
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = end.as_mut() => return,
+            };
+            match accepted {
+                Ok(accepted) => self.serve(accepted),
+                Err(error) => {
+                    log::warn!("failed to accept a connection of a caller: {error}");
+                    sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    fn serve(&self, accepted: Accepted) {
+        let serving = serve_connection(accepted, self.routes.clone(), self.intake.subscribe());
+        self.open.spawn(serving);
+    }
+}
+
+/// Serves the requests on a connection until the caller closes it or the intake ends. Then finishes those in progress, or
+/// the first one if none has arrived yet.
+async fn serve_connection(
+    (stream, _permit): Accepted,
+    routes: Arc<Tree>,
+    intake: watch::Receiver<Intake>,
+) {
+    // Nagle's algorithm would delay answers until earlier segments are acknowledged.
+    let _ = stream.set_nodelay(true);
+    let unused = AtomicBool::new(true);
+    let responder = Responder::<()>::new(routes, None);
+    let service = service_fn(|request: hyper::Request<Incoming>| {
+        unused.store(false, Ordering::Relaxed);
+        let is_http1 = request.version() < Version::HTTP_2;
+        let (answer, intake) = (responder.call(request), intake.clone());
+        async move {
+            let mut response = answer.await?;
+            if is_http1 && *intake.borrow() != Intake::Open {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let builder = http_builder();
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let mut ended = intake.clone();
+    let mut reuse_end = pin!(async {
+        // A dropped sender means that the server is gone.
+        let _ = ended.wait_for(|intake| *intake == Intake::Ended).await;
+        if unused.load(Ordering::Relaxed) {
+            sleep(ARRIVAL_WINDOW).await;
+        }
+    });
+    let served = tokio::select! {
+        biased;
+        served = connection.as_mut() => served,
+        () = reuse_end.as_mut() => {
+            // Closes the connection at once if it is idle, otherwise after the answers in progress.
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = served {
+        log::debug!("connection of a caller failed: {error}");
+    }
+}
+
+fn http_builder() -> Builder<TokioExecutor> {
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_buf_size(MAX_HEADER_BYTES);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(MAX_HEADER_BYTES as u32);
+    builder
+}
+
 fn routes<P: CallerPort>(port: Arc<P>, max_body_bytes: usize) -> Router {
     Router::new()
         .get(
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -44,6 +44,8 @@
     pub(crate) policy: &'static str,
     /// Additional arguments of the upstream processes.
     pub(crate) upstream_args: &'static [&'static str],
+    /// Additional settings of the nodes, TOML.
+    pub(crate) settings: &'static str,
 }
 
 impl Default for Setup {
@@ -55,6 +57,7 @@
             snapshots: vec![SnapshotSpec::serving(1, 8)],
             policy: "deadline_ms = 3000\nmax_deadline_ms = 10000\nmax_top = 100\n",
             upstream_args: &["--cold-calls", "8"],
+            settings: "",
         }
     }
 }
@@ -208,18 +211,18 @@
             .await;
         cluster.put_map(&cluster.snapshots[..1]).await;
         cluster.set_domains_out(&[]).await;
-        cluster.start_nodes(setup.nodes).await;
+        cluster.start_nodes(setup.nodes, setup.settings).await;
         cluster
     }
 
-    async fn start_nodes(&mut self, count: usize) {
+    async fn start_nodes(&mut self, count: usize, extra: &str) {
         let specs = NodeSpec::allocate(count, &DOMAINS).unwrap();
         self.put_document("vms", &vms_document(&specs).to_string())
             .await;
         for spec in &specs {
             let settings = self.folder.path().join(format!("{}.toml", spec.id));
             let text = spec.settings(self.platform, &"5a".repeat(32), &specs);
-            fs::write(&settings, text).unwrap();
+            fs::write(&settings, text + extra).unwrap();
             let process = spawn_node(&settings);
             self.nodes.push(NodeProcess {
                 process,
