End the exit of a node process under a steady load of forwarded at-most-once requests

A stopping node whose keys other nodes still forwarded requests for did not end: after its address answers had expired it waited for a moment without requests in progress, and each of these requests kept that moment away until the keys had expired.

Once the node waits for the requests in progress, it answers further at-most-once requests "not run", which stays true: it has not sent a call for them, and its keys end with it.

--- a/src/node/once.rs
+++ b/src/node/once.rs
@@ -140,6 +140,8 @@
     async fn execute_once(self: Arc<Self>, serial: u64, request: QueryRequest) {
         let in_progress = self.in_progress.token();
         let outcome = match self.prepare(&request) {
+            // Running it would delay the exit, which waits for the requests in progress.
+            _ if self.in_progress.is_closed() => OnceOutcome::not_run("the node is stopping"),
             Err(error) => OnceOutcome::not_run(&error.message),
             Ok(query) => {
                 let span = api::root_span("once", &request);
--- a/tests/node_stop.rs
+++ b/tests/node_stop.rs
@@ -3,21 +3,27 @@
 #[allow(dead_code)]
 mod support;
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use cranberrychute::client::Answer;
 use cranberrychute_emulator::LeafControl;
-use http::Request;
+use http::{Method, Request};
 use http_body_util::{BodyExt, Full};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use rustix::process::Signal;
-use support::{Cluster, SERVICE, Setup, eventually};
+use serde_json::{Value, json};
+use support::{Cluster, Http, SERVICE, Setup, eventually};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     task::JoinSet,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 const BODY: &str = "{\"text\": \"brass\"}";
@@ -29,6 +35,12 @@
 /// Maximum wait for an answer. It only stops tests that would hang.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Number of keys of the stopping node, more than its callers use until it has stopped.
+const KEYS: usize = 2_000;
+/// Maximum time from SIGTERM to the exit of a node whose address answers and keys are waited for 2 s: 1 s to end the intake
+/// and a few for requests in progress on a busy machine.
+const MAX_STOP_TIME: Duration = Duration::from_secs(8);
+
 /// How a caller uses its connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Usage {
@@ -208,3 +220,72 @@
     assert!(cut.is_empty(), "{cut:#?}");
     cluster.assert_no_violations().await;
 }
+
+/// Sends at-most-once requests with these keys to a node that forwards them, and returns the bodies of the answers by
+/// query text.
+async fn forward_requests(
+    address: SocketAddr,
+    keys: Arc<Mutex<Vec<String>>>,
+) -> Vec<(String, Value)> {
+    let http = Http::default();
+    let url = format!("http://{address}/v1/services/{SERVICE}/once");
+    let mut answers = Vec::new();
+    loop {
+        let Some(key) = keys.lock().unwrap().pop() else {
+            return answers;
+        };
+        let text = format!("brass order {key}");
+        let body = json!({"text": text}).to_string();
+        let headers = [("idempotency-key", key.as_str())];
+        let answer = http.send(Method::POST, &url, &headers, &body).await;
+        let (_, body) = answer.unwrap();
+        answers.push((text, body));
+    }
+}
+
+/// Guards against a stop that does not end while other nodes forward at-most-once requests, and against one that loses the
+/// outcome of a request that ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_node_answers_the_requests_that_other_nodes_forward() {
+    let limits = "[limits]\naddress_lifetime_ms = 500\ndrain_ms = 2000\n";
+    let mut cluster = start(limits).await;
+    let new_key = async |_| {
+        let (_, key) = cluster.post(0, "keys", &[], &json!({})).await.unwrap();
+        key["key"].as_str().unwrap().to_owned()
+    };
+    let keys = futures::future::join_all((0..KEYS).map(new_key)).await;
+    let keys = Arc::new(Mutex::new(keys));
+    let others = cluster.nodes[1..].iter().map(|node| node.address);
+    let callers = others.cycle().take(12);
+    let callers: JoinSet<_> = callers
+        .map(|address| forward_requests(address, keys.clone()))
+        .collect();
+    sleep(LOAD_TIME).await;
+    cluster.nodes[0].process.signal(Signal::TERM);
+    let stopping = Instant::now();
+    let status = cluster.nodes[0].process.wait_for_exit().await;
+    let took = stopping.elapsed();
+    assert!(status.success(), "{status}");
+    let left = std::mem::take(&mut *keys.lock().unwrap()).len();
+    let answers = callers.join_all().await.concat();
+    let runs = cluster.once_runs().await;
+    let count = |outcome| {
+        let outcomes = answers.iter().map(|(_, body)| &body["outcome"]);
+        outcomes.filter(|name| **name == outcome).count()
+    };
+    let (done, not_run) = (count("done"), count("not_run"));
+    let ran = answers.iter().filter(|(text, _)| runs.contains_key(text));
+    let lost: Vec<&Value> = ran
+        .map(|(_, body)| body)
+        .filter(|body| body["outcome"] != "done")
+        .collect();
+    println!(
+        "{done} done, {not_run} not run, {} lost of {}, {left} keys left, exit after {took:?}",
+        lost.len(),
+        answers.len()
+    );
+    assert!(done > 20, "{done}");
+    assert!(lost.is_empty(), "{lost:#?}");
+    assert!(left > 0 && took < MAX_STOP_TIME, "{left} {took:?}");
+    cluster.assert_no_violations().await;
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -495,7 +495,7 @@
 
 /// HTTP/2 client that returns the response body as JSON, or as a string if it is not JSON.
 #[derive(Clone)]
-struct Http(legacy::Client<HttpConnector, Full<Bytes>>);
+pub(crate) struct Http(legacy::Client<HttpConnector, Full<Bytes>>);
 
 impl Default for Http {
     fn default() -> Self {
@@ -510,7 +510,7 @@
 }
 
 impl Http {
-    async fn send(
+    pub(crate) async fn send(
         &self,
         method: Method,
         url: &str,
