Keep connections to peers open until their answers are received

A node process that stops closed its QUIC connections 50 ms after its last request had ended. Closing discards what a peer has not acknowledged, so the answer to a forwarded at-most-once request or to a batch of leaf calls that was still being written was lost, and its caller was told "outcome unknown" or got fewer shards. On loopback 50 ms were enough in all runs with processes; with large answers or lost packets they need not be.

The transport now counts the requests of peers until the peer has acknowledged the end of the answer. Closing accepts no more requests, then waits up to 600 ms for these.

--- a/src/adapter/peer/quic.rs
+++ b/src/adapter/peer/quic.rs
@@ -23,6 +23,7 @@
     sync::{Mutex as AsyncMutex, mpsc},
     time::timeout,
 };
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::core::{
     FleetKey, Incarnation, NodeId, RequestId, ServiceName,
@@ -34,6 +35,9 @@
 const SERVER_NAME: &str = "cranberrychute";
 /// Timeout for opening a connection and authenticating the peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Maximum time that closing the connections waits for peers to receive answers, and then to confirm the end of their
+/// connections. Below the idle timeout: a peer that takes longer is paused or gone.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Interval of keep-alive packets: a quarter of the idle timeout, so that three may be lost.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time without any received packet after which a connection is closed.
@@ -157,6 +161,10 @@
     identity: Identity,
     endpoint: Endpoint,
     connections: Mutex<HashMap<NodeId, ConnectionSlot>>,
+    /// Requests of peers, until the peer has received the answer.
+    requests: TaskTracker,
+    /// Cancelled when no more requests of peers are accepted.
+    intake_end: CancellationToken,
 }
 
 impl PeerTransport {
@@ -174,6 +182,8 @@
             identity,
             endpoint,
             connections: Mutex::new(HashMap::new()),
+            requests: TaskTracker::new(),
+            intake_end: CancellationToken::new(),
         }))
     }
 
@@ -198,10 +208,17 @@
         }
     }
 
-    /// Closes all connections and waits until they are shut down, for at most `CONNECT_TIMEOUT`.
+    /// Accepts no more requests of peers, waits until the peers have the answers to the earlier ones, then closes all
+    /// connections. Each step takes at most [`CLOSE_TIMEOUT`].
     pub async fn close(&self) {
+        self.intake_end.cancel();
+        self.requests.close();
+        if timeout(CLOSE_TIMEOUT, self.requests.wait()).await.is_err() {
+            let open = self.requests.len();
+            log::warn!(open; "connections to peers are closed with requests in progress");
+        }
         self.endpoint.close(VarInt::from_u32(0), b"leaving");
-        let _ = timeout(CONNECT_TIMEOUT, self.endpoint.wait_idle()).await;
+        let _ = timeout(CLOSE_TIMEOUT, self.endpoint.wait_idle()).await;
     }
 
     /// Sends a batch to the owner of its leaves and forwards the replies as they arrive. `cancels` receives the index
@@ -451,9 +468,12 @@
         let connection = incoming.await?;
         let node = timeout(CONNECT_TIMEOUT, self.authenticate_client(&connection)).await??;
         loop {
-            let (send, recv) = connection.accept_bi().await?;
+            let (send, recv) = tokio::select! {
+                stream = connection.accept_bi() => stream?,
+                () = self.intake_end.cancelled() => return Ok(()),
+            };
             let (handler, node) = (handler.clone(), node.clone());
-            tokio::spawn(async move {
+            self.requests.spawn(async move {
                 if let Err(error) = serve_stream(send, recv, node.clone(), handler).await {
                     log::debug!(peer = node.as_str(); "stream from a peer ended: {error:#}");
                 }
@@ -481,7 +501,7 @@
     handler: Arc<H>,
 ) -> anyhow::Result<()> {
     match read_frame(&mut recv).await? {
-        Request::Batch(batch) => serve_batch(send, recv, node, batch, handler).await?,
+        Request::Batch(batch) => serve_batch(&mut send, recv, node, batch, handler).await?,
         Request::Once(request) => {
             let reply = handler.once(node, request).await;
             write_frame(&mut send, &reply).await?;
@@ -492,11 +512,14 @@
         }
         Request::Fetch(versions) => write_frame(&mut send, &handler.fetch(versions)).await?,
     }
+    // Closing the connection discards what the peer has not acknowledged.
+    send.finish()?;
+    send.stopped().await?;
     Ok(())
 }
 
 async fn serve_batch<H: PeerHandler>(
-    mut send: SendStream,
+    send: &mut SendStream,
     mut recv: RecvStream,
     node: NodeId,
     batch: LeafBatch,
@@ -508,7 +531,7 @@
     let run = handler.batch(node, batch, replies, cancels);
     let write = async {
         while let Some(reply) = outgoing.recv().await {
-            write_frame(&mut send, &reply).await?;
+            write_frame(send, &reply).await?;
         }
         anyhow::Ok(())
     };
