Count the grace period of a stop from the earliest moment at which SIGTERM may have been sent

Callers saw: requests in progress end without a status at SIGKILL, if SIGTERM is sent while the process is paused or gets no processor time for 250 ms or more.

Cause: the platform kills the process a grace period after it has sent SIGTERM, but the plan of the stop began when the process handled the signal. A pause of 1 s moved the end of the requests in progress from 5.5 s to 6.5 s.

The timer by which a node notices that requests have waited in their sockets also bounds how long ago the signal was sent: a stall may have begun as soon as the timer had fired before. `LoopLag::signal_delay` returns that bound, and `StopPlan::after_delay` counts the grace period from there. Requests in progress are answered in any case, since the signal may also have been sent at the end of the stall. The time for which callers may use the address still counts from the moment of the withdrawal, unless the kill comes before. The `stopping` line tells the delay (`late_ms`).

Evidence: `a_stop_that_is_signaled_during_a_pause_ends_in_time` sends SIGTERM to three paused nodes, which go on 1, 3 and 5 s later, and SIGKILL 6 s after SIGTERM.

`a_stop_of_a_process_that_runs_rarely_ends_in_time` pauses nodes regularly, the rarest running for 10 of 150 ms.

--- a/src/core/lag/mod.rs
+++ b/src/core/lag/mod.rs
@@ -19,7 +19,7 @@
     due: Option<Time>,
     mean: Duration,
     /// When the timer last fired, and how late it was.
-    last: (Time, Duration),
+    last: Option<(Time, Duration)>,
 }
 
 impl LoopLag {
@@ -33,7 +33,7 @@
         if let Some(due) = self.due.take() {
             let lag = now.since(due);
             self.mean = self.mean.mul_f64(1.0 - MEAN_WEIGHT) + lag.mul_f64(MEAN_WEIGHT);
-            self.last = (now, lag);
+            self.last = Some((now, lag));
         }
     }
 
@@ -48,9 +48,28 @@
     /// time again.
     pub fn read_delay(&self, now: Time) -> Duration {
         let overdue = self.due.map_or(Duration::ZERO, |due| now.since(due));
-        let (fired_at, lag) = self.last;
-        overdue
-            .max(lag.saturating_sub(now.since(fired_at)))
-            .saturating_sub(TIMER_LAG)
+        let backlog = self.last.map_or(Duration::ZERO, |(fired_at, lag)| {
+            lag.saturating_sub(now.since(fired_at))
+        });
+        overdue.max(backlog).saturating_sub(TIMER_LAG)
+    }
+
+    /// Returns how long ago a signal that is handled now may have been sent, where the timer fires every `interval`.
+    ///
+    /// A stall may have begun as soon as the timer had fired before, and the signal may have been sent as soon as the stall
+    /// had begun.
+    pub fn signal_delay(&self, now: Time, interval: Duration) -> Duration {
+        let zero = Duration::ZERO;
+        let (since_fired, lag) = self
+            .last
+            .map_or((zero, zero), |(at, lag)| (now.since(at), lag));
+        let stall = self.read_delay(now);
+        if since_fired > interval + TIMER_LAG {
+            since_fired
+        } else if stall.is_zero() {
+            zero
+        } else {
+            interval + since_fired + lag.max(stall + TIMER_LAG)
+        }
     }
 }
--- a/src/core/stop.rs
+++ b/src/core/stop.rs
@@ -73,6 +73,13 @@
         }
     }
 
+    /// Plans a stop whose signal was sent up to `late` before `now`. The grace period counts from there.
+    pub fn after_delay(now: Time, late: Duration, grace: Duration, cached: Duration) -> Self {
+        // The signal may also have been sent just now, so there is time to answer the requests in progress in any case.
+        let min_left = grace.min(KILL_MARGIN + FLUSH_TIME);
+        Self::new(now, grace.saturating_sub(late).max(min_left), cached)
+    }
+
     /// Returns the phase that follows `phase` at `now`.
     ///
     /// The intake always ends before the process exits, so that connections that wait to be accepted are noticed.
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -32,7 +32,7 @@
 };
 
 /// Interval between membership ticks, three to a probe interval.
-const TICK_INTERVAL: Duration = Duration::from_millis(165);
+pub(super) const TICK_INTERVAL: Duration = Duration::from_millis(165);
 /// Interval after which the lag is measured again if a tick was late.
 const LAG_RECHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between probes. Together with [`PROBE_TIMEOUT`] and [`SUSPICION_TIMEOUT`] it bounds the detection of a dead
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     core::{StopPhase, StopPlan, Time, Unfinished},
-    gateway::{directory::ANSWER_TTL, state::Gateway},
+    gateway::{directory::ANSWER_TTL, members::TICK_INTERVAL, state::Gateway},
 };
 
 /// Factor by which callers may exceed the TTL of an address answer.
@@ -68,9 +68,15 @@
     pub(super) async fn shut_down(&self) -> StopPlan {
         let started = self.now();
         let grace = self.settings.borrow().bounds.stop_grace;
-        let mut plan = StopPlan::new(started, grace, ANSWER_TTL * TTL_FACTOR + ARRIVAL_WINDOW);
+        let late = self.lag.get().signal_delay(started, TICK_INTERVAL);
+        let cached = ANSWER_TTL * TTL_FACTOR + ARRIVAL_WINDOW;
+        let mut plan = StopPlan::after_delay(started, late, grace, cached);
         self.stop.plan.set(Some(plan));
-        self.log_stop("stopping", started);
+        let Unfinished {
+            requests,
+            connections,
+        } = self.unfinished();
+        log::info!(late_ms = late.as_millis() as u64, unfinished = requests, connections; "stopping");
         self.stop.enter(StopPhase::Withdrawn);
         self.announce().await;
         while self.stop.phase.get() != StopPhase::Done {
--- a/tests/decisions/lag.rs
+++ b/tests/decisions/lag.rs
@@ -66,3 +66,29 @@
     lag.schedule(at(1_582));
     assert_eq!(lag.read_delay(at(1_420)), Duration::ZERO);
 }
+
+/// Guards against a grace period that begins too late: a signal that is sent at the start of a stall is handled at its end. A
+/// stall may also begin while the timer is not set.
+#[test]
+fn a_signal_may_have_been_sent_when_the_stall_began() {
+    let mut lag = LoopLag::default();
+    lag.schedule(at(165));
+    lag.record(at(165));
+    assert!(lag.signal_delay(at(2_165), ms(165)) >= ms(2_000));
+    lag.schedule(at(330));
+    assert!(lag.signal_delay(at(2_165), ms(165)) >= ms(2_000));
+    lag.record(at(2_165));
+    assert!(lag.signal_delay(at(2_166), ms(165)) >= ms(2_000));
+}
+
+/// Guards against a stop that is cut short although the process is on time.
+#[test]
+fn a_signal_to_a_process_on_time_is_not_late() {
+    let mut lag = LoopLag::default();
+    for tick in 1..100 {
+        assert_eq!(lag.signal_delay(at(tick * 165), ms(165)), ms(0));
+        lag.schedule(at(tick * 165 + 1));
+        assert_eq!(lag.signal_delay(at(tick * 165 + 4), ms(165)), ms(0));
+        lag.record(at(tick * 165 + 4));
+    }
+}
--- a/tests/decisions/stop.rs
+++ b/tests/decisions/stop.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cranberrychute::core::{StopPhase, StopPlan, Unfinished};
+use cranberrychute::core::{StopPhase, StopPlan, Unfinished, lag::LoopLag};
 use proptest::prelude::*;
 
 use crate::at;
@@ -13,7 +13,13 @@
 /// Plays a stop that starts at 1 s and is checked every 10 ms. `requests` returns the number of requests in progress at a
 /// time after the start; each has a connection. Returns when each phase began.
 fn play(grace: Duration, requests: impl Fn(u64, StopPhase) -> usize) -> Vec<(u64, StopPhase)> {
-    let mut plan = StopPlan::new(at(1_000), grace, CACHED);
+    play_plan(StopPlan::new(at(1_000), grace, CACHED), requests)
+}
+
+fn play_plan(
+    mut plan: StopPlan,
+    requests: impl Fn(u64, StopPhase) -> usize,
+) -> Vec<(u64, StopPhase)> {
     let mut phase = StopPhase::Running;
     let mut phases = Vec::new();
     for elapsed in (0..60_000).step_by(10) {
@@ -125,7 +131,74 @@
     assert_eq!(next(5_900, StopPhase::Aborting), StopPhase::Done);
 }
 
+/// Guards against a process that skips the steps of its stop because it has been paused for longer than the grace period:
+/// the signal may have been sent at the end of the pause.
+#[test]
+fn requests_are_answered_after_a_pause_longer_than_the_grace_period() {
+    let grace = Duration::from_secs(6);
+    let plan = StopPlan::after_delay(at(1_000), Duration::from_secs(20), grace, CACHED);
+    let phases = play_plan(plan, |_, phase| usize::from(phase < StopPhase::Done));
+    assert_eq!(
+        phases,
+        [
+            (0, StopPhase::Withdrawn),
+            (10, StopPhase::Draining),
+            (20, StopPhase::Aborting),
+            (270, StopPhase::Done),
+        ]
+    );
+}
+
 proptest! {
+    /// Requests in progress are answered before SIGKILL, wherever in a stall the signal was sent, and no sooner than the
+    /// stall may have begun.
+    #[test]
+    fn a_stop_signaled_during_a_stall_ends_within_the_grace_period(
+        stall_from in 0_u64..165,
+        stall in 0_u64..4_800,
+        sent_after in 0.0..1.0,
+        timer_first in any::<bool>(),
+        has_fired in any::<bool>(),
+    ) {
+        const INTERVAL: u64 = 165;
+        let grace = Duration::from_secs(6);
+        let mut lag = LoopLag::default();
+        if has_fired {
+            lag.schedule(at(1_000 - INTERVAL));
+            lag.record(at(1_000 - INTERVAL + 1));
+            lag.schedule(at(1_000));
+            lag.record(at(1_000));
+        }
+        lag.schedule(at(1_000 + INTERVAL));
+        let handled = 1_000 + stall_from + stall;
+        let sent = 1_000 + stall_from + (stall as f64 * sent_after) as u64;
+        if timer_first && handled >= 1_000 + INTERVAL {
+            lag.record(at(handled));
+            lag.schedule(at(handled + 10));
+        }
+        let late = lag.signal_delay(at(handled), Duration::from_millis(INTERVAL));
+        let late_ms = late.as_millis() as u64;
+        // A stall that ends before the timer is due is not noticed.
+        prop_assert!(late_ms + INTERVAL + 5 >= handled - sent);
+        prop_assert!(late_ms <= stall + 2 * INTERVAL);
+        let mut plan = StopPlan::after_delay(at(handled), late, grace, CACHED);
+        let mut phase = StopPhase::Running;
+        for now in (handled..handled + 8_000).step_by(10) {
+            let requests = usize::from(phase < StopPhase::Aborting);
+            let unfinished = Unfinished { requests, connections: 1 };
+            let next = plan.next(at(now), phase, unfinished);
+            if next == StopPhase::Aborting && phase != next {
+                prop_assert!(now - sent <= 6_000 - 300, "{now} {sent} {late_ms}");
+            }
+            if next == StopPhase::Done {
+                prop_assert!(now - sent < 6_000, "{now} {sent} {late_ms}");
+                prop_assert_eq!(phase, StopPhase::Aborting);
+                return Ok(());
+            }
+            phase = next;
+        }
+        prop_assert!(false, "no exit");
+    }
     /// The phases come in order and the process exits within any grace period.
     #[test]
     fn a_stop_ends_within_the_grace_period(
--- a/tests/gateway/stop_edges.rs
+++ b/tests/gateway/stop_edges.rs
@@ -27,6 +27,8 @@
 const LATE_BYTES: usize = 4;
 /// Time from the first bytes of slow requests to a stop.
 const START_TIME: Duration = Duration::from_secs(1);
+/// Interval of the timer by which a node notices that it was paused, milliseconds.
+const TICK_MS: u64 = 165;
 /// Number of requests that wait for a leaf with room at a node that stops.
 const WAITING: usize = 80;
 /// Time after which a caller has an answer or none will come.
@@ -262,9 +264,10 @@
     false
 }
 
-/// Stops nodes that each have two long requests in progress, and others that mostly wait for a leaf with room, and pauses each of them at some times from SIGTERM. All have to
-/// answer and exit before SIGKILL.
-async fn stop_during_long_requests(pauses_ms: &[Vec<(i64, i64)>]) {
+/// Stops nodes that each have two long requests in progress, and `waiting` others that mostly wait for a leaf with room, and pauses each of them at some times from SIGTERM. All have to
+/// answer and exit before SIGKILL. Returns how long before it was handled the signal may have been sent, as the nodes logged,
+/// in milliseconds.
+async fn stop_during_long_requests(pauses_ms: &[Vec<(i64, i64)>], waiting: usize) -> Vec<u64> {
     let site = Site::start(1, pauses_ms.len()).await;
     let mut nodes = site.nodes().await;
     let timeout = Duration::from_secs(20);
@@ -284,17 +287,12 @@
     sleep(Duration::from_millis(500)).await;
     let others: Vec<_> = nodes
         .iter()
-        .flat_map(|node| (0..WAITING).map(|id| send(node.callers(), &format!("GET /one/{id}/"))))
+        .flat_map(|node| (0..waiting).map(|id| send(node.callers(), &format!("GET /one/{id}/"))))
         .collect();
     sleep(Duration::from_millis(500)).await;
     let stops = nodes.iter_mut().zip(pauses_ms);
     let stops = stops.map(|(node, pauses)| stop_with_pauses(node, GRACE, pauses));
     let exits = join_all(stops).await;
-    for node in &nodes {
-        let log = node.log();
-        let steps = log.lines().filter(|line| line.contains("gateway::stop"));
-        steps.for_each(|line| println!("{line}"));
-    }
     let mut results = Vec::new();
     for (exited, [one, order]) in exits.into_iter().zip(requests) {
         results.push((exited, [one.await.unwrap(), order.await.unwrap()]));
@@ -308,8 +306,13 @@
         cut.count(),
         0,
         "of {} other requests",
-        WAITING * nodes.len()
+        waiting * nodes.len()
     );
+    let late = nodes.iter().filter_map(|node| {
+        let lines = node.log_lines().into_iter();
+        lines.filter_map(|line| line["late_ms"].as_u64()).next()
+    });
+    late.collect()
 }
 
 /// Sends a request on a new connection and returns the status of its answer, `None` if the connection ends without one.
@@ -320,11 +323,33 @@
     status(&answer.unwrap_or_default())
 }
 
+/// Guards against requests that are cut by SIGKILL, because the grace period began while the process was paused.
+#[tokio::test]
+async fn a_stop_that_is_signaled_during_a_pause_ends_in_time() {
+    let pauses = [(-20, 1_000), (-1_000, 3_000), (-50, 5_000)];
+    let late = stop_during_long_requests(&pauses.map(|pause| vec![pause]), WAITING).await;
+    for (late_ms, (from, until)) in late.into_iter().zip(pauses) {
+        let pause = until as u64..=(until - from) as u64 + 2 * TICK_MS;
+        assert!(pause.contains(&late_ms), "{late_ms} ms, not in {pause:?}");
+    }
+}
+
 /// Guards against requests that are cut since a pause during the stop lasts beyond the time at which they were to be ended.
 #[tokio::test]
 async fn requests_are_answered_after_a_pause_until_the_end_of_a_stop() {
     let pauses = [(500, 5_300), (1_000, 5_600), (3_600, 5_800)];
-    stop_during_long_requests(&pauses.map(|pause| vec![pause])).await;
+    stop_during_long_requests(&pauses.map(|pause| vec![pause]), WAITING).await;
+}
+
+/// Guards against requests that are cut by SIGKILL, because the process runs rarely.
+#[tokio::test]
+async fn a_stop_of_a_process_that_runs_rarely_ends_in_time() {
+    let throttled = |run_ms, pause_ms| {
+        let starts = (-2_000..6_000).step_by((run_ms + pause_ms) as usize);
+        starts.map(|at| (at, at + pause_ms)).collect()
+    };
+    let pauses = [throttled(50, 50), throttled(20, 80), throttled(10, 140)];
+    stop_during_long_requests(&pauses, 0).await;
 }
 
 /// Stops a node with this grace period under steady load and during requests that take longer than it.
