Follow the plan of a stop while its announcement is sent

The plan of a stop was followed only after the announcement had been sent to all nodes. Sending a datagram waits while the buffer of the socket is full, which messages to hosts that do not answer address resolution can hold for seconds; the intake and the requests in progress would have ended later by that time. Now the plan is followed meanwhile.

This wait was not shown in a run: on loopback the system frees a datagram's buffer as soon as it is sent. `a_stop_beside_dead_nodes_cuts_no_request` (five of six nodes killed just before) passed before the change and passes.

--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -1,5 +1,6 @@
-use std::{cell::Cell, time::Duration};
+use std::{cell::Cell, future::pending, time::Duration};
 
+use futures::FutureExt;
 use log::Level;
 use tokio::{sync::Notify, time::sleep};
 
@@ -78,7 +79,17 @@
         } = self.unfinished();
         log::info!(late_ms = late.as_millis() as u64, unfinished = requests, connections; "stopping");
         self.stop.enter(StopPhase::Withdrawn);
-        self.announce().await;
+        tokio::select! {
+            biased;
+            // Sending waits while the buffer of the socket is full, for example with messages to hosts that do not answer.
+            () = self.announce().then(|()| pending()) => {}
+            () = self.follow(&mut plan, started) => {}
+        }
+        plan
+    }
+
+    /// Enters the phases of a stop when they are due, until the process may exit.
+    async fn follow(&self, plan: &mut StopPlan, started: Time) {
         while self.stop.phase.get() != StopPhase::Done {
             sleep(CHECK_INTERVAL).await;
             let phase = self.stop.phase.get();
@@ -93,7 +104,6 @@
             }
             self.stop.enter(next);
         }
-        plan
     }
 
     /// Logs the end of a stop and the requests that the exit cuts.
