--- a/tests/gateway/load.rs
+++ b/tests/gateway/load.rs
@@ -112,7 +112,7 @@
                     let sent = Instant::now();
                     let (id, end) = if reading == Reading::Slowly {
                         let id = format!("{path}slow-{caller}-{request}");
-                        let end = read_slowly(nodes[0], path, &id).await;
+                        let end = read_slowly(nodes[0], path, &id, "").await;
                         (id, end)
                     } else {
                         let id = format!("{path}{caller}-{request}");
@@ -197,13 +197,19 @@
     (end, kept.then_some(connection))
 }
 
-/// Sends a request on a new connection and reads its answer slowly. Returns `None` if the node refuses the connection.
-async fn read_slowly(node: SocketAddr, path: &str, id: &str) -> Option<End> {
+/// Sends a request with additional `headers` on a new connection and reads its answer slowly. Returns `None` if the node
+/// refuses the connection.
+pub(crate) async fn read_slowly(
+    node: SocketAddr,
+    path: &str,
+    id: &str,
+    headers: &str,
+) -> Option<End> {
     let socket = TcpSocket::new_v4().unwrap();
     socket.set_recv_buffer_size(PIECE_BYTES as u32).unwrap();
     let mut stream = socket.connect(node).await.ok()?;
     let request = format!(
-        "GET {path}x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 4000\r\n\r\n"
+        "GET {path}x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 4000\r\n{headers}\r\n"
     );
     let read = async {
         stream.write_all(request.as_bytes()).await?;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -33,6 +33,7 @@
 const READY_PORT: u16 = 8_227;
 const CONTROL_PORT: u16 = 8_224;
 const DIRECTORY_PORT: u16 = 8_225;
+const PEER_PORT: u16 = 7_740;
 
 /// A gateway process that is killed when dropped.
 pub(crate) struct Node {
@@ -46,6 +47,11 @@
         SocketAddr::new(self.ip, CALLERS_PORT)
     }
 
+    /// Returns the address at which other nodes hand over requests.
+    pub(crate) fn peer(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, PEER_PORT)
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
@@ -328,7 +334,7 @@
             None => self.store.address(index),
         };
         let text = format!(
-            "node = \"node-{index}\"\nip = \"{ip}\"\nzone = \"a\"\nregion = \"r\"\ninternal_ports = [7740, 7755]\n\
+            "node = \"node-{index}\"\nip = \"{ip}\"\nzone = \"a\"\nregion = \"r\"\ninternal_ports = [{PEER_PORT}, 7755]\n\
              seeds = [{}]\n[zones]\na = \"r\"\nb = \"r\"\n[listen]\nfront = \"{ip}:{CALLERS_PORT}\"\n\
              ready = \"{ip}:{READY_PORT}\"\ncontrol = \"{ip}:{CONTROL_PORT}\"\ndirectory = \"{ip}:{DIRECTORY_PORT}\"\n\
              [bounds]\ngrace_s = {}\nconfig_apply_ms = 3000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\n\
--- a/tests/gateway/stop_edges.rs
+++ b/tests/gateway/stop_edges.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     links::cut_off,
-    load::{End, Load, Request, cut_requests, read_pieces, status},
+    load::{End, Load, Request, cut_requests, read_pieces, read_slowly, status},
     site::{GRACE, HOST, Node, Site, wait_until},
     stop::{wait_for_exit, with_timeouts},
 };
@@ -561,3 +561,32 @@
     }
     assert_kept(&site, &finish(loads).await, 300);
 }
+
+/// Guards against answers of requests that were handed over, cut since the node that ran them exits before they are written.
+#[tokio::test]
+async fn a_stopping_helper_writes_its_answers_before_it_exits() {
+    let site = Site::start_with_records(1, 1, &[7; 4_000_000]).await;
+    set_delay(&site, Duration::from_millis(100));
+    let mut nodes = site.nodes().await;
+    let peer = nodes[0].peer();
+    let stopped = Instant::now();
+    nodes[0].signal(Signal::TERM);
+    // The intake of a node without other requests ends after 3.3 s.
+    let requests = (0..12).map(|request| {
+        tokio::spawn(async move {
+            sleep(Duration::from_millis(2_900 + 40 * request)).await;
+            let id = format!("large{request}");
+            read_slowly(peer, "/one/", &id, "cranberrychute-handed-over: 1\r\n").await
+        })
+    });
+    let requests = join_all(requests.collect::<Vec<_>>());
+    wait_for_exit(&mut nodes[0], stopped, GRACE).await;
+    println!("exit after {:?}", stopped.elapsed());
+    let mut ends = HashMap::<Option<End>, usize>::new();
+    for end in requests.await {
+        *ends.entry(end.unwrap()).or_default() += 1;
+    }
+    println!("{ends:?}");
+    assert!(ends.get(&Some(End::Status(200))) > Some(&0), "{ends:?}");
+    assert!(!ends.contains_key(&Some(End::Cut)), "{ends:?}");
+}
