--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -201,11 +201,17 @@
     fn drop(&mut self) {
         let gateway = &self.gateway;
         gateway.connections.open.borrow_mut().remove(&self.key);
+        // The exit logs the requests that it cuts.
+        if gateway.stop.is_done() {
+            return;
+        }
         let now = gateway.now();
-        if let Some(exchange) = &*self.progress.exchange.borrow()
-            && !gateway.stop.is_done()
-            && let Some(suppressed) = gateway.log_limiter.admit(now, "unanswered")
-        {
+        let exchange = self.progress.exchange.borrow();
+        let Some(exchange) = &*exchange else {
+            return;
+        };
+        metrics::counter!("cranberrychute_unanswered_total").increment(1);
+        if let Some(suppressed) = gateway.log_limiter.admit(now, "unanswered") {
             let message = "connection ended before the answer";
             self.progress
                 .log(exchange, Level::Info, now, suppressed, message);
