Write the answers to requests of other nodes before a stopping node exits

Callers saw 502 from a node that reaches no leaves and had handed their requests to one that stopped: the requests had run, and the answers were ready.

Cause, the class of the incident: the process ends while somebody still waits for bytes of it. The exit waited for the handlers of all requests, but only for the connections of callers, so answers that another node had not read were cut 3.4 to 3.6 s after SIGTERM, with 2 s left.

Now connections of other nodes count until their answers are written. Idle ones do not, so nodes that keep connections to this one do not delay its exit.

--- a/src/core/stop.rs
+++ b/src/core/stop.rs
@@ -37,7 +37,7 @@
 pub struct Unfinished {
     /// Requests in progress.
     pub requests: usize,
-    /// Open connections of callers.
+    /// Open connections of callers, and those of other nodes on which an answer is due.
     pub connections: usize,
 }
 
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -99,10 +99,13 @@
 }
 
 impl Connections {
-    /// Returns the number of connections of callers.
-    pub(super) fn caller_count(&self) -> usize {
+    /// Returns the number of connections that have to end before the process exits: those of callers, and those of other
+    /// nodes on which an answer is due.
+    pub(super) fn unfinished_count(&self) -> usize {
         let open = self.open.borrow();
-        open.values().filter(|progress| progress.of_caller).count()
+        let is_unfinished =
+            |progress: &&Rc<Progress>| progress.of_caller || progress.exchange.borrow().is_some();
+        open.values().filter(is_unfinished).count()
     }
 
     /// Logs the requests whose answers are not written whole, which the exit of the process cuts. Returns their number.
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -122,7 +122,7 @@
     fn unfinished(&self) -> Unfinished {
         Unfinished {
             requests: self.active_requests.get(),
-            connections: self.connections.caller_count(),
+            connections: self.connections.unfinished_count(),
         }
     }
 
--- a/tests/gateway/stop_edges.rs
+++ b/tests/gateway/stop_edges.rs
@@ -1,6 +1,7 @@
 //! Stops at the edges of their plan: slow requests, pauses, other grace periods, and a stop beside other events.
 
 use std::{
+    collections::HashMap,
     net::SocketAddr,
     time::{Duration, Instant},
 };
