Let a stopping node exit only after the backlog of its callers' port is accepted

The exit waits for open connections, and a connection was counted when its task first ran. If all others had ended in the moment between the end of the intake and that run, or while accepting waited for a free descriptor, the process could exit with connections in the backlog, whose requests would be reset unread.

Found by reading; the moment is shorter than a turn of the event loop, and no run has shown it. The port now counts as open until its backlog is accepted, and a connection counts from its acceptance.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -94,18 +94,24 @@
 pub(super) struct Connections {
     open: RefCell<BTreeMap<u64, Rc<Progress>>>,
     next_key: Cell<u64>,
+    /// Callers' connections are accepted, or wait to be accepted.
+    accepting: Cell<bool>,
     /// Number of lines about requests answered after the end of the intake.
     stop_lines: Cell<usize>,
 }
 
 impl Connections {
-    /// Returns the number of connections that have to end before the process exits: those of callers, and those of other
-    /// nodes on which an answer is due.
+    pub(super) fn set_accepting(&self, accepting: bool) {
+        self.accepting.set(accepting);
+    }
+
+    /// Returns the number of connections that have to end before the process exits: those of callers, with one for those that
+    /// wait to be accepted, and those of other nodes on which an answer is due.
     pub(super) fn unfinished_count(&self) -> usize {
         let open = self.open.borrow();
         let is_unfinished =
             |progress: &&Rc<Progress>| progress.of_caller || progress.exchange.borrow().is_some();
-        open.values().filter(is_unfinished).count()
+        open.values().filter(is_unfinished).count() + usize::from(self.accepting.get())
     }
 
     /// Logs the requests whose answers are not written whole, which the exit of the process cuts. Returns their number.
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -105,9 +105,14 @@
 
 /// Accepts connections, those of callers until the intake of a stopping node ends.
 async fn accept(gateway: Rc<Gateway>, listener: TcpListener, port: Port) {
+    let is_callers = port == Port::Callers;
     let serve = |stream| {
-        tokio::task::spawn_local(serve_connection(gateway.clone(), stream, port));
+        let open = OpenConnection::new(&gateway, is_callers);
+        tokio::task::spawn_local(serve_connection(gateway.clone(), stream, port, open));
     };
+    if is_callers {
+        gateway.connections.set_accepting(true);
+    }
     let mut intake_end = pin!(intake_end(&gateway, port));
     loop {
         let accepted = tokio::select! {
@@ -126,6 +131,7 @@
         Ok(listener) => waiting_connections(&listener).for_each(serve),
         Err(error) => log::warn!(port:? = port, error:% = error; "failed to empty the backlog"),
     }
+    gateway.connections.set_accepting(false);
 }
 
 /// Waits until a port accepts no more connections.
@@ -161,11 +167,16 @@
     }
 }
 
-async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream, port: Port) {
+async fn serve_connection(
+    gateway: Rc<Gateway>,
+    stream: TcpStream,
+    port: Port,
+    open: OpenConnection,
+) {
     // Nagle's algorithm would delay answers until earlier segments are acknowledged.
     let _ = stream.set_nodelay(true);
     let limits = gateway.routing.borrow().limits();
-    let open = Rc::new(OpenConnection::new(&gateway, port == Port::Callers));
+    let open = Rc::new(open);
     let stream = CountedStream::new(stream, open.clone());
     let first = Cell::new(true);
     let service = service_fn(|request| {
