Read any number of a leaf without a panic

A `Leaf-Load` whose slots, or running and waiting requests, exceed 32 bits together did the same in builds with overflow checks.

Sums of a reported load saturate.

--- a/emulator/src/gateway_leaf.rs
+++ b/emulator/src/gateway_leaf.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use serde_json::{Value, json};
 use tokio::{
     net::TcpListener,
@@ -60,6 +60,8 @@
     arrivals: Vec<Instant>,
     /// Text of the rate limit in each answer.
     limit: Option<String>,
+    /// A header of each answer that replaces the usual one of its name.
+    header: Option<(HeaderName, HeaderValue)>,
     /// Number of requests in execution.
     running: u32,
     abandoned: u32,
@@ -141,6 +143,16 @@
         self.lock().limit = limit.map(str::to_owned);
     }
 
+    /// Sets a header of all answers.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the name or the value is not allowed in a header.
+    pub fn set_header(&self, name: &'static str, value: &str) {
+        let value = HeaderValue::from_str(value).expect("value is a valid header value");
+        self.lock().header = Some((HeaderName::from_static(name), value));
+    }
+
     /// Returns the largest number of requests that arrived within a `window` that starts at `from` or later.
     pub fn most_arrivals(&self, from: Instant, window: Duration) -> usize {
         let state = self.lock();
@@ -235,13 +247,19 @@
                 if closes_idle && previous.elapsed() >= MIN_IDLE_TIME {
                     return Err(Closed);
                 }
-                let limit = lock(&state).limit.clone();
+                let (limit, header) = {
+                    let state = lock(&state);
+                    (state.limit.clone(), state.header.clone())
+                };
                 let mut response = handle(request, state, crashed).await?;
                 if let Some(limit) = limit {
                     let value =
                         HeaderValue::from_str(&limit).expect("limit is a valid header value");
                     response.headers_mut().insert("server-limit", value);
                 }
+                if let Some((name, value)) = header {
+                    response.headers_mut().insert(name, value);
+                }
                 Ok(response)
             }
         }));
--- a/src/core/placement/leaf_stats.rs
+++ b/src/core/placement/leaf_stats.rs
@@ -183,7 +183,7 @@
             ..load
         };
         self.load_at = Some(now);
-        if load.waiting > load.slots * MAX_QUEUE_PER_SLOT {
+        if load.waiting > load.slots.saturating_mul(MAX_QUEUE_PER_SLOT) {
             self.limit = (self.calls.len() as f64 * LIMIT_DECREASE).clamp(1.0, self.limit);
         }
     }
@@ -229,7 +229,7 @@
         let reported = self
             .load_at
             .filter(|at| now.since(*at) < LOAD_TTL)
-            .map_or(0, |_| self.load.running + self.load.waiting);
+            .map_or(0, |_| self.load.running.saturating_add(self.load.waiting));
         let busy = (self.calls.len() as f64).max(f64::from(reported) * REPORTED_LOAD_WEIGHT);
         let slots = f64::from(self.load.slots.max(1));
         let queue = ((busy + 1.0 - slots) / slots).max(0.0);
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -12,6 +12,7 @@
 mod limit;
 mod link;
 mod mirror;
+mod numbers;
 mod pause_guard;
 mod placement;
 mod readers;
--- /dev/null
+++ b/tests/decisions/numbers.rs
@@ -0,0 +1,57 @@
+//! Decisions from numbers at the ends of their ranges, as leaves, other nodes and configurations may name them.
+
+use std::time::Duration;
+
+use cranberrychute::core::{
+    Time,
+    limit::{LeafLimit, NAMED_LIMIT, Naming, share},
+    placement::{LeafLoad, LeafStats},
+};
+use proptest::{prelude::*, sample::select as one_of};
+
+use crate::{at, seeds};
+
+fn extreme_u32() -> impl Strategy<Value = u32> {
+    prop_oneof![
+        one_of(vec![0, 1, u32::MAX / 2, u32::MAX - 1, u32::MAX]),
+        any::<u32>()
+    ]
+}
+
+proptest! {
+    #![proptest_config(seeds::proptest_config())]
+
+    /// Guards against a reported load that ends the call which brings it, or makes a leaf free of cost.
+    #[test]
+    fn any_reported_load_has_a_cost(
+        running in extreme_u32(),
+        waiting in extreme_u32(),
+        slots in extreme_u32(),
+    ) {
+        let mut stats = LeafStats::new(at(0), slots);
+        stats.start_call(at(0));
+        stats.record_load(at(1), LeafLoad { running, waiting, slots });
+        let cost = stats.cost(at(2), Duration::from_millis(8));
+        prop_assert!(cost.is_finite() && cost > 0.0, "{cost}");
+    }
+
+    /// Guards against a rate limit that ends the call which names it.
+    #[test]
+    fn any_rate_limit_gives_a_time_of_the_next_call(
+        limit in any::<f64>(),
+        nodes in 1..400_usize,
+        now in any::<u64>(),
+    ) {
+        let mut known = LeafLimit::default();
+        let named = Naming::parse([limit.to_string().as_str()].into_iter());
+        known.record(Time(now), Time(now), named);
+        if let Naming::Limited(limit) = named {
+            known.set_share(Time(now), share(&NAMED_LIMIT, limit, nodes, 0), nodes, 1.0);
+            for _ in 0..3 {
+                let next = known.next_call(Time(now)).expect("the leaf names a limit");
+                prop_assert!(next >= Time(now));
+                known.take(Time(now));
+            }
+        }
+    }
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod links;
 mod load;
 mod membership;
+mod numbers;
 mod platform;
 mod requests;
 mod restore;
