Reject settings with numbers out of range instead of panicking

A settings file with a time that is no number, negative or beyond a duration (`grace_s = nan`) ended a running gateway at SIGHUP by a panic, with all its requests, and a starting one with a panic instead of a message.

A reload that names another one is logged as "settings not reloaded" with the name, the value and the range; a start exits with code 2 and the same message.

--- a/tests/gateway/numbers.rs
+++ b/tests/gateway/numbers.rs
@@ -1,8 +1,9 @@
 //! Numbers that leaves, the store, callers and settings name, at and beyond the ends of their ranges.
 
-use std::time::Duration;
+use std::{fs, process::Command, time::Duration};
 
 use cranberrychute::adapter::http1::Connection;
+use rustix::process::Signal;
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -160,3 +161,42 @@
     .await;
     assert_no_panic(&nodes[0]);
 }
+
+/// Guards against numbers in a settings file that end a process, at its start without a message or at a reload.
+#[tokio::test]
+async fn settings_with_numbers_out_of_range_are_rejected() {
+    let site = Site::start(1, 1).await;
+    let mut nodes = site.nodes().await;
+    let node = &mut nodes[0];
+    let path = site.folder.path().join("node-0.toml");
+    let good = fs::read_to_string(&path).unwrap();
+    let faults = ["nan", "-nan", "inf", "-inf", "-1", "1e308"];
+    for (count, fault) in faults.into_iter().enumerate() {
+        for (name, value) in [
+            ("grace_s", "6"),
+            ("budget_window_s", "10"),
+            ("retry_slack", "56"),
+        ] {
+            let (from, to) = (format!("{name} = {value}\n"), format!("{name} = {fault}\n"));
+            assert!(good.contains(&from));
+            fs::write(&path, good.replace(&from, &to)).unwrap();
+            let before = node.log().matches("settings not reloaded").count();
+            node.signal(Signal::HUP);
+            wait_until("the settings are read", async || {
+                let count = node.log().matches("settings not reloaded").count();
+                count > before || node.exit_status().is_some()
+            })
+            .await;
+            assert_no_panic(node);
+        }
+        assert!(node.is_ready().await, "after {} faults", count + 1);
+    }
+    let start = Command::new(env!("CARGO_BIN_EXE_cranberrychute"))
+        .arg("gateway")
+        .env("CRANBERRYCHUTE_SETTINGS", &path)
+        .output()
+        .unwrap();
+    assert_eq!(start.status.code(), Some(2));
+    let message = String::from_utf8(start.stderr).unwrap();
+    assert!(message.contains("bounds.retry_slack"), "{message}");
+}
