Serve requests under any number of a configuration

A configuration with `priority =` ended each request that found its leaves' rate limits used up ("attempt to add with overflow"; without overflow checks the sum is zero and the division by it panics, which was read, not run). One with `max_header_bytes =` ended each new connection in builds with overflow checks. With `attempts` above 255, the count of runs of a part overflowed at the 256th; without overflow checks it starts anew, and a request that has run would be answered 503, "not run".

The sums saturate, and the counts of the plan have 32 bits. Routes' times were bounded before.

Evidence, before the fix: any_number_of_a_configuration_leaves_requests_answered (38 configurations, each with leaves whose limits are used up, that fail and that work) failed with "connection reset by peer" at max_header_bytes, after panics at dispatch.rs:434; a_request_that_ran_on_hundreds_of_leaves_may_have_run failed at plan.rs:200.

--- a/src/core/gather/plan.rs
+++ b/src/core/gather/plan.rs
@@ -18,7 +18,7 @@
 const NO_BUDGET_DELAY: Duration = Duration::from_millis(10);
 
 /// Maximum number of attempts of one part that end without running, such as refused connections and shed calls.
-const MAX_NOT_RUN: u8 = 4;
+const MAX_NOT_RUN: u32 = 4;
 
 /// Settings of the plan of one request.
 #[derive(Clone, Copy, Debug)]
@@ -85,13 +85,13 @@
 struct Part {
     state: State,
     /// Calls in progress.
-    in_flight: u8,
+    in_flight: u32,
     /// Leaves that may have run the part, including calls in progress.
-    may_have_run: u8,
+    may_have_run: u32,
     /// Calls sent so far.
-    sent: u8,
+    sent: u32,
     /// Attempts that ended without running.
-    not_run: u8,
+    not_run: u32,
     /// When the part is due to be sent next.
     next_send: Time,
 }
@@ -198,7 +198,7 @@
         let part = &mut self.parts[part];
         part.in_flight += 1;
         part.may_have_run += 1;
-        part.sent = part.sent.saturating_add(1);
+        part.sent += 1;
         part.next_send = if repeatable {
             now + hedge_delay
         } else {
@@ -266,7 +266,7 @@
                 part.may_have_run = part.may_have_run.saturating_sub(1);
                 part.not_run += 1;
                 if failure == Failure::Shed {
-                    next_send = now + SHED_DELAY * u32::from(part.not_run);
+                    next_send = now + SHED_DELAY * part.not_run;
                 }
                 part.not_run < MAX_NOT_RUN
             }
@@ -275,7 +275,7 @@
         if part.state != State::Pending {
             return;
         }
-        if may_resend && u32::from(part.may_have_run) < max_attempts {
+        if may_resend && part.may_have_run < max_attempts {
             part.next_send = if part.in_flight == 0 {
                 next_send
             } else {
@@ -310,7 +310,7 @@
 
     fn may_send(&self, part: &Part) -> bool {
         part.state == State::Pending
-            && u32::from(part.may_have_run) < self.settings.max_attempts
+            && part.may_have_run < self.settings.max_attempts
             && (part.in_flight == 0 || self.settings.repeatable)
     }
 
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -431,7 +431,8 @@
         if self.gather().is_some() {
             return *arrived;
         }
-        let longest = route.objective.mul_f64(MAX_RATE_WAIT_SHARE) / (1 + route.priority);
+        let longest =
+            route.objective.mul_f64(MAX_RATE_WAIT_SHARE) / route.priority.saturating_add(1);
         *arrived + longest.saturating_sub(*waited)
     }
 
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -193,7 +193,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
-        .max_buf_size((limits.header_bytes * 2).max(MIN_BUFFER_BYTES))
+        .max_buf_size(limits.header_bytes.saturating_mul(2).max(MIN_BUFFER_BYTES))
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
--- a/tests/decisions/numbers.rs
+++ b/tests/decisions/numbers.rs
@@ -4,6 +4,7 @@
 
 use cranberrychute::core::{
     Time,
+    gather::{Failure, Plan, PlanSettings, Step},
     limit::{LeafLimit, NAMED_LIMIT, Naming, share},
     placement::{LeafLoad, LeafStats},
 };
@@ -55,3 +56,25 @@
         }
     }
 }
+
+/// Guards against a count of runs that starts anew, after which a request that has run counts as not run.
+#[test]
+fn a_request_that_ran_on_hundreds_of_leaves_may_have_run() {
+    let settings = PlanSettings {
+        parts: 1,
+        required: 1,
+        max_attempts: u32::MAX,
+        repeatable: true,
+        typical: Duration::from_millis(8),
+        hedge_delay: Duration::from_millis(20),
+        partial_at: at(72),
+        deadline: at(790),
+    };
+    let mut plan = Plan::new(settings, at(0));
+    for _ in 0..600 {
+        assert!(matches!(plan.step(at(1)), Step::Send(_)));
+        plan.record_sent(0, at(1));
+        plan.record_failure(0, at(1), Failure::MayHaveRun);
+        assert!(plan.may_have_run());
+    }
+}
--- a/tests/gateway/numbers.rs
+++ b/tests/gateway/numbers.rs
@@ -3,6 +3,7 @@
 use std::{fs, process::Command, time::Duration};
 
 use cranberrychute::adapter::http1::Connection;
+use cranberrychute_emulator::LeafMode;
 use rustix::process::Signal;
 use serde_json::json;
 use tokio::time::sleep;
@@ -121,6 +122,72 @@
     assert_no_panic(&nodes[0]);
 }
 
+/// Guards against a configuration whose numbers end connections.
+#[tokio::test]
+async fn any_number_of_a_configuration_leaves_requests_answered() {
+    const FLOATS: [&str; 5] = [
+        "/routes/2/timeout_ms",
+        "/routes/2/target_latency_ms",
+        "/routes/0/min_coverage",
+        "/routes/1/traffic_split/0/weight",
+        "/services/0/warmup_per_s",
+    ];
+    const U32S: [&str; 4] = [
+        "/routes/2/priority",
+        "/routes/2/attempts",
+        "/routes/0/attempts",
+        "/services/0/max_connections",
+    ];
+    const U64S: [&str; 5] = [
+        "/routes/0/top_k",
+        "/limits/max_header_bytes",
+        "/limits/max_body_bytes",
+        "/limits/header_timeout_ms",
+        "/limits/idle_timeout_ms",
+    ];
+    let site = Site::start(2, 1).await;
+    let nodes = site.nodes().await;
+    let node = &nodes[0];
+    let floats = [json!(0), json!(-1), json!(1e308), json!(-1e308)];
+    let floats = FLOATS
+        .into_iter()
+        .flat_map(|field| floats.clone().map(|value| (field, value)));
+    let u32s = U32S
+        .into_iter()
+        .flat_map(|field| [(field, json!(0)), (field, json!(u32::MAX))]);
+    let u64s = U64S
+        .into_iter()
+        .flat_map(|field| [(field, json!(0)), (field, json!(u64::MAX))]);
+    // Leaves whose limits are used up, leaves that fail, and good ones.
+    let modes = [
+        (LeafMode::Normal, Some("0.1")),
+        (LeafMode::Fail, None),
+        (LeafMode::Normal, None),
+    ];
+    for (version, (field, value)) in (100..).zip(floats.chain(u32s).chain(u64s)) {
+        let mut config = site.config(version);
+        *config.pointer_mut(field).unwrap() = value.clone();
+        site.store.put("op/config", &config);
+        let in_force = format!("\"version\":{version}}}");
+        wait_until("the configuration is in force", async || {
+            let log = node.log();
+            log.lines()
+                .any(|line| line.contains("configuration in force") && line.ends_with(&in_force))
+        })
+        .await;
+        for (mode, limit) in modes {
+            for leaf in site.shards.iter().flatten() {
+                leaf.set_mode(mode);
+                leaf.set_limit(limit);
+            }
+            for path in ["/one/x", "/split/x", "/all/x"] {
+                query_all(node, 3, path, &format!("{field}={value}")).await;
+            }
+        }
+    }
+    assert_no_panic(node);
+}
+
 /// Guards against an entry of a leaf whose numbers end the watch of the store or requests.
 #[tokio::test]
 async fn any_number_of_a_leaf_entry_leaves_requests_answered() {
