Sum the capacities of nodes without an overflow

Reports of nodes whose capacities exceed 32 bits together panicked in the selection of the nodes that callers use ("attempt to add with overflow" in builds with overflow checks; without them the sum is too small). The panic ended the membership task: the node sends no more messages and counts as dead for the others.

The capacities are added as floating-point numbers, as their mean is.

--- a/src/core/entry/select.rs
+++ b/src/core/entry/select.rs
@@ -97,12 +97,13 @@
 }
 
 fn is_sufficient(nodes: &[(&NodeId, &EntryReport)], fleet: Fleet) -> bool {
-    let capacity: u32 = nodes.iter().map(|(_, report)| report.capacity).sum();
+    let capacities = nodes.iter().map(|(_, report)| f64::from(report.capacity));
+    let capacity: f64 = capacities.sum();
     let mut domains: Vec<&Domain> = nodes.iter().map(|(_, report)| &report.domain).collect();
     domains.sort_unstable();
     domains.dedup();
     let needed = fleet.mean_capacity * fleet.alive as f64 * MIN_CAPACITY_SHARE;
-    nodes.len() >= MIN_NODES && domains.len() >= MIN_DOMAINS && f64::from(capacity) >= needed
+    nodes.len() >= MIN_NODES && domains.len() >= MIN_DOMAINS && capacity >= needed
 }
 
 /// Tracks whether the selected nodes are overloaded, so that all nodes have to serve callers.
--- a/tests/decisions/numbers.rs
+++ b/tests/decisions/numbers.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use cranberrychute::core::{
-    Time,
+    Domain, NodeId, Time,
+    entry::{EntryReport, EntryState, EntryTable, Fleet, select},
     gather::{Failure, Plan, PlanSettings, Step},
     limit::{LeafLimit, NAMED_LIMIT, Naming, share},
     placement::{LeafLoad, LeafStats},
@@ -55,6 +56,22 @@
             }
         }
     }
+
+    /// Guards against a report of another node that ends the selection of the nodes that callers use.
+    #[test]
+    fn any_capacity_can_be_selected_from(capacities in prop::collection::vec(extreme_u32(), 1..40)) {
+        let mut table = EntryTable::default();
+        for (index, capacity) in capacities.iter().enumerate() {
+            let domain: Domain = ["a", "b"][index % 2].into();
+            let report = EntryReport { domain, capacity: *capacity, state: EntryState::Ready, lag_ms: u16::MAX };
+            let node: NodeId = format!("10.0.0.{index}:1").as_str().into();
+            table.record(at(1), &node, report, Duration::ZERO);
+        }
+        let fleet = Fleet { alive: capacities.len(), mean_capacity: 1.0 };
+        if let Some(chosen) = select(&table, fleet, |_| true, |_| true) {
+            prop_assert!(!chosen.is_empty());
+        }
+    }
 }
 
 /// Guards against a count of runs that starts anew, after which a request that has run counts as not run.
