Answer requests to a node whose handlers panic

As at gateways, a panic in a handler of the node's HTTP server closed the caller's connection without an answer. It is caught now, and the request is answered 504 `unknown` with `not_run: false`, since it may have run. The metrics page is not covered.

Evidence: a_request_whose_handler_panics_is_answered, with operations that panic at once and after a wait, failed before the fix ("connection closed by peer") and passes.

--- a/src/adapter/caller/server.rs
+++ b/src/adapter/caller/server.rs
@@ -1,6 +1,7 @@
 use std::{
     convert::Infallible,
     net::SocketAddr,
+    panic::AssertUnwindSafe,
     pin::pin,
     sync::{
         Arc,
@@ -281,7 +282,8 @@
         })
 }
 
-/// Wraps a function of the port and the request as a route handler.
+/// Wraps a function of the port and the request as a route handler. A request whose function panics is answered: it may
+/// have run.
 fn handler<P, F, R>(
     port: &Arc<P>,
     serve: F,
@@ -293,8 +295,14 @@
 {
     let port = port.clone();
     move |request| {
-        let reply = serve(port.clone(), request);
-        async move { Ok(build_response(reply.await)) }.boxed()
+        let reply = AssertUnwindSafe(serve(port.clone(), request)).catch_unwind();
+        let reply = reply.map(|reply| {
+            reply.unwrap_or_else(|_| {
+                let message = "the node failed while it handled the request";
+                ApiError::may_have_run(ErrorCode::Unknown, message).into()
+            })
+        });
+        reply.map(|reply| Ok(build_response(reply))).boxed()
     }
 }
 
