Give the partitions of a leaving node to other nodes at once

While a node process was stopping, its leaves had no owner. It gave up its leases at SIGTERM, but the other nodes still ranked it first, because it was alive, and none of them requested the leases until its death was noticed: 35 s of address answers and about 3 s with the default settings. Queries went on through replicas with other owners; shards without one were missing from all answers. Entry nodes also went on sending calls to it, which it rejected, so its exit cut batches in progress: at-most-once requests of callers at other nodes ended as "outcome unknown" although nothing had run at it.

Nodes now leave those that have announced their stop out of the ranking of lease holders, and a leaving node leaves itself out, so that the holder it names in a rejection is the next one. Who holds a lease is still decided by the voters.

--- a/src/core/lease/table.rs
+++ b/src/core/lease/table.rs
@@ -111,7 +111,7 @@
     /// Requests and renews leases when they are due. Must be called at least every 100 ms. A gap longer than
     /// [`LeaseSettings::pause_threshold`] counts as a pause of the process.
     ///
-    /// `alive` returns whether a node is alive. `digest` is the digest of this node's active configuration.
+    /// `alive` returns whether a node is alive and not leaving. `digest` is the digest of this node's active configuration.
     pub fn tick<D: ConfigDigest>(
         &mut self,
         now: Time,
@@ -297,8 +297,11 @@
         let Some(list) = self.voters.list().cloned() else {
             return;
         };
-        self.rankings
-            .refresh(&list, |node| *node == self.me || alive(node));
+        let leaving = self.leaving;
+        self.rankings.refresh(&list, |node| match *node == self.me {
+            true => !leaving,
+            false => alive(node),
+        });
         if !self.leaving {
             for partition in self.rankings.partitions_of(&self.me) {
                 self.claims
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -122,6 +122,11 @@
         let now = self.clock.now();
         let mut out = Vec::new();
         let payload = self.payload();
+        let departing = self
+            .departing
+            .lock()
+            .expect("no panic while locked")
+            .clone();
         {
             let mut members = self.members.lock().expect("no panic while locked");
             let mut probes = Vec::new();
@@ -136,7 +141,8 @@
             let mut requests = Vec::new();
             leases.tick(
                 now,
-                &|node: &NodeId| members.is_alive(node),
+                // Nodes that are leaving hand their partitions over, and would leave them without a holder until they exit.
+                &|node: &NodeId| members.is_alive(node) && !departing.contains(node),
                 &payload.digest,
                 &mut requests,
             );
--- a/tests/node_stop.rs
+++ b/tests/node_stop.rs
@@ -6,12 +6,15 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
 use bytes::Bytes;
-use cranberrychute::client::Answer;
+use cranberrychute::client::{Answer, Client, OnceAnswer, Query};
 use cranberrychute_emulator::LeafControl;
 use http::{Method, Request};
 use http_body_util::{BodyExt, Full};
@@ -41,6 +44,10 @@
 /// and a few for requests in progress on a busy machine.
 const MAX_STOP_TIME: Duration = Duration::from_secs(8);
 
+/// Time within which the leaves of a leaving node have another owner: other nodes learn of it from its probes, one a second,
+/// then request the leases twice a second.
+const HANDOVER_TIME: Duration = Duration::from_secs(5);
+
 /// How a caller uses its connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Usage {
@@ -171,11 +178,15 @@
 }
 
 async fn start(settings: &'static str) -> Cluster {
-    let cluster = Cluster::start(Setup {
+    start_with(Setup {
         settings,
         ..Setup::default()
     })
-    .await;
+    .await
+}
+
+async fn start_with(setup: Setup) -> Cluster {
+    let cluster = Cluster::start(setup).await;
     cluster
         .control_leaves(LeafControl {
             service_us: Some(SERVICE_TIME_US),
@@ -184,9 +195,7 @@
         .await;
     let client = cluster.client("first");
     let full = async || {
-        let answer = client
-            .query(SERVICE, &cranberrychute::client::Query::new("brass"))
-            .await;
+        let answer = client.query(SERVICE, &Query::new("brass")).await;
         answer.is_ok_and(|answer| answer.is_complete())
     };
     assert!(eventually(full).await, "no answer covered all shards");
@@ -289,3 +298,69 @@
     assert!(left > 0 && took < MAX_STOP_TIME, "{left} {took:?}");
     cluster.assert_no_violations().await;
 }
+
+/// Sends queries and at-most-once requests until `stop` is set. Returns the number of answers, and what went wrong.
+async fn run_client(client: Client, stop: Arc<AtomicBool>) -> (usize, Vec<String>) {
+    let (mut answers, mut failures) = (0, Vec::new());
+    while !stop.load(Ordering::Relaxed) {
+        match client.query(SERVICE, &Query::new("brass")).await {
+            Ok(_) => answers += 1,
+            Err(error) => failures.push(error.to_string()),
+        }
+        match client.query_once(SERVICE, &Query::new("brass order")).await {
+            Ok(OnceAnswer::Done(_)) => answers += 1,
+            other => failures.push(format!("{other:?}")),
+        }
+    }
+    (answers, failures)
+}
+
+/// Guards against callers with the client library that notice the stop of a node, because the node refuses what they send
+/// or its connections end with requests in progress.
+#[tokio::test(flavor = "multi_thread")]
+async fn clients_do_not_notice_the_stop_of_a_node() {
+    let limits = "[limits]\naddress_lifetime_ms = 500\ndrain_ms = 7000\n";
+    let mut cluster = start(limits).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers = (0..12).map(|caller| cluster.client(&format!("caller-{caller}")));
+    let callers: JoinSet<_> = callers
+        .map(|client| run_client(client, stop.clone()))
+        .collect();
+    sleep(LOAD_TIME).await;
+    cluster.nodes[0].process.signal(Signal::TERM);
+    let status = cluster.nodes[0].process.wait_for_exit().await;
+    assert!(status.success(), "{status}");
+    sleep(LOAD_TIME).await;
+    stop.store(true, Ordering::Relaxed);
+    let ends = callers.join_all().await;
+    let answers: usize = ends.iter().map(|(answers, _)| answers).sum();
+    let failures: Vec<&String> = ends.iter().flat_map(|(_, failures)| failures).collect();
+    println!("{answers} whole, {} lost", failures.len());
+    assert!(answers > 100, "{answers}");
+    assert!(failures.is_empty(), "{failures:#?}");
+    cluster.assert_no_violations().await;
+}
+
+/// Guards against leaves that nobody calls while their owner waits for the expiry of its address answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn partitions_of_a_leaving_node_get_another_owner() {
+    let setup = Setup {
+        replicas: 1,
+        settings: "[limits]\naddress_lifetime_ms = 10000\n",
+        ..Setup::default()
+    };
+    let cluster = start_with(setup).await;
+    cluster.nodes[0].process.signal(Signal::TERM);
+    sleep(HANDOVER_TIME).await;
+    let path = format!("services/{SERVICE}/query");
+    let body = json!({"text": "brass"});
+    for round in 0..12 {
+        let answer = cluster.post(1 + round % 3, &path, &[], &body).await;
+        let (_, answer) = answer.unwrap();
+        let whole = answer["missing"].as_array().is_some_and(Vec::is_empty);
+        assert!(whole, "round {round}: {answer}");
+    }
+    let answer = cluster.post(0, &path, &[], &body).await;
+    assert!(answer.is_ok(), "the node left before the answers");
+    cluster.assert_no_violations().await;
+}
