Soak of stops: rolls of eight nodes, changing timeouts, slow leaves, three kinds of callers

A process that still runs at the end of its grace period is killed, which is a fault.

Answers are compared with the stamp of the leaf (id, status, whole body), and a check that never ran fails the run.

--- a/emulator/src/gateway_leaf.rs
+++ b/emulator/src/gateway_leaf.rs
@@ -15,7 +15,10 @@
     time::{Instant, sleep},
 };
 
-use crate::http::{Closed, Payload, Reply, Reservation, lock, raw, serve};
+use crate::{
+    http::{Closed, Payload, Reply, Reservation, lock, raw, serve},
+    work::Work,
+};
 
 /// How a leaf handles requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -42,6 +45,9 @@
 /// Size of the blocks of a body without end, bytes.
 const ENDLESS_BLOCK_BYTES: usize = 16 << 10;
 
+/// Number of requests that a leaf without [`Work`] says it runs at the same time.
+const DEFAULT_SLOTS: u32 = 2;
+
 /// Minimum time since the previous request, or since the connection was opened, for [`LeafMode::CloseIdle`] to close
 /// the connection.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(300);
@@ -51,6 +57,8 @@
     id: String,
     mode: LeafMode,
     delay: Duration,
+    /// Replaces the delay and the records.
+    work: Option<Work>,
     records: Vec<u8>,
     /// Number of executions of each request, by request id.
     runs: HashMap<String, u32>,
@@ -105,14 +113,15 @@
 
     /// Returns the next entry that the leaf publishes in the store.
     pub fn entry(&self, service: &str, zone: &str, state: &str) -> Value {
-        let sequence = {
+        let (sequence, slots) = {
             let mut state = self.lock();
             state.sequence += 1;
-            state.sequence
+            let slots = state.work.as_ref().map_or(DEFAULT_SLOTS, |work| work.slots);
+            (state.sequence, slots)
         };
         json!({
             "service": service, "address": self.address, "zone": zone, "config_version": "v1",
-            "slots": 2, "state": state, "warmup_left_ms": 0, "sequence": sequence,
+            "slots": slots, "state": state, "warmup_left_ms": 0, "sequence": sequence,
         })
     }
 
@@ -136,6 +145,12 @@
         self.lock().delay = delay;
     }
 
+    /// Lets requests run for times of their own and get answers of their own, which their stamps describe. A request that
+    /// uses up its `deadline-ms` is answered 504 then.
+    pub fn set_work(&self, work: Work) {
+        self.lock().work = Some(work);
+    }
+
     /// Changes the rate limit that answers name.
     pub fn set_limit(&self, limit: Option<&str>) {
         self.lock().limit = limit.map(str::to_owned);
@@ -272,10 +287,10 @@
         value.unwrap_or_default().to_owned()
     };
     let (id, target) = (header("request-id"), header("target-instance"));
+    let deadline_ms = header("deadline-ms").parse().unwrap_or(u64::MAX);
     let (mode, delay, leaf_id, crashes) = {
         let mut state = lock(&state);
         state.arrivals.push(Instant::now());
-        let deadline_ms = header("deadline-ms").parse().unwrap_or(u64::MAX);
         state.max_deadline_ms = state.max_deadline_ms.max(deadline_ms);
         let crashing = state.crashing.as_ref();
         let crashes = crashing.is_some_and(|(path, _)| path == request.uri().path());
@@ -305,14 +320,26 @@
         | LeafMode::CloseIdle
         | LeafMode::Endless => {}
     }
-    let count = {
+    let (count, work) = {
         let mut state = lock(&state);
         state.running += 1;
         let runs = state.runs.entry(id.clone()).or_default();
         *runs += 1;
-        *runs
+        (*runs, state.work.clone())
     };
     let mut guard = RunGuard(state.clone(), false);
+    if let Some(work) = work {
+        let run = work.run(&leaf_id, &id, count, Duration::from_millis(deadline_ms));
+        sleep(run.time).await;
+        guard.1 = true;
+        let load = format!("{},0,{}", lock(&state).running, work.slots);
+        let headers = [
+            ("request-id", id.as_str()),
+            ("server-stamp", &run.stamp),
+            ("leaf-load", &load),
+        ];
+        return Ok(build_response(run.status, &headers, &run.body));
+    }
     sleep(delay).await;
     if crashes {
         crashed.notify_one();
--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -13,6 +13,7 @@
 mod platform;
 mod store;
 mod upstream;
+mod work;
 
 pub use self::{
     data::{Corpus, Hit, Record, score, shard_of, terms},
@@ -23,4 +24,5 @@
     platform::{Platform, PlatformControl, PlatformCounters},
     store::{Access, Store, StoreCopy},
     upstream::{Execution, Fault, LeafControl, LeafCounters, Upstream, UpstreamSettings},
+    work::{Stamped, Work},
 };
--- a/tests/gateway/load.rs
+++ b/tests/gateway/load.rs
@@ -1,30 +1,41 @@
 //! Callers that send requests without a break, each on a connection of its own that it keeps open.
 
 use std::{
-    io,
     net::SocketAddr,
+    ops::Range,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicU32, Ordering},
     },
     time::Duration,
 };
 
-use cranberrychute::adapter::http1::{Connection, ExchangeError};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpSocket,
     task::JoinSet,
     time::{Instant, sleep, timeout},
 };
+use tokio_util::sync::CancellationToken;
 
-use crate::site::{HOST, Site};
+use crate::{
+    caller::{Answer, Caller, Idle},
+    site::{HOST, Site},
+};
 
 /// Time that a caller waits for an answer.
 const TIMEOUT: Duration = Duration::from_secs(5);
-/// Size of the pieces in which a slow caller reads, and the pause after each.
-const PIECE_BYTES: usize = 64 << 10;
-const PIECE_PAUSE: Duration = Duration::from_millis(10);
+/// Longest pause of a caller after a node has refused a connection.
+const REFUSED_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause between the two pieces in which a request may be sent.
+const PIECE_PAUSE_MS: u64 = 40;
+/// Share of the orders that are sent in two pieces.
+const SPLIT_SHARE: f64 = 0.2;
+/// Path of requests that must not run twice.
+pub(crate) const ORDERS: &str = "/order/";
+
+/// Distinguishes the requests of several loads.
+static NEXT_LOAD: AtomicU32 = AtomicU32::new(0);
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -39,8 +50,21 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Reading {
     AtOnce,
-    /// In small pieces, on a connection of its own with a small receive buffer.
+    /// In pieces with pauses, on a connection with a small receive buffer.
     Slowly,
+    /// The same in smaller pieces.
+    VerySlowly,
+}
+
+impl Reading {
+    /// Returns the size of the pieces.
+    pub(crate) fn piece_bytes(self) -> Option<usize> {
+        match self {
+            Reading::AtOnce => None,
+            Reading::Slowly => Some(64 << 10),
+            Reading::VerySlowly => Some(2 << 10),
+        }
+    }
 }
 
 /// A request that has ended.
@@ -48,28 +72,21 @@
 pub(crate) struct Request {
     pub(crate) id: String,
     pub(crate) node: SocketAddr,
+    /// When the last byte was sent.
     pub(crate) sent: Instant,
     pub(crate) ended: Instant,
     pub(crate) end: End,
-}
-
-impl Request {
-    fn new(id: String, node: SocketAddr, sent: Instant, end: End) -> Self {
-        Self {
-            id,
-            node,
-            sent,
-            ended: Instant::now(),
-            end,
-        }
-    }
+    /// Whether the answer holds the stamp of a leaf.
+    pub(crate) is_stamped: bool,
+    /// Why the answer is not the one to this request.
+    pub(crate) mixed: Option<String>,
 }
 
 /// Callers of some nodes, and how their requests ended.
 pub(crate) struct Load {
     tasks: JoinSet<()>,
     ended: Arc<Mutex<Vec<Request>>>,
-    stopped: Arc<AtomicBool>,
+    stopped: CancellationToken,
 }
 
 impl Load {
@@ -92,62 +109,17 @@
         pause: Duration,
         reading: Reading,
     ) -> Self {
-        let (ended, stopped) = (
-            Arc::<Mutex<Vec<_>>>::default(),
-            Arc::<AtomicBool>::default(),
-        );
-        let mut tasks = JoinSet::new();
-        for caller in 0..callers {
-            let mut nodes = nodes.to_vec();
-            let first = caller % nodes.len();
-            nodes.rotate_left(first);
-            let (ended, stopped) = (ended.clone(), stopped.clone());
-            tasks.spawn(async move {
-                sleep(pause * caller as u32 / callers as u32).await;
-                let mut connection = None;
-                for request in 0.. {
-                    if stopped.load(Ordering::Relaxed) {
-                        return;
-                    }
-                    let sent = Instant::now();
-                    let (id, end) = if reading == Reading::Slowly {
-                        let id = format!("{path}slow-{caller}-{request}");
-                        let end = read_slowly(nodes[0], path, &id).await;
-                        (id, end)
-                    } else {
-                        let id = format!("{path}{caller}-{request}");
-                        let end = match connect(nodes[0], connection.take()).await {
-                            Some(open) => {
-                                let (end, kept) = send(open, path, &id).await;
-                                connection = kept;
-                                Some(end)
-                            }
-                            None => None,
-                        };
-                        (id, end)
-                    };
-                    match end {
-                        Some(end) => {
-                            let request = Request::new(id, nodes[0], sent, end);
-                            ended.lock().unwrap().push(request);
-                        }
-                        // The node accepts no connections.
-                        None => nodes.rotate_left(1),
-                    }
-                    sleep(pause).await;
-                }
-            });
-        }
-        Self {
-            tasks,
-            ended,
-            stopped,
-        }
+        let kind = Kind {
+            path,
+            pauses: pause..pause + Duration::from_millis(1),
+            reading,
+        };
+        kind.start(nodes, callers)
     }
 
     /// Ends the callers after their requests in progress, and returns all requests.
     pub(crate) async fn finish(mut self) -> Vec<Request> {
-        self.stopped.store(true, Ordering::Relaxed);
+        self.stopped.cancel();
         while let Some(ended) = self.tasks.join_next().await {
             ended.unwrap();
         }
@@ -155,90 +127,149 @@
     }
 }
 
-/// Returns the ids of the requests that have run on a leaf and whose connection ended before the whole answer.
-pub(crate) fn cut_requests<'a>(site: &Site, requests: &'a [Request]) -> Vec<&'a str> {
-    let has_run = |id: &str| {
-        let leaves = site.shards.iter().flatten();
-        leaves.map(|leaf| leaf.run_count(id)).sum::<u32>() > 0
-    };
-    requests
-        .iter()
-        .filter(|request| request.end == End::Cut && has_run(&request.id))
-        .map(|request| &*request.id)
-        .collect()
+/// What callers send, and how.
+#[derive(Clone, Debug)]
+pub(crate) struct Kind {
+    pub(crate) path: &'static str,
+    /// Pauses between two requests.
+    pub(crate) pauses: Range<Duration>,
+    pub(crate) reading: Reading,
 }
 
-/// Returns the connection that is kept, or a new one. `None` if the node refuses it.
-async fn connect(node: SocketAddr, kept: Option<Connection>) -> Option<Connection> {
-    match kept {
-        Some(kept) => Some(kept),
-        None => Connection::open(node).await.ok(),
+impl Kind {
+    /// Starts callers of this kind like [`Load::start`].
+    pub(crate) fn start(&self, nodes: &[SocketAddr], callers: usize) -> Load {
+        let load = NEXT_LOAD.fetch_add(1, Ordering::Relaxed);
+        let (ended, stopped) = (Arc::<Mutex<Vec<_>>>::default(), CancellationToken::new());
+        let mut tasks = JoinSet::new();
+        for caller in 0..callers {
+            let mut nodes = nodes.to_vec();
+            let step = (nodes.len() / callers).max(1);
+            let first = caller * step % nodes.len();
+            nodes.rotate_left(first);
+            let run = Run {
+                kind: self.clone(),
+                nodes,
+                name: format!("{}{load}-{caller}", self.path),
+                rng: Pcg64::seed_from_u64(caller as u64),
+                stopped: stopped.clone(),
+                ended: ended.clone(),
+            };
+            tasks.spawn(run.run());
+        }
+        Load {
+            tasks,
+            ended,
+            stopped,
+        }
     }
 }
 
-/// Sends a request. Returns the connection if it stays open.
-async fn send(mut connection: Connection, path: &str, id: &str) -> (End, Option<Connection>) {
-    let method = if path.starts_with("/order/") {
-        "POST"
-    } else {
-        "GET"
-    };
-    let request = format!(
-        "{method} {path}x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 4000\r\n\
-         Content-Length: 0\r\n\r\n"
-    );
-    let exchange = connection.exchange(request.as_bytes(), 4 << 20, |_| true);
-    let end = match timeout(TIMEOUT, exchange).await {
-        Ok(Ok(reply)) => End::Status(reply.status),
-        Ok(Err(ExchangeError { .. })) => End::Cut,
-        Err(_) => End::Timeout,
-    };
-    let kept = matches!(end, End::Status(_)) && connection.is_idle();
-    (end, kept.then_some(connection))
+/// A caller.
+struct Run {
+    kind: Kind,
+    /// The first one is in use.
+    nodes: Vec<SocketAddr>,
+    name: String,
+    rng: Pcg64,
+    stopped: CancellationToken,
+    ended: Arc<Mutex<Vec<Request>>>,
 }
 
-/// Sends a request on a new connection and reads its answer in pieces of [`PIECE_BYTES`]. Returns `None` if the node refuses
-/// the connection.
-async fn read_slowly(node: SocketAddr, path: &str, id: &str) -> Option<End> {
-    let socket = TcpSocket::new_v4().unwrap();
-    socket.set_recv_buffer_size(PIECE_BYTES as u32).unwrap();
-    let mut stream = socket.connect(node).await.ok()?;
-    let request = format!(
-        "GET {path}x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 4000\r\n\r\n"
-    );
-    let read = async {
-        stream.write_all(request.as_bytes()).await?;
-        let mut answer = Vec::new();
-        let mut piece = vec![0; PIECE_BYTES];
-        loop {
-            let received = stream.read(&mut piece).await?;
-            answer.extend_from_slice(&piece[..received]);
-            if received == 0 || is_whole(&answer) {
-                return io::Result::Ok(answer);
-            }
-            sleep(PIECE_PAUSE).await;
-        }
-    };
-    let end = match timeout(TIMEOUT, read).await {
-        Ok(Ok(answer)) if is_whole(&answer) => {
-            let status = std::str::from_utf8(&answer[9..12]).unwrap();
-            End::Status(status.parse().unwrap())
+impl Run {
+    async fn run(mut self) {
+        let mut kept = None;
+        let mut number = 0;
+        self.pause(Duration::MAX).await;
+        while !self.stopped.is_cancelled() {
+            let mut stray = None;
+            let open = match kept.take().map(Caller::idle) {
+                Some(Idle::Open(caller)) => Some(caller),
+                Some(Idle::Stray(bytes)) => {
+                    stray = Some(format!("{bytes} bytes before it was sent"));
+                    self.open().await
+                }
+                Some(Idle::Closed) | None => self.open().await,
+            };
+            // A node that accepts no connections is left.
+            let Some(mut caller) = open else {
+                self.nodes.rotate_left(1);
+                self.pause(REFUSED_PAUSE).await;
+                continue;
+            };
+            let id = format!("{}-{number}", self.name);
+            number += 1;
+            let mut request = self.send(&mut caller, id).await;
+            request.0.mixed = stray.or(request.0.mixed);
+            self.ended.lock().unwrap().push(request.0);
+            kept = request.1.then_some(caller);
+            self.pause(Duration::MAX).await;
         }
-        Ok(_) => End::Cut,
-        Err(_) => End::Timeout,
-    };
-    Some(end)
+    }
+
+    async fn open(&self) -> Option<Caller> {
+        Caller::open(self.nodes[0], self.kind.reading.piece_bytes())
+            .await
+            .ok()
+    }
+
+    /// Waits between two requests, for `limit` at most.
+    async fn pause(&mut self, limit: Duration) {
+        let pause = self.rng.random_range(self.kind.pauses.clone()).min(limit);
+        let _ = timeout(pause, self.stopped.cancelled()).await;
+    }
+
+    /// Sends a request. Returns how it ended, and whether its connection stays open.
+    async fn send(&mut self, caller: &mut Caller, id: String) -> (Request, bool) {
+        let path = self.kind.path;
+        let (method, body) = match path {
+            ORDERS => ("POST", "order"),
+            _ => ("GET", ""),
+        };
+        let head = format!(
+            "{method} {path}x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 4000\r\n\
+             Content-Length: {}\r\n\r\n",
+            body.len()
+        );
+        let is_split = path == ORDERS && self.rng.random_bool(SPLIT_SHARE);
+        let mut sent = Instant::now();
+        let exchange = async {
+            if is_split {
+                caller.write(head.as_bytes()).await?;
+                let pause = self.rng.random_range(0..PIECE_PAUSE_MS);
+                sleep(Duration::from_millis(pause)).await;
+                caller.write(body.as_bytes()).await?;
+            } else {
+                caller.write(format!("{head}{body}").as_bytes()).await?;
+            }
+            sent = Instant::now();
+            caller.read().await
+        };
+        let answer = timeout(TIMEOUT, exchange).await;
+        let end = match &answer {
+            Ok(Ok(answer)) => End::Status(answer.status),
+            Ok(Err(_)) => End::Cut,
+            Err(_) => End::Timeout,
+        };
+        let answer = answer.ok().and_then(Result::ok);
+        let request = Request {
+            node: self.nodes[0],
+            sent,
+            ended: Instant::now(),
+            end,
+            is_stamped: answer.as_ref().is_some_and(Answer::is_stamped),
+            mixed: answer.as_ref().and_then(|answer| answer.mixed(&id)),
+            id,
+        };
+        (request, answer.is_some_and(|answer| !answer.closes))
+    }
 }
 
-/// Returns whether an answer has arrived up to its stated length.
-fn is_whole(answer: &[u8]) -> bool {
-    let Some(head) = answer.windows(4).position(|bytes| bytes == b"\r\n\r\n") else {
-        return false;
-    };
-    let text = String::from_utf8_lossy(&answer[..head]).to_ascii_lowercase();
-    let length = text
-        .lines()
-        .find_map(|line| line.strip_prefix("content-length:"));
-    let length: usize = length.map_or(0, |length| length.trim().parse().unwrap());
-    answer.len() >= head + 4 + length
+/// Returns the ids of the requests that have run on a leaf and whose connection ended before the whole answer.
+pub(crate) fn cut_requests<'a>(site: &Site, requests: &'a [Request]) -> Vec<&'a str> {
+    requests
+        .iter()
+        .filter(|request| request.end == End::Cut && site.run_count(&request.id) > 0)
+        .map(|request| &*request.id)
+        .collect()
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 #[path = "../seeds/mod.rs"]
 mod seeds;
 
+mod caller;
 mod copies;
 mod crashes;
 mod input;
@@ -15,4 +16,5 @@
 mod restore;
 mod site;
 mod stop;
+mod stop_report;
 mod stop_schedules;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -1,6 +1,8 @@
-//! A small test site: emulated store and leaves, and gateway processes on loopback addresses.
+//! A small test site: emulated store and leaves, and gateway processes on loopback addresses. `GATEWAY_BINARY` names another
+//! program to run as the gateway.
 
 use std::{
+    env,
     fs::{self, File},
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::PathBuf,
@@ -24,6 +26,10 @@
 const STATE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Limits the number of sites that run at the same time, since more would slow each other down.
 static SITE_PERMITS: Semaphore = Semaphore::const_new(2);
+/// Number of records in an answer on the route `/all/`.
+pub(crate) const TOP_RECORDS: usize = 3;
+/// Number of addresses in an answer to an address query at most.
+const MAX_ADDRESSES: usize = 64;
 /// Last octet of the next node's address. Each node has its own loopback address, because all nodes use the same ports.
 static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
 
@@ -227,6 +233,12 @@
             .for_each(|link| link.set_mode(mode));
     }
 
+    /// Returns how often the leaves have run a request.
+    pub(crate) fn run_count(&self, id: &str) -> u32 {
+        let leaves = self.shards.iter().flatten();
+        leaves.map(|leaf| leaf.run_count(id)).sum()
+    }
+
     /// Publishes both leaves of a shard in the store.
     pub(crate) fn publish(&self, shard: usize, state: &str) {
         for (leaf, zone) in self.shards[shard].iter().zip(["a", "b"]) {
@@ -255,7 +267,7 @@
             "config_version": version,
             "routes": [
                 {"name": "all", "hostname": HOST, "prefix": "/all/", "route_type": "idempotent", "timeout_ms": 800,
-                 "target_latency_ms": 200, "priority": 1, "gather": names, "attempts": 2, "top_k": 3,
+                 "target_latency_ms": 200, "priority": 1, "gather": names, "attempts": 2, "top_k": TOP_RECORDS,
                  "min_coverage": 0.7},
                 {"name": "split", "hostname": HOST, "prefix": "/split/", "route_type": "idempotent",
                  "timeout_ms": 1000, "target_latency_ms": 250, "priority": 2, "traffic_split": split, "attempts": 2},
@@ -278,18 +290,25 @@
             .append(true)
             .open(&log)
             .unwrap();
-        self.spawn(index, output.into())
+        let errors = output.try_clone().unwrap();
+        self.spawn_with(index, output.into(), errors.into())
     }
 
     /// Starts a node with the given standard output.
     pub(crate) fn spawn(&self, index: usize, output: Stdio) -> Node {
+        self.spawn_with(index, output, Stdio::inherit())
+    }
+
+    fn spawn_with(&self, index: usize, output: Stdio, errors: Stdio) -> Node {
         // Nodes that know each other before they have read their own stores would take over each other's items.
         let settings = self.write_settings(index, if self.linked.is_empty() { 3 } else { 0 });
-        let child = Command::new(env!("CARGO_BIN_EXE_cranberrychute"))
+        let binary = env::var_os("GATEWAY_BINARY");
+        let child = Command::new(binary.unwrap_or(env!("CARGO_BIN_EXE_cranberrychute").into()))
             .arg("gateway")
             .env("CRANBERRYCHUTE_SETTINGS", settings)
             .stdin(Stdio::null())
             .stdout(output)
+            .stderr(errors)
             .spawn()
             .unwrap();
         Node {
@@ -326,7 +345,7 @@
         settings
     }
 
-    /// Starts all nodes and waits until each of them lists all nodes.
+    /// Starts all nodes and waits until each of them lists all nodes, or as many as an answer may hold.
     pub(crate) async fn nodes(&self) -> Vec<Node> {
         let nodes: Vec<Node> = (0..self.ips.len()).map(|index| self.node(index)).collect();
         if !self.linked.is_empty() {
@@ -341,7 +360,7 @@
         }
         for node in &nodes {
             wait_until("each node lists all nodes", async || {
-                node.directory().await.len() == nodes.len()
+                node.directory().await.len() == nodes.len().min(MAX_ADDRESSES)
             })
             .await;
         }
