--- a/tests/gateway/stop_report.rs
+++ b/tests/gateway/stop_report.rs
@@ -13,8 +13,9 @@
 /// Time after which a request that a node has received must not end without an answer even if no leaf has received it.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
 /// The checks, each of which must have run.
-const CHECKS: [&str; 8] = [
+const CHECKS: [&str; 9] = [
     "exit",
+    "panic",
     "LOST",
     "LOST around a stop",
     "HELD",
--- a/tests/gateway/stop_schedules.rs
+++ b/tests/gateway/stop_schedules.rs
@@ -2,7 +2,7 @@
 //! configuration changes and leaves are slow. `SCHEDULES` sets the number of schedules, `SEED` repeats one, `NODES` sets the
 //! number of nodes.
 
-use std::{net::SocketAddr, os::unix::process::ExitStatusExt, time::Duration};
+use std::{net::SocketAddr, os::unix::process::ExitStatusExt, process::ExitStatus, time::Duration};
 
 use cranberrychute_emulator::{Access, LeafMode, Work};
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
@@ -103,6 +103,10 @@
 
     fn stop(&mut self) {
         let now = Instant::now();
+        // A process that has ended unnoticed is found by the next check of its state.
+        if self.node.exit_status().is_some() {
+            return;
+        }
         self.node.signal(Signal::TERM);
         self.lifetime().stopped = Some(now);
         self.state = State::Stopping(now);
@@ -158,19 +162,39 @@
                 let delay = Duration::from_millis(rng.random_range(0..1_500));
                 self.stop_again = rng.random_bool(0.25).then_some(now + delay);
             }
-            State::Running | State::Down(_) => {}
+            State::Running => {
+                if let Some(status) = self.node.exit_status() {
+                    let early = self.is_early(status, now);
+                    self.check_exit(early, status, report);
+                    self.leave(now, rng);
+                }
+            }
+            State::Down(_) => {}
         }
     }
 
+    /// Returns whether a signal that was sent until `until` has ended a process that has not installed its handlers yet.
+    fn is_early(&mut self, status: ExitStatus, until: Instant) -> bool {
+        let signals = [Signal::TERM, Signal::HUP].map(Signal::as_raw);
+        let by_signal = status
+            .signal()
+            .is_some_and(|signal| signals.contains(&signal));
+        by_signal && until - self.lifetime().started < MAX_START_TIME
+    }
+
+    fn check_exit(&mut self, holds: bool, status: ExitStatus, report: &mut Report) {
+        let lived = self.lifetime().started.elapsed();
+        report.check("exit", holds, || {
+            format!("node-{} ended with {status} after {lived:?}", self.index)
+        });
+    }
+
     fn follow_stop(&mut self, since: Instant, plan: &Plan, rng: &mut Pcg64, report: &mut Report) {
         let now = Instant::now();
         let was_paused = self.disturbed.last().is_some_and(|(_, to)| *to > since);
         if let Some(status) = self.node.exit_status() {
-            let early = status.signal() == Some(Signal::TERM.as_raw())
-                && since - self.lifetime().started < MAX_START_TIME;
-            report.check("exit", status.success() || early, || {
-                format!("node-{} ended with {status}", self.index)
-            });
+            let early = self.is_early(status, since);
+            self.check_exit(status.success() || early, status, report);
             report.exits.extend((!early).then_some(now - since));
             self.leave(now, rng);
         } else if now - since >= GRACE {
@@ -241,6 +265,7 @@
     let after = |rng: &mut Pcg64, ms| Instant::now() + Duration::from_millis(rng.random_range(ms));
     let (mut next_signal, mut next_leaf) = (after(&mut rng, 500..501), after(&mut rng, 0..500));
     let mut next_config = after(&mut rng, 100..700);
+    let mut leaf_changes = 0;
     let outage = plan.loses_store.then(|| after(&mut rng, 2_000..6_000));
     let outage_end = outage.map(|at| at + Duration::from_millis(rng.random_range(1_000..3_000)));
     let gap_ms = if plan.rolls {
@@ -273,12 +298,8 @@
         }
         if now >= next_leaf {
             next_leaf = after(&mut rng, 200..900);
-            let leaf = &site.shards[rng.random_range(0..SHARDS)][rng.random_range(0..2)];
-            leaf.set_work(work(if rng.random_bool(0.4) { SLOW } else { USUAL }));
-            leaf.set_mode(match rng.random_range(0..10) {
-                0 => LeafMode::Reject,
-                _ => LeafMode::Normal,
-            });
+            change_leaves(&site, leaf_changes, &mut rng);
+            leaf_changes += 1;
         }
         if now >= next_config && plan.changes_config {
             next_config = after(&mut rng, 100..700);
@@ -306,6 +327,12 @@
     for load in loads {
         requests.extend(load.finish().await);
     }
+    for member in &members {
+        let log = member.node.log();
+        report.check("panic", !log.contains("panicked at"), || {
+            format!("at node-{}", member.index)
+        });
+    }
     for request in &requests {
         let member = members
             .iter()
@@ -334,6 +361,18 @@
     }
 }
 
+/// Makes one leaf slow or fast again. Each fifth time both leaves that run orders reject everything until the next change.
+fn change_leaves(site: &Site, changes: u32, rng: &mut Pcg64) {
+    let leaf = &site.shards[rng.random_range(0..SHARDS)][rng.random_range(0..2)];
+    leaf.set_work(work(if rng.random_bool(0.4) { SLOW } else { USUAL }));
+    for leaf in &site.shards[0] {
+        leaf.set_mode(match changes % 5 {
+            0 => LeafMode::Reject,
+            _ => LeafMode::Normal,
+        });
+    }
+}
+
 /// Writes a configuration with this timeout on all routes, with one more route in every other version.
 fn put_config(site: &Site, version: u64, timeout_ms: u64) {
     let mut config = site.config(version);
