--- a/tests/gateway/caller.rs
+++ b/tests/gateway/caller.rs
@@ -172,3 +172,34 @@
             .then(|| format!("parts {stamps} with {} bytes", self.body.len()))
     }
 }
+
+/// Guards against soaks that do not notice the answer to another request, or an answer that is not the leaf's.
+#[test]
+fn answers_that_are_not_the_leafs_are_noticed() {
+    let stamp = "i-0a.q-7.1.200.32";
+    let whole = Stamped::parse(stamp).unwrap().body;
+    let mixed = |status: u16, fields: &str, body: &[u8]| {
+        let length = body.len();
+        let head = format!("HTTP/1.1 {status} x\r\n{fields}content-length: {length}\r\n\r\n");
+        let answer = Answer::parse(&[head.as_bytes(), body].concat());
+        answer.unwrap().unwrap().mixed("q-7")
+    };
+    let stamped = |stamp: &str| format!("server-stamp: {stamp}\r\n");
+    assert_eq!(mixed(200, &stamped(stamp), &whole), None);
+    assert_eq!(mixed(503, "", b""), None);
+    let faults = [
+        mixed(200, "", &whole),
+        mixed(200, &stamped(stamp), &whole[1..]),
+        mixed(502, &stamped(stamp), &whole),
+        mixed(200, &stamped("i-0a.q-8.1.200.0"), b""),
+        mixed(503, "request-id: q-8\r\n", b""),
+    ];
+    assert!(faults.iter().all(Option::is_some), "{faults:?}");
+    let mut records: Vec<&[u8]> = whole.chunks(RECORD_BYTES).collect();
+    records.sort_unstable_by(|a, b| b.cmp(a));
+    let falling = records.concat();
+    let parts = format!("part-stamps: {stamp}\r\n");
+    assert_eq!(mixed(200, &parts, &falling), None);
+    records.reverse();
+    assert!(mixed(200, &parts, &records.concat()).is_some());
+}
--- a/tests/gateway/stop_report.rs
+++ b/tests/gateway/stop_report.rs
@@ -73,6 +73,8 @@
     pub(crate) faults: Vec<String>,
     /// Times between SIGTERM and the exit.
     pub(crate) exits: Vec<Duration>,
+    /// Number of exits of processes that were paused meanwhile.
+    pub(crate) paused_exits: usize,
     ends: HashMap<End, usize>,
 }
 
@@ -160,13 +162,14 @@
         let lost = |fault: &&String| fault.starts_with("LOST:");
         write!(
             f,
-            "checked {:?}; lost {}, faults {}; {} exits after {} to {} ms; {:?}",
+            "checked {:?}; lost {}, faults {}; {} exits after {} to {} ms, {} with a pause; {:?}",
             self.tally.0,
             self.faults.iter().filter(lost).count(),
             self.faults.len(),
             self.exits.len(),
             ms(self.exits.iter().min()),
             ms(self.exits.iter().max()),
+            self.paused_exits,
             self.ends,
         )
     }
--- a/tests/gateway/stop_schedules.rs
+++ b/tests/gateway/stop_schedules.rs
@@ -195,7 +195,11 @@
         if let Some(status) = self.node.exit_status() {
             let early = self.is_early(status, since);
             self.check_exit(status.success() || early, status, report);
-            report.exits.extend((!early).then_some(now - since));
+            if was_paused {
+                report.paused_exits += 1;
+            } else if !early {
+                report.exits.push(now - since);
+            }
             self.leave(now, rng);
         } else if now - since >= GRACE {
             report.check("exit", was_paused, || {
