--- a/tests/gateway/stop_report.rs
+++ b/tests/gateway/stop_report.rs
@@ -75,6 +75,8 @@
     pub(crate) exits: Vec<Duration>,
     /// Number of exits of processes that were paused meanwhile.
     pub(crate) paused_exits: usize,
+    /// Number of requests that crossed the end of their connection: no leaf has received them.
+    crossed: usize,
     ends: HashMap<End, usize>,
 }
 
@@ -123,6 +125,7 @@
         }
         let is_read = ran > 0 || request.ended - request.sent > LOSS_SLACK;
         let is_lost = request.end == End::Cut && is_read;
+        self.crossed += usize::from(request.end == End::Cut && !is_lost);
         self.check("LOST", !is_lost, text);
         if lifetime
             .and_then(|lifetime| lifetime.stopped)
@@ -162,10 +165,11 @@
         let lost = |fault: &&String| fault.starts_with("LOST:");
         write!(
             f,
-            "checked {:?}; lost {}, faults {}; {} exits after {} to {} ms, {} with a pause; {:?}",
+            "checked {:?}; lost {}, faults {}; crossed {}; {} exits after {} to {} ms, {} with a pause; {:?}",
             self.tally.0,
             self.faults.iter().filter(lost).count(),
             self.faults.len(),
+            self.crossed,
             self.exits.len(),
             ms(self.exits.iter().min()),
             ms(self.exits.iter().max()),
