--- a/src/adapter/caller/server.rs
+++ b/src/adapter/caller/server.rs
@@ -296,13 +296,14 @@
     let port = port.clone();
     move |request| {
         let reply = AssertUnwindSafe(serve(port.clone(), request)).catch_unwind();
-        let reply = reply.map(|reply| {
-            reply.unwrap_or_else(|_| {
+        async move {
+            let reply = reply.await.unwrap_or_else(|_| {
                 let message = "the node failed while it handled the request";
                 ApiError::may_have_run(ErrorCode::Unknown, message).into()
-            })
-        });
-        reply.map(|reply| Ok(build_response(reply))).boxed()
+            });
+            Ok(build_response(reply))
+        }
+        .boxed()
     }
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod seeds;
 
 mod build;
+mod caller;
 mod copies;
 mod crashes;
 mod input;
@@ -18,4 +19,5 @@
 mod site;
 mod stop;
 mod stop_edges;
+mod stop_report;
 mod stop_schedules;
--- a/tests/gateway/stop_edges.rs
+++ b/tests/gateway/stop_edges.rs
@@ -18,8 +18,9 @@
 };
 
 use crate::{
+    caller::{read_bytes, status},
     links::cut_off,
-    load::{End, Load, Request, cut_requests, read_pieces, read_slowly, status},
+    load::{End, Load, Request, cut_requests, read_slowly},
     site::{GRACE, HOST, Node, Site, wait_until},
     stop::{wait_for_exit, with_timeouts},
 };
@@ -68,7 +69,7 @@
                     self.id
                 );
                 stream.write_all(first.as_bytes()).await.unwrap();
-                let answer = read_pieces(&mut stream, Duration::ZERO).await.unwrap();
+                let answer = read_bytes(&mut stream).await.unwrap();
                 assert_eq!(status(&answer), Some(200));
             }
             let bytes = self.bytes();
@@ -76,14 +77,14 @@
             stream.write_all(early).await.unwrap();
             if let Some(at) = self.rest_at {
                 let pause = at.saturating_duration_since(Instant::now());
-                let waits = read_pieces(&mut stream, Duration::ZERO);
+                let waits = read_bytes(&mut stream);
                 match timeout(pause, waits).await {
                     Ok(answer) => return answer.unwrap_or_default(),
                     Err(_) if stream.write_all(late).await.is_err() => return Vec::new(),
                     Err(_) => {}
                 }
             }
-            let answer = read_pieces(&mut stream, Duration::ZERO);
+            let answer = read_bytes(&mut stream);
             let answer = timeout(ANSWER_TIMEOUT, answer).await;
             answer.expect("the connection ends").unwrap_or_default()
         })
@@ -320,7 +321,7 @@
 async fn exchange(address: SocketAddr, request: &str) -> Option<u16> {
     let mut stream = TcpStream::connect(address).await.unwrap();
     stream.write_all(request.as_bytes()).await.unwrap();
-    let answer = read_pieces(&mut stream, Duration::ZERO).await;
+    let answer = read_bytes(&mut stream).await;
     status(&answer.unwrap_or_default())
 }
 
