Report the state of processes when a test fails

The failure listed in KNOWN-RED.txt could not tell whether the node process hung, was still stopped or had been killed by somebody else, since its log ends before the pause in each case. A failing test with processes now prints, for each of them, how it has ended, or whether it sleeps or is stopped.

Checked with a node stopped by SIGSTOP and one ended by SIGKILL: "T (stopped)" and "signal: 9".

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -119,6 +119,16 @@
         }
     }
 
+    /// Returns how the process ended, or whether it is running, sleeping or stopped.
+    fn describe_state(&mut self) -> String {
+        if let Ok(Some(status)) = self.child.try_wait() {
+            return format!("ended: {status}");
+        }
+        let status = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(status).unwrap_or_default();
+        status.lines().nth(2).unwrap_or_default().to_owned()
+    }
+
     /// Returns the last 40 lines of the log.
     fn log_tail(&self) -> String {
         let log = fs::read_to_string(&self.log).unwrap_or_default();
@@ -129,9 +139,11 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
+        let state = std::thread::panicking().then(|| self.describe_state());
         self.kill();
-        if std::thread::panicking() {
-            println!("--- end of {}\n{}", self.log.display(), self.log_tail());
+        if let Some(state) = state {
+            let (log, tail) = (self.log.display(), self.log_tail());
+            println!("--- {state}; end of {log}\n{tail}");
         }
     }
 }
