--- a/src/adapter/caller/listener.rs
+++ b/src/adapter/caller/listener.rs
@@ -5,6 +5,8 @@
     sync::{OwnedSemaphorePermit, Semaphore},
 };
 
+use crate::adapter::accept_waiting;
+
 /// Accepts connections up to a limit; further ones wait in the backlog of the socket.
 #[derive(Debug)]
 pub(super) struct LimitedListener {
@@ -29,14 +31,11 @@
         Ok((stream, permit.ok()))
     }
 
-    /// Closes the socket and returns the connections in its backlog, which closing it would reset. They do not count
-    /// towards the limit: the backlog bounds their number, and no others follow.
-    pub(super) fn close(self) -> io::Result<impl Iterator<Item = Accepted>> {
+    /// Closes the socket and returns the connections in its backlog. They do not count towards the limit: the backlog bounds
+    /// their number, and no others follow.
+    pub(super) fn close(self) -> io::Result<Vec<Accepted>> {
         let listener = self.listener.into_std()?;
-        let waiting = std::iter::from_fn(move || listener.accept().ok());
-        Ok(waiting.filter_map(|(stream, _)| {
-            stream.set_nonblocking(true).ok()?;
-            Some((TcpStream::from_std(stream).ok()?, None))
-        }))
+        let waiting = accept_waiting(&listener);
+        Ok(waiting.map(|stream| (stream, None)).collect())
     }
 }
--- a/src/adapter/caller/server.rs
+++ b/src/adapter/caller/server.rs
@@ -116,7 +116,9 @@
             .accept(&self.listener, sleep(LAST_ANSWERS_TIME))
             .await;
         let waiting = self.listener.close().context("empty the backlog")?;
-        waiting.for_each(|accepted| connections.serve(accepted));
+        waiting
+            .into_iter()
+            .for_each(|accepted| connections.serve(accepted));
         connections.intake.send_replace(Intake::Ended);
         connections.open.close();
         let ended = timeout(MAX_DRAIN_TIME, connections.open.wait()).await;
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -25,6 +25,7 @@
 };
 
 use crate::{
+    adapter::accept_waiting,
     core::{StopPhase, crash::Admission, mirror::Position, retry::retry_after},
     gateway::{
         Listen,
@@ -128,7 +129,7 @@
         }
     }
     match listener.into_std() {
-        Ok(listener) => waiting_connections(&listener).for_each(serve),
+        Ok(listener) => accept_waiting(&listener).for_each(serve),
         Err(error) => log::warn!(port:? = port, error:% = error; "failed to empty the backlog"),
     }
     gateway.connections.set_accepting(false);
@@ -142,15 +143,6 @@
     }
 }
 
-/// Returns the connections in a listener's backlog, which closing the listener would reset.
-fn waiting_connections(listener: &std::net::TcpListener) -> impl Iterator<Item = TcpStream> {
-    let accepted = std::iter::from_fn(|| listener.accept().ok());
-    accepted.filter_map(|(stream, _)| {
-        stream.set_nonblocking(true).ok()?;
-        TcpStream::from_std(stream).ok()
-    })
-}
-
 /// Increments a counter, and decrements it again when dropped.
 pub(super) struct CountGuard<'a>(&'a Cell<usize>);
 
