Count the suppressed lines of a stopping node before it exits

`suppressed` in a line tells how many lines of its kind were left out before it. When the process exits, no later line tells the last ones, so a log could not show that requests without an answer had no line: of 150 callers that left at once 60 had a line `connection ended before the answer`, and the others were counted nowhere. Now `lines were suppressed` tells the kinds and their numbers before `stopped`.

`a_stop_counts_the_lines_that_were_suppressed` failed before the change (60 of 150) and passes.

--- a/src/gateway/logging.rs
+++ b/src/gateway/logging.rs
@@ -206,6 +206,15 @@
         bucket.tokens -= 1.0;
         Some(std::mem::take(&mut bucket.suppressed))
     }
+
+    /// Returns the kinds of which lines were suppressed since the last admitted one, and their numbers.
+    pub(super) fn suppressed(&self) -> Vec<(&'static str, u64)> {
+        let buckets = self.buckets.borrow();
+        let counts = buckets
+            .iter()
+            .map(|(kind, bucket)| (*kind, bucket.suppressed));
+        counts.filter(|(_, suppressed)| *suppressed > 0).collect()
+    }
 }
 
 /// Returns the number of lines dropped since the process started.
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -110,6 +110,10 @@
     fn log_end(&self, started: Time) {
         let now = self.now();
         let cut = self.connections.log_cut_requests(now);
+        // No later line of these kinds tells the numbers.
+        for (kind, suppressed) in self.log_limiter.suppressed() {
+            log::info!(kind, suppressed; "lines were suppressed");
+        }
         let level = if cut > 0 { Level::Warn } else { Level::Info };
         let Unfinished {
             requests,
--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -300,3 +300,39 @@
         .unwrap();
     assert_eq!((&end["level"], &end["cut"]), (&json!("WARN"), &json!(1)));
 }
+
+/// Guards against a stop after which the log does not tell that requests without an answer have no line.
+#[tokio::test]
+async fn a_stop_counts_the_lines_that_were_suppressed() {
+    const CALLERS: u64 = 150;
+    let site = Site::start(1, 1).await;
+    for leaf in &site.shards[0] {
+        leaf.set_delay(Duration::from_secs(3));
+    }
+    let mut nodes = site.nodes().await;
+    let mut streams = Vec::new();
+    for caller in 0..CALLERS {
+        let mut stream = TcpStream::connect(nodes[0].callers()).await.unwrap();
+        let head = format!("GET /one/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {caller}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        streams.push(stream);
+    }
+    sleep(Duration::from_millis(200)).await;
+    drop(streams);
+    let stopped = Instant::now();
+    nodes[0].signal(Signal::TERM);
+    wait_for_exit(&mut nodes[0], stopped, GRACE).await;
+    let lines = nodes[0].log_lines();
+    let of_kind = |line: &&Value| {
+        line["message"] == "connection ended before the answer" || line["kind"] == "unanswered"
+    };
+    let named = lines
+        .iter()
+        .filter(of_kind)
+        .filter(|line| line["kind"].is_null());
+    let suppressed = lines.iter().filter(of_kind);
+    let suppressed = suppressed.filter_map(|line| line["suppressed"].as_u64());
+    let counted = (named.count() as u64, suppressed.sum::<u64>());
+    println!("named, suppressed: {counted:?}");
+    assert_eq!(counted.0 + counted.1, CALLERS);
+}
