Count the requests that a stop answers, also those without a line

Answers before the end of the intake have no line, and those after it at most 256. `stopped` now tells how many requests were answered since SIGTERM, and `lines were suppressed` how many of the late ones have no line. The test of suppressed lines no longer depends on requests that are read within 200 ms.

--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -47,7 +47,7 @@
             left
         };
         match run() {
-            // Exiting the process closes the connections that are still open.
+            // The connections that were still open have been closed with their tasks.
             Ok(left) => {
                 flush.within(left);
                 std::process::exit(0)
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -96,8 +96,10 @@
     next_key: Cell<u64>,
     /// Callers' connections are accepted, or wait to be accepted.
     accepting: Cell<bool>,
-    /// Number of lines about requests answered after the end of the intake.
-    stop_lines: Cell<usize>,
+    /// Number of requests answered since the stop began.
+    answered: Cell<usize>,
+    /// Number of requests answered after the end of the intake, each of which has a line up to [`MAX_STOP_LINES`].
+    answered_late: Cell<usize>,
 }
 
 impl Connections {
@@ -105,7 +107,7 @@
         self.accepting.set(accepting);
     }
 
-    /// Returns the number of connections that have to end before the process exits: those of callers, with one for those that
+    /// Returns the number of connections that have to end before the process exits: those of callers, one more if others may
     /// wait to be accepted, and those of other nodes on which an answer is due.
     pub(super) fn unfinished_count(&self) -> usize {
         let open = self.open.borrow();
@@ -129,10 +131,23 @@
         cut
     }
 
-    fn admit_stop_line(&self) -> bool {
-        let lines = self.stop_lines.get();
-        self.stop_lines.set(lines + 1);
-        lines < MAX_STOP_LINES
+    /// Returns the number of requests answered since the stop began.
+    pub(super) fn answered(&self) -> usize {
+        self.answered.get()
+    }
+
+    /// Returns the number of requests answered after the end of the intake that have no line.
+    pub(super) fn suppressed(&self) -> usize {
+        self.answered_late.get().saturating_sub(MAX_STOP_LINES)
+    }
+
+    /// Counts an answer of a node that is stopping. Returns whether it is logged.
+    fn count_answer(&self, after_intake: bool) -> bool {
+        self.answered.set(self.answered.get() + 1);
+        if after_intake {
+            self.answered_late.set(self.answered_late.get() + 1);
+        }
+        after_intake && self.answered_late.get() <= MAX_STOP_LINES
     }
 }
 
@@ -191,13 +206,14 @@
         }
     }
 
-    /// Records that all bytes that were due have been written. The whole answer is due as soon as there is one.
+    /// Records that all bytes that were due have been written. The whole answer is due as soon as there is one, since its body
+    /// is in memory.
     fn flushed(&self) {
         let is_answered = |exchange: &mut Exchange| matches!(exchange.stage, Stage::Answer { .. });
         let answered = self.progress.exchange.borrow_mut().take_if(is_answered);
         if let Some(exchange) = answered
-            && self.gateway.stop.is_draining()
-            && self.gateway.connections.admit_stop_line()
+            && self.gateway.stop.is_stopping()
+            && (self.gateway.connections).count_answer(self.gateway.stop.is_draining())
         {
             let message = "request answered after the end of the intake";
             let now = self.gateway.now();
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -111,7 +111,12 @@
         let now = self.now();
         let cut = self.connections.log_cut_requests(now);
         // No later line of these kinds tells the numbers.
-        for (kind, suppressed) in self.log_limiter.suppressed() {
+        let late = (
+            "answered_after_intake",
+            self.connections.suppressed() as u64,
+        );
+        let late = Some(late).filter(|(_, suppressed)| *suppressed > 0);
+        for (kind, suppressed) in self.log_limiter.suppressed().into_iter().chain(late) {
             log::info!(kind, suppressed; "lines were suppressed");
         }
         let level = if cut > 0 { Level::Warn } else { Level::Info };
@@ -120,7 +125,15 @@
             connections,
         } = self.unfinished();
         let waited = now.since(started).as_millis() as u64;
-        log::log!(level, waited_ms = waited, unfinished = requests, connections, cut; "stopped");
+        log::log!(
+            level,
+            waited_ms = waited,
+            answered = self.connections.answered(),
+            unfinished = requests,
+            connections,
+            cut;
+            "stopped"
+        );
     }
 
     fn unfinished(&self) -> Unfinished {
--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -299,6 +299,7 @@
         .find(|line| line["message"] == "stopped")
         .unwrap();
     assert_eq!((&end["level"], &end["cut"]), (&json!("WARN"), &json!(1)));
+    assert!(end["answered"].as_u64().unwrap() > 0, "{end}");
 }
 
 /// Guards against a stop after which the log does not tell that requests without an answer have no line.
@@ -307,9 +308,13 @@
     const CALLERS: u64 = 150;
     let site = Site::start(1, 1).await;
     for leaf in &site.shards[0] {
-        leaf.set_delay(Duration::from_secs(3));
+        leaf.set_delay(Duration::from_secs(20));
     }
     let mut nodes = site.nodes().await;
+    let timeout = Duration::from_secs(9);
+    site.store
+        .put("op/config", &with_timeouts(&site, 8, timeout));
+    sleep(Duration::from_secs(1)).await;
     let mut streams = Vec::new();
     for caller in 0..CALLERS {
         let mut stream = TcpStream::connect(nodes[0].callers()).await.unwrap();
@@ -317,8 +322,10 @@
         stream.write_all(head.as_bytes()).await.unwrap();
         streams.push(stream);
     }
-    sleep(Duration::from_millis(200)).await;
+    // The node reads all requests, which have 9 s, and then notices that their callers have left.
+    sleep(Duration::from_secs(1)).await;
     drop(streams);
+    sleep(Duration::from_millis(500)).await;
     let stopped = Instant::now();
     nodes[0].signal(Signal::TERM);
     wait_for_exit(&mut nodes[0], stopped, GRACE).await;
--- a/tests/gateway/stop_edges.rs
+++ b/tests/gateway/stop_edges.rs
@@ -266,9 +266,9 @@
     false
 }
 
-/// Stops nodes that each have two long requests in progress, and `waiting` others that mostly wait for a leaf with room, and pauses each of them at some times from SIGTERM. All have to
-/// answer and exit before SIGKILL. Returns how long before it was handled the signal may have been sent, as the nodes logged,
-/// in milliseconds.
+/// Stops nodes that each have two long requests in progress, and `waiting` others that mostly wait for a leaf with room, and
+/// pauses each of them at some times from SIGTERM. All have to answer and exit before SIGKILL. Returns how long before it was
+/// handled the signal may have been sent, as the nodes logged, in milliseconds.
 async fn stop_during_long_requests(pauses_ms: &[Vec<(i64, i64)>], waiting: usize) -> Vec<u64> {
     let site = Site::start(1, pauses_ms.len()).await;
     let mut nodes = site.nodes().await;
