Keep an id from being carried twice by a connection, whoever uses it again

Why it works: an answer is told from a copy by the id alone, so what must be unique is the id on the connection, not the request in the process. Requests that are handed over, second calls and trial calls take their connections in the same place.

--- a/src/adapter/http1/connection.rs
+++ b/src/adapter/http1/connection.rs
@@ -1,9 +1,4 @@
-use std::{
-    fmt, io,
-    net::SocketAddr,
-    sync::atomic::{AtomicU64, Ordering},
-    time::Duration,
-};
+use std::{fmt, io, net::SocketAddr, time::Duration};
 
 use bytes::{Buf, Bytes, BytesMut};
 use rustix::net::sockopt;
@@ -100,21 +95,9 @@
     }
 }
 
-/// Identifies a connection within the process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct ConnectionId(u64);
-
-impl ConnectionId {
-    fn next() -> Self {
-        static NEXT: AtomicU64 = AtomicU64::new(0);
-        Self(NEXT.fetch_add(1, Ordering::Relaxed))
-    }
-}
-
 /// A client connection that carries one exchange at a time.
 #[derive(Debug)]
 pub struct Connection {
-    id: ConnectionId,
     stream: TcpStream,
     peer: SocketAddr,
     buffer: BytesMut,
@@ -138,7 +121,6 @@
         let stream = TcpStream::connect(peer).await.map_err(failed)?;
         stream.set_nodelay(true).map_err(failed)?;
         Ok(Self {
-            id: ConnectionId::next(),
             stream,
             peer,
             buffer: BytesMut::new(),
@@ -147,11 +129,6 @@
         })
     }
 
-    /// Returns the id of the connection.
-    pub fn id(&self) -> ConnectionId {
-        self.id
-    }
-
     /// Enables TCP keep-alive. The system probes the connection when the peer has sent nothing for `idle`, and again
     /// every `idle`. After [`KEEPALIVE_PROBES`] unanswered probes the exchange fails: a connection may stop delivering
     /// bytes without a reset.
--- a/src/adapter/http1/mod.rs
+++ b/src/adapter/http1/mod.rs
@@ -8,6 +8,6 @@
 mod reply;
 
 pub use self::{
-    connection::{Connection, ConnectionId, ExchangeError, ExchangeStep},
+    connection::{Connection, ExchangeError, ExchangeStep},
     reply::Reply,
 };
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -12,7 +12,7 @@
 mod share;
 
 pub use self::{
-    connection::{ConnectionChoice, choose_connection},
+    connection::{CarriedRequests, ConnectionChoice, RequestKey, choose_connection},
     contention::Contention,
     idle_limit::{IdleLimit, MIN_IDLE_TIME},
     leaf_stats::{CallToken, LeafLoad, LeafStats, Outcome},
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -13,11 +13,10 @@
         Time,
         crash::{CrashId, Fingerprint},
         gather::Failure,
-        placement::{CallToken, MIN_IDLE_TIME, Outcome},
+        placement::{CallToken, MIN_IDLE_TIME, Outcome, RequestKey},
     },
     gateway::{
         crashes::{LostCall, Trial},
-        inbound::Carriers,
         routes::RouteStats,
         state::Gateway,
         upstreams::Leaf,
@@ -46,8 +45,8 @@
     pub(super) request: Rc<LeafRequest>,
     /// Id of the caller's request.
     pub(super) id: Arc<str>,
-    /// Connections that have carried the request.
-    pub(super) carriers: Carriers,
+    /// Identifies the request on the connections that carry it.
+    pub(super) key: RequestKey,
     /// Deadline of the caller's request.
     pub(super) deadline: Time,
     pub(super) objective: Duration,
@@ -195,7 +194,7 @@
             idle_time < MIN_IDLE_TIME
                 || self.repeatable && gateway.idle_limit.borrow().allows(now, idle_time)
         };
-        let idle = self.leaf.take_idle(now, &self.carriers.borrow(), allows);
+        let idle = self.leaf.take_idle(now, self.key, allows);
         let (mut lease, idle_time) = match idle {
             Some((lease, idle_time)) => (lease, Some(idle_time)),
             None => {
@@ -216,11 +215,11 @@
             .saturating_sub(ANSWER_TRAVEL_TIME);
         gateway.link.record_call(gateway.now(), &self.leaf);
         let bytes = self.request.encode(&self.leaf.instance(), remaining);
+        lease.carried.record(self.key);
         let connection = lease
             .connection
             .as_mut()
             .expect("the lease holds a connection");
-        self.carriers.borrow_mut().push(connection.id());
         let limit = if self.partial {
             MAX_PART_BYTES
         } else {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -340,17 +340,15 @@
             .map(|(_, leaf)| leaf.clone())
             .collect();
         let typical = self.route_stats.borrow().typical;
-        let carriers = self.inbound.carriers.borrow();
         let query = LeafQuery {
             typical,
             regions: &self.inbound.route.regions,
             tried: &tried,
-            carriers: &carriers,
+            key: self.inbound.key,
             limited: purpose.is_none_or(Purpose::is_retry),
             least_used: is_trial,
         };
         let chosen = gateway.upstreams.choose(&gateway, &service, query);
-        drop(carriers);
         let leaf = match chosen {
             Ok(leaf) => leaf,
             Err(NoLeaf::Full) => {
@@ -400,7 +398,7 @@
             leaf,
             request: self.inbound.request.clone(),
             id: self.inbound.caller.id.clone(),
-            carriers: self.inbound.carriers.clone(),
+            key: self.inbound.key,
             deadline,
             objective: self.inbound.route.objective,
             partial: self.gather().is_some(),
--- a/src/gateway/inbound.rs
+++ b/src/gateway/inbound.rs
@@ -3,10 +3,10 @@
 use smallvec::SmallVec;
 
 use crate::{
-    adapter::http1::ConnectionId,
     core::{
         NodeId, Time,
         crash::Fingerprint,
+        placement::RequestKey,
         routing::{Repeat, Route},
     },
     gateway::handover::MAX_HELPERS,
@@ -16,9 +16,6 @@
 /// Time before the caller's timeout at which a request ends.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(6);
 
-/// Connections that have carried a request, shared by its calls.
-pub(super) type Carriers = Rc<RefCell<SmallVec<[ConnectionId; 8]>>>;
-
 /// A caller's request as received by the gateway.
 #[derive(Debug)]
 pub(super) struct Inbound {
@@ -35,8 +32,8 @@
     pub(super) first: bool,
     /// Another node has handed the request over.
     pub(super) handed_over: bool,
-    /// Connections that have carried the request.
-    pub(super) carriers: Carriers,
+    /// Identifies the request on the connections that carry it.
+    pub(super) key: RequestKey,
     /// Nodes to which the request was handed over.
     pub(super) asked: RefCell<SmallVec<[NodeId; MAX_HELPERS]>>,
     /// When a node that is stopping answers the request at the latest.
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -26,13 +26,15 @@
 
 use crate::{
     adapter::accept_waiting,
-    core::{StopPhase, crash::Admission, mirror::Position, retry::retry_after},
+    core::{
+        StopPhase, crash::Admission, mirror::Position, placement::RequestKey, retry::retry_after,
+    },
     gateway::{
         Listen,
         connections::{CountedStream, OpenConnection},
         crashes::fingerprint,
         dispatch::dispatch,
-        inbound::{Carriers, Inbound},
+        inbound::Inbound,
         state::Gateway,
         stop::ARRIVAL_WINDOW,
     },
@@ -414,13 +416,13 @@
     let inbound = Inbound {
         content,
         request: Rc::new(LeafRequest::new(&parts, body)),
+        key: RequestKey::new(&caller.id),
         caller,
         route,
         arrived,
         waited,
         first: origin == Origin::Caller { first: true },
         handed_over,
-        carriers: Carriers::default(),
         asked: RefCell::default(),
         end_by,
     };
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -12,13 +12,13 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    adapter::http1::{Connection, ConnectionId, ExchangeError},
+    adapter::http1::{Connection, ExchangeError},
     core::{
         Domain, Instance, ServiceName, Time,
         limit::{Allowance, LeafLimit, Tally},
         placement::{
-            Candidate, ConnectionChoice, Contention, LeafStats, choose_connection,
-            connection_share, pick,
+            Candidate, CarriedRequests, ConnectionChoice, Contention, LeafStats, RequestKey,
+            choose_connection, connection_share, pick,
         },
         registry::{LeafChange, LeafRecord},
         retry::RetryBudget,
@@ -36,13 +36,22 @@
 /// Number of connections to a leaf that are opened in advance.
 const SPARE_CONNECTIONS: usize = 1;
 
+/// An idle connection to a leaf.
+#[derive(Debug)]
+struct IdleConnection {
+    connection: Connection,
+    /// When it became idle.
+    since: Time,
+    carried: CarriedRequests,
+}
+
 /// One incarnation of a leaf.
 #[derive(Debug)]
 pub(super) struct Leaf {
     pub(super) record: RefCell<Arc<LeafRecord>>,
     pub(super) stats: RefCell<LeafStats>,
-    /// Idle connections, each with the time at which it became idle.
-    idle: RefCell<Vec<(Connection, Time)>>,
+    /// Idle connections, the least recently used one first.
+    idle: RefCell<Vec<IdleConnection>>,
     /// Number of connections, including idle ones and those being opened.
     open_count: Cell<usize>,
     /// The leaf was removed or replaced, or another leaf has its address.
@@ -137,26 +146,30 @@
         self.cold_until.get().is_some_and(|until| now < until)
     }
 
-    /// Takes an idle connection that is not among `carriers` and whose idle time is accepted by `allows`, and returns it with
-    /// that time. Connections that do not qualify are closed, one of the carriers if there are no others. The connection
-    /// counts as open until the lease is released or dropped.
+    /// Takes an idle connection that has not carried `request` and whose idle time is accepted by `allows`, and returns it
+    /// with that time. Connections that do not qualify are closed, one that has carried the request if there are no others.
+    /// The connection counts as open until the lease is released or dropped.
     pub(super) fn take_idle(
         self: &Rc<Self>,
         now: Time,
-        carriers: &[ConnectionId],
+        request: RequestKey,
         allows: impl Fn(Duration) -> bool,
     ) -> Option<(ConnectionLease, Duration)> {
         loop {
-            let ids: SmallVec<[ConnectionId; 8]> = {
+            let choice = {
                 let idle = self.idle.borrow();
-                idle.iter().map(|(connection, _)| connection.id()).collect()
+                choose_connection(idle.iter().map(|idle| &idle.carried), request)
             };
-            let (index, reuse) = match choose_connection(&ids, carriers) {
+            let (index, reuse) = match choice {
                 ConnectionChoice::Open => return None,
                 ConnectionChoice::Reuse(index) => (index, true),
                 ConnectionChoice::Replace(index) => (index, false),
             };
-            let (mut connection, since) = self.idle.borrow_mut().remove(index);
+            let IdleConnection {
+                mut connection,
+                since,
+                carried,
+            } = self.idle.borrow_mut().remove(index);
             let idle_time = now.since(since);
             let mut lease = ConnectionLease::new(self);
             if !reuse {
@@ -164,6 +177,7 @@
             }
             if allows(idle_time) && connection.is_idle() {
                 lease.connection = Some(connection);
+                lease.carried = carried;
                 return Some((lease, idle_time));
             }
         }
@@ -195,11 +209,10 @@
         !self.idle.borrow().is_empty() || !backing_off && self.open_count.get() < max_connections
     }
 
-    /// Returns whether a connection other than `carriers` is idle.
-    fn has_idle(&self, carriers: &[ConnectionId]) -> bool {
+    /// Returns whether a connection that has not carried `request` is idle.
+    fn has_idle(&self, request: RequestKey) -> bool {
         let idle = self.idle.borrow();
-        let mut ids = idle.iter().map(|(connection, _)| connection.id());
-        ids.any(|id| !carriers.contains(&id))
+        idle.iter().any(|idle| !idle.carried.contains(request))
     }
 
     fn close_idle(&self) {
@@ -216,7 +229,7 @@
     fn prune_idle(&self) {
         let mut idle = self.idle.borrow_mut();
         let previous = idle.len();
-        idle.retain_mut(|(connection, _)| self.pooled.get() && connection.is_idle());
+        idle.retain_mut(|idle| self.pooled.get() && idle.connection.is_idle());
         self.open_count
             .set(self.open_count.get() - (previous - idle.len()));
     }
@@ -227,6 +240,7 @@
 pub(super) struct ConnectionLease {
     leaf: Rc<Leaf>,
     pub(super) connection: Option<Connection>,
+    pub(super) carried: CarriedRequests,
 }
 
 impl ConnectionLease {
@@ -234,6 +248,7 @@
         Self {
             leaf: leaf.clone(),
             connection: None,
+            carried: CarriedRequests::default(),
         }
     }
 
@@ -242,7 +257,11 @@
         if let Some(mut connection) = self.connection.take()
             && connection.is_idle()
         {
-            self.leaf.idle.borrow_mut().push((connection, now));
+            self.leaf.idle.borrow_mut().push(IdleConnection {
+                connection,
+                since: now,
+                carried: self.carried,
+            });
             // The idle connection keeps the slot that dropping the lease frees.
             self.leaf.open_count.set(self.leaf.open_count.get() + 1);
         }
@@ -296,8 +315,8 @@
     pub(super) regions: &'a [Arc<str>],
     /// Leaves that must not be called.
     pub(super) tried: &'a [Rc<Leaf>],
-    /// Connections that have carried the request.
-    pub(super) carriers: &'a [ConnectionId],
+    /// Identifies the request on the connections that carry it.
+    pub(super) key: RequestKey,
     /// Whether leaves that name a rate limit may be called.
     pub(super) limited: bool,
     /// Whether to choose among the leaves with the fewest calls of this node in progress.
@@ -529,7 +548,7 @@
                 same_domain: leaf.record.borrow().domain == settings.domain,
                 outside_subset: !leaf.pooled.get(),
                 cold: leaf.is_cold(now),
-                connected: leaf.has_idle(query.carriers),
+                connected: leaf.has_idle(query.key),
             };
             (*index, candidate)
         });
--- a/tests/gateway/copies.rs
+++ b/tests/gateway/copies.rs
@@ -15,22 +15,25 @@
     time::sleep,
 };
 
-use crate::site::{Site, wait_until};
+use crate::site::{Node, Site, wait_until};
 
 const LEAF: &str = "i-copies";
 /// Beginning of the ids of requests that the leaf rejects once before it runs them.
 const REJECTED: &str = "rejected";
+/// Beginning of the ids of requests that the leaf rejects until they are allowed.
+const REFUSED: &str = "refused";
 
 /// What a leaf has seen of each request.
 #[derive(Clone, Copy, Debug, Default)]
 struct Seen {
     arrivals: u32,
     runs: u32,
+    allowed: bool,
 }
 
 type Requests = Arc<Mutex<HashMap<String, Seen>>>;
 
-/// Starts a leaf that rejects some requests once and copies each rejection.
+/// Starts a leaf that rejects some requests and copies each rejection.
 async fn start_leaf() -> (SocketAddr, Requests) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -57,7 +60,9 @@
             let mut requests = requests.lock().unwrap();
             let seen = requests.entry(id.clone()).or_default();
             seen.arrivals += 1;
-            let runs = seen.arrivals > 1 || !id.starts_with(REJECTED);
+            let is_rejected = id.starts_with(REJECTED) && seen.arrivals == 1
+                || id.starts_with(REFUSED) && !seen.allowed;
+            let runs = !is_rejected;
             seen.runs += u32::from(runs);
             runs
         };
@@ -102,11 +107,10 @@
     Some(id.unwrap_or_default())
 }
 
-/// Guards against the copy of a rejection that is taken as the answer to the same order sent again: the order then runs
-/// twice, or is answered as not run although it has run.
-#[tokio::test]
-async fn a_late_copy_of_a_rejection_is_no_answer_to_the_order_sent_again() {
-    let site = Site::start(1, 2).await;
+/// Starts a site whose only leaf sends copies of its rejections. Each node has one connection to it, so that a request that is
+/// sent again finds the one that has carried it.
+async fn start_site(nodes: usize) -> (Site, Vec<Node>, Requests) {
+    let site = Site::start(1, nodes).await;
     let (address, requests) = start_leaf().await;
     for leaf in &site.shards[0] {
         site.store.delete(&leaf.key());
@@ -116,17 +120,24 @@
         "state": "ready", "warmup_left_ms": 0, "sequence": 1,
     });
     site.store.put(&format!("servers/{LEAF}"), &entry);
-    // One connection for each node, so that a request that is sent again finds the one that has carried it.
     let mut config = site.config(8);
-    config["services"][0]["max_connections"] = json!(2);
+    config["services"][0]["max_connections"] = json!(nodes);
     site.store.put("op/config", &config);
-    let mut nodes = site.nodes().await;
+    let nodes = site.nodes().await;
     for node in &nodes {
         wait_until("the node uses the leaf", async || {
             node.query("/one/x", "probe").await.status == 200
         })
         .await;
     }
+    (site, nodes, requests)
+}
+
+/// Guards against the copy of a rejection that is taken as the answer to the same order sent again: the order then runs
+/// twice, or is answered as not run although it has run.
+#[tokio::test]
+async fn a_late_copy_of_a_rejection_is_no_answer_to_the_order_sent_again() {
+    let (site, mut nodes, requests) = start_site(2).await;
     nodes[1].kill();
     nodes[1] = site.node(1);
     wait_until("the node is back", async || nodes[1].is_ready().await).await;
@@ -156,3 +167,27 @@
         statuses.len()
     );
 }
+
+/// Guards against the copy of a rejection that is taken as the answer to a later order of the caller with the same id, sent
+/// after the first one was answered as not run.
+#[tokio::test]
+async fn a_late_copy_of_a_rejection_is_no_answer_to_an_order_with_the_same_id() {
+    let (_site, nodes, requests) = start_site(1).await;
+    let mut served = 0;
+    for round in 0..10 {
+        let id = format!("{REFUSED}-{round}");
+        let first = nodes[0].send_order("/order/x", &id).await.status;
+        assert_eq!(first, 503, "the leaf rejects every call of {id}");
+        requests.lock().unwrap().get_mut(&id).unwrap().allowed = true;
+        let second = nodes[0].send_order("/order/x", &id).await.status;
+        sleep(Duration::from_millis(50)).await;
+        let runs = requests.lock().unwrap()[&id].runs;
+        assert!(runs <= 1, "{id} ran {runs} times");
+        assert!(
+            runs == 0 || !matches!(second, 429 | 503),
+            "{id} has run and was answered {second}"
+        );
+        served += u32::from(second == 200);
+    }
+    assert_eq!(served, 10);
+}
