--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,6 +3,7 @@
 //! Every type here takes the current [`Time`], randomness and messages as inputs and returns what to do.
 //! The node, the randomized tests and the benches drive the same code.
 
+pub mod account;
 pub mod address;
 pub mod alarm;
 pub mod call;
