Do not believe a rejection without an id on a connection that was used before

Cause: an answer without an id is taken for the request that waits for one, so the leaf's late second copy of such a rejection passed for the next order's answer, which was sent again.

Change: for a request that must not run twice, a rejection without an id counts as "may have run" unless it is the first answer on its connection, and its status is not passed on. Why it works: on a connection that has carried nothing before there is no earlier answer that could be copied.

--- a/src/core/placement/connection.rs
+++ b/src/core/placement/connection.rs
@@ -41,6 +41,11 @@
         self.next = (self.next + 1) % MAX_CARRIED;
     }
 
+    /// Returns whether the connection has carried no request yet.
+    pub fn is_empty(&self) -> bool {
+        self.keys[0].is_none()
+    }
+
     /// Returns whether the connection has carried a request with this key.
     pub fn contains(&self, request: RequestKey) -> bool {
         self.keys.contains(&Some(request))
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -133,8 +133,8 @@
         self.leaf.record_call(self.is_extra);
         let remaining = self.deadline.since(sent_at);
         let result = match timeout(remaining, self.exchange(&gateway)).await {
-            Ok(Ok(reply)) => {
-                let result = self.evaluate(&gateway, &mut guard, reply);
+            Ok(Ok((reply, is_first))) => {
+                let result = self.evaluate(&gateway, &mut guard, reply, is_first);
                 if let Some(trial) = &self.trial {
                     let ran = |failure: &CallFailure| failure.failure == Failure::MayHaveRun;
                     trial.answered.set(result.as_ref().err().is_none_or(ran));
@@ -186,7 +186,8 @@
         }
     }
 
-    async fn exchange(&self, gateway: &Gateway) -> Result<Reply, ExchangeError> {
+    /// Sends the request. Returns the answer, and whether it is the first one on its connection.
+    async fn exchange(&self, gateway: &Gateway) -> Result<(Reply, bool), ExchangeError> {
         let now = gateway.now();
         // A request that must not run twice cannot be retried if the leaf has dropped the connection, so it only uses
         // connections that have been idle for less than MIN_IDLE_TIME.
@@ -215,6 +216,7 @@
             .saturating_sub(ANSWER_TRAVEL_TIME);
         gateway.link.record_call(gateway.now(), &self.leaf);
         let bytes = self.request.encode(&self.leaf.instance(), remaining);
+        let is_first = lease.carried.is_empty();
         lease.carried.record(self.key);
         let connection = lease
             .connection
@@ -236,7 +238,7 @@
             (Err(error), None) if error.is_reset() => self.leaf.start_backoff(now),
             (Err(_), _) => {}
         }
-        reply
+        Ok((reply?, is_first))
     }
 
     fn evaluate(
@@ -244,6 +246,7 @@
         gateway: &Gateway,
         guard: &mut CallGuard,
         reply: Reply,
+        is_first: bool,
     ) -> Result<(Reply, LeafAnswer), CallFailure> {
         let now = gateway.now();
         gateway.link.record_answer(now);
@@ -264,13 +267,22 @@
         }
         if answer.not_run {
             guard.finish(Outcome::Shed);
+            let reason = format!("refused with {}", reply.status);
+            // Without an id it may be the late copy of an earlier answer on the connection.
+            if !self.repeatable && !answer.names_request && !is_first {
+                return Err(CallFailure {
+                    failure: Failure::MayHaveRun,
+                    reason: format!("{reason} without an id"),
+                    reply: None,
+                });
+            }
             let failure = match answer.misdirected {
                 true => Failure::NotRun,
                 false => Failure::Shed,
             };
             return Err(CallFailure {
                 failure,
-                reason: format!("refused with {}", reply.status),
+                reason,
                 reply: Some(Box::new(reply)),
             });
         }
--- a/tests/gateway/copies.rs
+++ b/tests/gateway/copies.rs
@@ -22,6 +22,10 @@
 const REJECTED: &str = "rejected";
 /// Beginning of the ids of requests that the leaf rejects until they are allowed.
 const REFUSED: &str = "refused";
+/// Beginning of the ids of requests that the leaf rejects, with answers that do not echo the id.
+const NAMELESS: &str = "nameless";
+/// Beginning of the ids of requests that the leaf rejects once, with a copy that comes in pieces.
+const PIECES: &str = "rejected-pieces";
 
 /// What a leaf has seen of each request.
 #[derive(Clone, Copy, Debug, Default)]
@@ -52,16 +56,24 @@
     let mut copy = None::<String>;
     while let Some(id) = read_request(&mut stream).await {
         if let Some(copy) = copy.take() {
-            let _ = stream.write_all(copy.as_bytes()).await;
-            // The copy arrives by itself, as one that is sent late does.
-            sleep(Duration::from_millis(5)).await;
+            let middle = if copy.contains(PIECES) {
+                copy.len() / 2
+            } else {
+                0
+            };
+            for piece in [&copy[..middle], &copy[middle..]] {
+                let _ = stream.write_all(piece.as_bytes()).await;
+                // The copy arrives by itself, as one that is sent late does.
+                sleep(Duration::from_millis(5)).await;
+            }
         }
         let runs = {
             let mut requests = requests.lock().unwrap();
             let seen = requests.entry(id.clone()).or_default();
             seen.arrivals += 1;
-            let is_rejected = id.starts_with(REJECTED) && seen.arrivals == 1
-                || id.starts_with(REFUSED) && !seen.allowed;
+            let is_refused = id.starts_with(REFUSED) || id.starts_with(NAMELESS);
+            let is_rejected =
+                id.starts_with(REJECTED) && seen.arrivals == 1 || is_refused && !seen.allowed;
             let runs = !is_rejected;
             seen.runs += u32::from(runs);
             runs
@@ -71,6 +83,8 @@
             format!(
                 "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: {LEAF}.{id}\r\nContent-Length: 2\r\n\r\nok"
             )
+        } else if id.starts_with(NAMELESS) {
+            "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
         } else {
             format!(
                 "HTTP/1.1 503 Busy\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -144,7 +158,8 @@
     let mut statuses = HashMap::new();
     for round in 0..10 {
         let sends = nodes.iter().enumerate().map(async |(index, node)| {
-            let id = format!("{REJECTED}-{round}-{index}");
+            let kind = [REJECTED, PIECES][round % 2];
+            let id = format!("{kind}-{round}-{index}");
             let reply = node.send_order("/order/x", &id).await;
             (id, reply.status)
         });
@@ -191,3 +206,24 @@
     }
     assert_eq!(served, 10);
 }
+
+/// Guards against the copy of a rejection without an id that is taken as the answer to the next order on its connection, which
+/// then runs twice.
+#[tokio::test]
+async fn a_rejection_without_an_id_does_not_show_that_an_order_has_not_run() {
+    let (_site, nodes, requests) = start_site(1).await;
+    for round in 0..10 {
+        let first = format!("{NAMELESS}-{round}");
+        let second = format!("next-{round}");
+        for id in [&first, &second] {
+            let status = nodes[0].send_order("/order/x", id).await.status;
+            sleep(Duration::from_millis(30)).await;
+            let runs = requests.lock().unwrap()[id].runs;
+            assert!(runs <= 1, "{id} ran {runs} times");
+            assert!(
+                runs == 0 || !matches!(status, 429 | 503),
+                "{id} has run and was answered {status}"
+            );
+        }
+    }
+}
