--- a/src/core/mirror/item.rs
+++ b/src/core/mirror/item.rs
@@ -1,12 +1,21 @@
-use std::{cmp::Ordering, sync::Arc, time::Duration};
+use std::{cmp::Ordering, fmt, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::core::{Time, mirror::Position};
 
+/// Formats a value by its size, since it may contain callers' keys.
+struct Redacted<'a>(&'a Bytes);
+
+impl fmt::Debug for Redacted<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} bytes", self.0.len())
+    }
+}
+
 /// The latest change of a key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
     pub key: Arc<str>,
     pub position: Position,
@@ -14,6 +23,16 @@
     pub value: Option<Bytes>,
 }
 
+impl fmt::Debug for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Change")
+            .field("key", &self.key)
+            .field("position", &self.position)
+            .field("value", &self.value.as_ref().map(Redacted))
+            .finish()
+    }
+}
+
 impl Change {
     /// Returns the size of the key and value, in bytes.
     pub fn size(&self) -> usize {
@@ -35,7 +54,7 @@
 }
 
 /// The state of a key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ItemState {
     Present(Bytes),
     /// The key was deleted; `last` is its value before.
@@ -44,6 +63,18 @@
     },
 }
 
+impl fmt::Debug for ItemState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name = match self {
+            Self::Present(_) => "Present",
+            Self::Deleted { .. } => "Deleted",
+        };
+        f.debug_tuple(name)
+            .field(&Redacted(self.last_value()))
+            .finish()
+    }
+}
+
 impl ItemState {
     /// Returns the value, `None` if the key was deleted.
     pub fn value(&self) -> Option<&Bytes> {
@@ -101,13 +132,24 @@
 }
 
 /// Why a state of an earlier era is kept, and until when.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(super) struct Hold {
     /// The state of the key in the store, `None` if it is absent.
     pub(super) stored: Option<(Position, Bytes)>,
     pub(super) until: Option<Time>,
 }
 
+impl fmt::Debug for Hold {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let stored = self.stored.as_ref();
+        let stored = stored.map(|(position, value)| (position, Redacted(value)));
+        f.debug_struct("Hold")
+            .field("stored", &stored)
+            .field("until", &self.until)
+            .finish()
+    }
+}
+
 impl Entry {
     pub(super) fn present(position: Position, value: Bytes) -> Self {
         Self {
--- a/src/core/routing/route.rs
+++ b/src/core/routing/route.rs
@@ -1,6 +1,6 @@
 use std::{sync::Arc, time::Duration};
 
-use crate::core::ServiceName;
+use crate::core::{ServiceName, account::Account};
 
 /// Whether a request may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,14 +55,23 @@
     pub objective: Duration,
     /// Maximum number of leaves that may run one request, for each shard.
     pub max_attempts: u32,
-    /// Priority; 0 is the most urgent.
+    /// Priority of requests whose account has none; 0 is the most urgent.
     pub priority: u32,
     /// Regions whose leaves may run the requests. Empty means all regions.
     pub regions: Vec<Arc<str>>,
+    /// Requests need no key, and the account of one that has a key is not determined.
+    pub anonymous: bool,
     pub target: Target,
 }
 
 impl Route {
+    /// Returns the priority of a request that an account has sent: the account's, which takes precedence, or the route's.
+    pub fn priority_for(&self, account: Option<&Account>) -> u32 {
+        account
+            .and_then(|account| account.priority)
+            .unwrap_or(self.priority)
+    }
+
     /// Returns the services that may run a request of this route.
     pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
         let (single, split, shards): (Option<&ServiceName>, &[(ServiceName, f64)], &[ServiceName]) =
--- a/src/core/routing/table.rs
+++ b/src/core/routing/table.rs
@@ -2,6 +2,7 @@
 
 use crate::core::{
     ServiceName,
+    account::Accounts,
     routing::{Route, Target},
 };
 
@@ -54,6 +55,7 @@
     hosts: HashMap<Arc<str>, Vec<Arc<Route>>>,
     services: HashMap<ServiceName, ServiceSpec>,
     limits: IngressLimits,
+    accounts: Option<Arc<Accounts>>,
 }
 
 impl Routing {
@@ -95,9 +97,23 @@
             hosts,
             services,
             limits,
+            accounts: None,
         })
     }
 
+    /// Sets the client accounts. With `None`, requests need no key.
+    pub fn with_accounts(self, accounts: Option<Accounts>) -> Self {
+        Self {
+            accounts: accounts.map(Arc::new),
+            ..self
+        }
+    }
+
+    /// Returns the client accounts, `None` if the configuration does not contain a list of them.
+    pub fn accounts(&self) -> Option<&Accounts> {
+        self.accounts.as_deref()
+    }
+
     /// Returns the version of the configuration.
     pub fn version(&self) -> u64 {
         self.version
--- a/tests/decisions/routing.rs
+++ b/tests/decisions/routing.rs
@@ -16,6 +16,7 @@
         max_attempts: 2,
         priority: 1,
         regions: Vec::new(),
+        anonymous: false,
         target: Target::Service("catalog".into()),
     }
 }
