Authenticate requests by key and name the account to leaves

Each request looks up its X-Api-Key in the active configuration, before its body is read, and is answered 401 without exactly one valid key; without `tenants` nothing changes. Leaves receive the account's name in Tenant and no key; what callers sent in either header is dropped, on anonymous routes as well. The account's priority takes precedence over the route's wherever that decides.

A node hands a request over with Tenant and the mark 2. Requests without an account are handed over byte for byte as before.

--- a/emulator/src/gateway_leaf.rs
+++ b/emulator/src/gateway_leaf.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use serde_json::{Value, json};
 use tokio::{
     net::TcpListener,
@@ -62,6 +62,8 @@
     records: Vec<u8>,
     /// Number of executions of each request, by request id.
     runs: HashMap<String, u32>,
+    /// Headers of the latest request with each request id.
+    headers: HashMap<String, HeaderMap>,
     /// Number of entries published.
     sequence: u64,
     /// When each request arrived.
@@ -201,6 +203,11 @@
         self.lock().runs.get(request).copied().unwrap_or(0)
     }
 
+    /// Returns the headers of the latest request with this id that reached the leaf.
+    pub fn request_headers(&self, request: &str) -> Option<HeaderMap> {
+        self.lock().headers.get(request).cloned()
+    }
+
     /// Returns the number of requests received.
     pub fn request_count(&self) -> u64 {
         self.lock().arrivals.len() as u64
@@ -309,6 +316,7 @@
     let (mode, delay, leaf_id, crashes) = {
         let mut state = lock(&state);
         state.arrivals.push(Instant::now());
+        state.headers.insert(id.clone(), request.headers().clone());
         state.max_deadline_ms = state.max_deadline_ms.max(deadline_ms);
         let crashing = state.crashing.as_ref();
         let crashes = crashing.is_some_and(|(path, _)| path == request.uri().path());
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -42,7 +42,7 @@
 const MIN_SEND_DELAY: Duration = Duration::from_millis(2);
 /// Maximum share of the objective that is reserved for the send delay of the node.
 const MAX_SEND_DELAY_SHARE: f64 = 0.3;
-/// Maximum share of the objective for which a request of the most urgent route waits for a leaf whose rate limit is used
+/// Maximum share of the objective for which a request of the most urgent priority waits for a leaf whose rate limit is used
 /// up.
 const MAX_RATE_WAIT_SHARE: f64 = 0.25;
 /// Minimum time to wait for the parts of a request that has already missed its objective.
@@ -429,8 +429,8 @@
         if self.gather().is_some() {
             return *arrived;
         }
-        let longest =
-            route.objective.mul_f64(MAX_RATE_WAIT_SHARE) / route.priority.saturating_add(1);
+        let longest = route.objective.mul_f64(MAX_RATE_WAIT_SHARE)
+            / self.inbound.priority().saturating_add(1);
         *arrived + longest.saturating_sub(*waited)
     }
 
@@ -541,7 +541,7 @@
         }
         if !self.plan.may_have_run() {
             let earliest = self.retry_at.map_or(Duration::ZERO, |at| at.since(now));
-            let priority = self.inbound.route.priority;
+            let priority = self.inbound.priority();
             let retry_after = retry_after(earliest, priority, &mut *self.gateway.rng.borrow_mut());
             return CallerAnswer::Unavailable { retry_after }.into_response(id);
         }
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -84,7 +84,7 @@
         while inbound.asked.borrow().len() < MAX_HELPERS {
             let now = self.now();
             let helpers = self.helpers(inbound, &inbound.asked.borrow());
-            let priority = inbound.route.priority;
+            let priority = inbound.priority();
             let chosen = self.handovers.load.borrow().choose(
                 now,
                 helpers,
@@ -163,7 +163,7 @@
                 "request rejected: no leaf and no other node can take it"
             );
         }
-        let priority = inbound.route.priority;
+        let priority = inbound.priority();
         let retry_after = retry_after(Duration::ZERO, priority, &mut *self.rng.borrow_mut());
         CallerAnswer::Unavailable { retry_after }.into_response(&inbound.caller.id)
     }
--- a/src/gateway/inbound.rs
+++ b/src/gateway/inbound.rs
@@ -5,6 +5,7 @@
 use crate::{
     core::{
         NodeId, Time,
+        account::Account,
         crash::Fingerprint,
         placement::RequestKey,
         routing::{Repeat, Route},
@@ -24,6 +25,8 @@
     /// Identity of the request's content, which repeats of the request share.
     pub(super) content: Fingerprint,
     pub(super) route: Arc<Route>,
+    /// Account that sent the request. `None` if the configuration has no accounts or the route needs none.
+    pub(super) account: Option<Arc<Account>>,
     /// When the request head was received.
     pub(super) arrived: Time,
     /// How long the request may have waited in its socket before.
@@ -53,6 +56,11 @@
         self.end_by.map_or(deadline, |end| deadline.min(end))
     }
 
+    /// Returns the priority of the request: its account's, or else its route's. 0 is the most urgent.
+    pub(super) fn priority(&self) -> u32 {
+        self.route.priority_for(self.account.as_deref())
+    }
+
     /// Returns whether the request may run more than once.
     pub(super) fn is_repeatable(&self) -> bool {
         self.route.repeat == Repeat::Idempotent
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -31,6 +31,7 @@
     },
     gateway::{
         Listen,
+        authentication::authenticate,
         connections::{CountedStream, OpenConnection},
         crashes::fingerprint,
         dispatch::dispatch,
@@ -352,7 +353,14 @@
         .get(header::HOST)
         .and_then(|host| host.to_str().ok());
     let host = parts.uri.host().or(host).unwrap_or_default().to_owned();
-    let Some(route) = routing.find(&host, parts.uri.path()).cloned() else {
+    let handed_over = origin == Origin::OtherNode;
+    let route = routing.find(&host, parts.uri.path()).cloned();
+    let identity = match authenticate(&routing, route.as_deref(), &parts.headers, handed_over) {
+        Ok(identity) => identity,
+        Err(error) => return reject(StatusCode::UNAUTHORIZED, &error.to_string()),
+    };
+    let account = identity.account().cloned();
+    let Some(route) = route else {
         return reject(StatusCode::NOT_FOUND, "no matching route");
     };
     let limits = routing.limits();
@@ -367,10 +375,13 @@
             "request head too large",
         );
     }
+    let priority = route.priority_for(account.as_deref());
+    // QUOTA: the place for `gateway.admit_account(..)`, which decides before the body is read. It applies only if `account` is
+    // set and `handed_over` is not: the node that received the request from its caller has counted it.
     let reject_stopping = || {
         record_rejection(StatusCode::SERVICE_UNAVAILABLE, "the node is stopping");
         let rng = &mut *gateway.rng.borrow_mut();
-        let retry_after = retry_after(Duration::ZERO, route.priority, rng);
+        let retry_after = retry_after(Duration::ZERO, priority, rng);
         CallerAnswer::Unavailable { retry_after }.into_response(&caller.id)
     };
     let body = tokio::select! {
@@ -398,12 +409,11 @@
         record_rejection(StatusCode::SERVICE_UNAVAILABLE, &reason);
         let retry_after = retry_after(
             until.since(arrived),
-            route.priority,
+            priority,
             &mut *gateway.rng.borrow_mut(),
         );
         return CallerAnswer::Unavailable { retry_after }.into_response(&caller.id);
     }
-    let handed_over = origin == Origin::OtherNode;
     let end_by = gateway.stop.end_by();
     let is_too_late = end_by.is_some_and(|end| {
         let typical = gateway.route_stats.stats(&route).borrow().typical;
@@ -415,10 +425,11 @@
     let waited = gateway.lag.get().read_delay(arrived);
     let inbound = Inbound {
         content,
-        request: Rc::new(LeafRequest::new(&parts, body)),
+        request: Rc::new(LeafRequest::new(&parts, body, &identity)),
         key: RequestKey::new(&caller.id),
         caller,
         route,
+        account,
         arrived,
         waited,
         first: origin == Origin::Caller { first: true },
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -12,6 +12,7 @@
     adapter::http1::Connection,
     core::{
         Time,
+        account::Accounts,
         mirror::{
             Change, MAX_FIRST_READ_DELAY, MAX_MIRROR_AGE, Position, ReadPlan, Update, reads_store,
         },
@@ -60,6 +61,8 @@
 const MAX_PEER_UPDATE_BYTES: usize = 64 << 10;
 /// Size of a change from which it is decoded outside the thread that serves requests, bytes.
 const OFF_THREAD_DECODE_BYTES: usize = 32 << 10;
+/// Interval of checks whether requests still use a configuration that was replaced.
+const RETIRE_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum size of an update that is fetched from another node while the store does not answer, bytes.
 const MAX_OUTAGE_UPDATE_BYTES: usize = 64 << 20;
 
@@ -338,18 +341,36 @@
             );
             return;
         }
+        let accounts = routing.accounts();
         log::info!(
             version = routing.version(),
             position:% = position,
             routes = routing.len(),
+            accounts = accounts.map_or(0, |accounts| accounts.iter().len()),
+            keys = accounts.map_or(0, Accounts::key_count),
             uptime_ms = now.since(self.started).as_millis() as u64;
             "configuration in force"
         );
         self.route_stats.retain(routing.routes());
-        *current = Rc::new(routing);
+        retire(std::mem::replace(&mut current, Rc::new(routing)));
     }
 }
 
+/// Drops a configuration on another thread once no request uses it. Freeing 100,000 accounts would block requests.
+fn retire(routing: Rc<Routing>) {
+    if routing.accounts().is_none() {
+        return;
+    }
+    tokio::task::spawn_local(async move {
+        while Rc::strong_count(&routing) > 1 {
+            sleep(RETIRE_INTERVAL).await;
+        }
+        if let Ok(routing) = Rc::try_unwrap(routing) {
+            spawn_blocking(move || drop(routing));
+        }
+    });
+}
+
 /// Decodes a change. A large one is decoded on another thread, so that it does not block requests.
 async fn decode_item(change: Change) -> Result<(Change, DecodedChange), JoinError> {
     let large = change.size() >= OFF_THREAD_DECODE_BYTES;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 #[path = "../seeds/mod.rs"]
 mod seeds;
 
+mod accounts;
 mod build;
 mod caller;
 mod copies;
