Add quotas of accounts over all nodes as decision logic

An account's limit holds for the sum of all nodes, which know each other's demand only with a delay. Each node holds a part of the account's bucket and lends tokens to nodes that ask for them; a token is deducted before it is added elsewhere, so that lost, late and repeated messages cannot exceed the bound.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -25,6 +25,7 @@
 mod outbound;
 pub mod placement;
 pub mod query;
+pub mod quota;
 pub mod registry;
 mod rendezvous;
 pub mod retry;
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -1,5 +1,6 @@
 use std::{
     cell::{Cell, RefCell},
+    collections::HashSet,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -71,6 +72,13 @@
         }
     }
 
+    /// Returns the nodes that report a state.
+    pub(super) fn nodes_in(&self, state: EntryState) -> HashSet<NodeId> {
+        let table = self.table.borrow();
+        let reported = table.iter().filter(|(_, report)| report.state == state);
+        reported.map(|(node, _)| node.clone()).collect()
+    }
+
     /// Returns the selected nodes, `None` if all nodes serve callers.
     pub(super) fn selected(&self) -> Option<Rc<[NodeId]>> {
         self.selected.borrow().clone()
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -142,7 +142,7 @@
     }
 
     /// Returns the nodes that callers are told to use, which share the limits of leaves.
-    fn entry_nodes(&self) -> Rc<[NodeId]> {
+    pub(super) fn entry_nodes(&self) -> Rc<[NodeId]> {
         let selected = self.entry.selected();
         selected.unwrap_or_else(|| self.members.alive().into())
     }
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -305,6 +305,7 @@
                 .borrow_mut()
                 .retain(|node, _| is_alive(node));
             self.select_entry(self.now());
+            self.update_quotas();
             self.log_named_nodes();
             self.update_helpers();
             sleep(TICK_INTERVAL).await;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod logging;
 mod members;
 mod mirror;
+mod quota;
 mod routes;
 mod settings;
 mod state;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,6 +1,6 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use crate::core::{Domain, FleetKey, retry::RetryBounds};
+use crate::core::{Domain, FleetKey, quota::QuotaBounds, retry::RetryBounds};
 
 /// The settings of one gateway process.
 #[derive(Clone, Debug)]
@@ -48,4 +48,6 @@
     pub cold_overshoot: f64,
     /// Number of calls by which they may exceed it in addition.
     pub cold_slack: f64,
+    /// Bound on the requests of an account.
+    pub quota: QuotaBounds,
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -30,6 +30,7 @@
         link::LeafLink,
         logging::{LogLimiter, dropped_lines},
         members::{Members, node_id},
+        quota::QuotaState,
         routes::RouteStatsMap,
         stop::StopState,
         sync::SyncState,
@@ -65,6 +66,7 @@
     pub(super) route_stats: RouteStatsMap,
     pub(super) members: Members,
     pub(super) entry: Entry,
+    pub(super) quota: QuotaState,
     /// The nodes that address answers named at last.
     pub(super) named_nodes: RefCell<Vec<SocketAddr>>,
     pub(super) log_limiter: LogLimiter,
@@ -147,6 +149,7 @@
         .with_context(|| format!("bind the peer socket {}", listen.peer))?;
     let listeners = ingress::Listeners::bind(&listen).await?;
     let started = clock.now();
+    let quota = QuotaState::bind(&settings, incarnation, started).await;
     let gateway = Rc::new(Gateway {
         clock,
         started,
@@ -164,6 +167,7 @@
         route_stats: RouteStatsMap::default(),
         members: Members::new(socket, &settings, incarnation, started),
         entry: Entry::default(),
+        quota,
         named_nodes: RefCell::default(),
         log_limiter: LogLimiter::default(),
         rng: RefCell::new(rng),
@@ -188,6 +192,8 @@
     tokio::task::spawn_local(gateway.clone().watch_store());
     tokio::task::spawn_local(gateway.clone().gossip());
     tokio::task::spawn_local(gateway.clone().receive_gossip());
+    tokio::task::spawn_local(gateway.clone().request_quota());
+    tokio::task::spawn_local(gateway.clone().receive_quota());
     tokio::task::spawn_local(gateway.clone().measure_lag());
     tokio::task::spawn_local(gateway.clone().announce_changes());
     tokio::task::spawn_local(gateway.clone().monitor_link());
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -15,6 +15,7 @@
 mod numbers;
 mod pause_guard;
 mod placement;
+mod quota;
 mod readers;
 mod registry;
 mod restore;
--- a/tests/panics.rs
+++ b/tests/panics.rs
@@ -4,7 +4,7 @@
 
 use cranberrychute::{
     adapter::http1::{Connection, Reply},
-    core::{FleetKey, retry::RetryBounds},
+    core::{FleetKey, quota::QuotaBounds, retry::RetryBounds},
     gateway::{self, Bounds, Listen, Settings},
     node::log_panics,
 };
@@ -83,6 +83,11 @@
             },
             cold_overshoot: 1.5,
             cold_slack: 5.0,
+            quota: QuotaBounds {
+                window: Duration::from_secs(5),
+                overshoot: 0.25,
+                slack: 20.0,
+            },
         },
     }
 }
