--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -1,5 +1,5 @@
 use std::{
-    cell::{Cell, RefCell},
+    cell::RefCell,
     collections::{HashMap, HashSet},
     net::SocketAddr,
     rc::Rc,
@@ -8,7 +8,7 @@
 };
 
 use metrics::Counter;
-use rand::seq::IndexedRandom;
+use rand::seq::IteratorRandom;
 use tokio::{
     sync::Notify,
     time::{sleep, timeout},
@@ -56,8 +56,6 @@
     /// Notified when tokens are needed at short notice.
     urgent: Notify,
     counters: RefCell<HashMap<Arc<str>, AccountCounters>>,
-    /// The share that was last logged.
-    logged_share: Cell<f64>,
 }
 
 impl QuotaState {
@@ -78,7 +76,6 @@
             socket,
             urgent: Notify::new(),
             counters: RefCell::default(),
-            logged_share: Cell::new(0.0),
         }
     }
 
@@ -169,11 +166,6 @@
         let mut quotas = self.quota.quotas.borrow_mut();
         quotas.set_bounds(now, self.settings.borrow().bounds.quota);
         quotas.set_nodes(now, &serving, &alive, &leaving);
-        let share = quotas.share();
-        if self.quota.logged_share.replace(share) != share {
-            let holders = quotas.holders().len();
-            log::debug!(share, holders, alive = alive.len(); "share of the quotas changed");
-        }
     }
 
     /// Asks other nodes for tokens until the process exits.
@@ -192,12 +184,17 @@
                         .await;
                 }
             }
-            for OutgoingAsk { mut ask, holders } in asks {
+            for OutgoingAsk {
+                mut ask,
+                among,
+                asked,
+            } in asks
+            {
                 let chosen: Vec<NodeId> = {
                     let quotas = self.quota.quotas.borrow();
                     let mut rng = self.rng.borrow_mut();
-                    let chosen = quotas.holders().choose_multiple(&mut *rng, holders);
-                    chosen.cloned().collect()
+                    let chosen = quotas.holders(among).choose_multiple(&mut *rng, asked);
+                    chosen.into_iter().cloned().collect()
                 };
                 // Only one holder gives up the tokens for its own callers.
                 ask.deep = true;
--- a/tests/gateway/numbers.rs
+++ b/tests/gateway/numbers.rs
@@ -242,6 +242,7 @@
         for (name, value) in [
             ("grace_s", "6"),
             ("budget_window_s", "10"),
+            ("quota_overshoot", "0.25"),
             ("retry_slack", "56"),
         ] {
             let (from, to) = (format!("{name} = {value}\n"), format!("{name} = {fault}\n"));
