--- a/src/core/quota/budget.rs
+++ b/src/core/quota/budget.rs
@@ -71,7 +71,7 @@
     refilled: Time,
     loans: SmallVec<[Loan; 4]>,
     demand: Demand,
-    peers: SmallVec<[Peer; 4]>,
+    peers: SmallVec<[Peer; 1]>,
     used: Time,
     ask_at: Time,
     ask_delay: Duration,
--- a/src/core/quota/mod.rs
+++ b/src/core/quota/mod.rs
@@ -20,5 +20,5 @@
     bounds::QuotaBounds,
     fleet::MAX_HOLDERS,
     message::{Ask, AskEntry, Grant, GrantEntry, MAX_ENTRIES, Report, Return, account_id},
-    quotas::{Denial, Outgoing, OutgoingAsk, Quotas},
+    quotas::{ASK_INTERVAL, Denial, Outgoing, OutgoingAsk, Quotas},
 };
--- a/src/core/quota/quotas.rs
+++ b/src/core/quota/quotas.rs
@@ -19,6 +19,8 @@
 const MIN_ASKED: usize = 4;
 /// Number of holders that are asked, as a multiple of the part of the limit that a node needs.
 const ASKED_PER_PART: f64 = 12.0;
+/// Interval at which the needs of all accounts are examined. Those that are urgent are examined in between.
+pub const ASK_INTERVAL: Duration = Duration::from_millis(200);
 /// Part of the time of a loan after which tokens that are not needed are returned. Together with an ask interval it leaves
 /// time for the message.
 const RETURN_PART: f64 = 0.3;
@@ -91,7 +93,10 @@
     sent: VecDeque<SentAsk>,
     lent: VecDeque<Lent>,
     last_stamp: u64,
-    is_urgent: bool,
+    /// Accounts that need tokens before the next interval.
+    urgent: Vec<u64>,
+    /// When the needs of all accounts were last examined.
+    examined: Time,
 }
 
 impl Quotas {
@@ -103,7 +108,8 @@
             sent: VecDeque::new(),
             lent: VecDeque::new(),
             last_stamp: 0,
-            is_urgent: false,
+            urgent: Vec::new(),
+            examined: now,
         }
     }
 
@@ -147,7 +153,8 @@
         self.check_pause(now);
         let bounds = self.bounds;
         let share = self.fleet.share(bounds.holders(limit));
-        let Some(budget) = self.budget(now, account_id(&account.name), limit) else {
+        let id = account_id(&account.name);
+        let Some(budget) = self.budget(now, id, limit) else {
             return Err(Denial {
                 retry_after: bounds.window,
                 limit,
@@ -174,7 +181,9 @@
                 peer_demand: budget.peer_demand(now),
             })
         };
-        self.is_urgent |= is_urgent;
+        if is_urgent && self.urgent.last() != Some(&id) {
+            self.urgent.push(id);
+        }
         result
     }
 
@@ -188,18 +197,27 @@
 
     /// Returns whether tokens should be asked for now rather than at the next interval.
     pub fn is_urgent(&self) -> bool {
-        self.is_urgent
+        !self.urgent.is_empty()
     }
 
     /// Returns the messages that ask holders for the tokens that this node needs, and those that return tokens.
     pub fn report(&mut self, now: Time) -> Outgoing {
         self.check_pause(now);
-        self.is_urgent = false;
         let loan_time = self.bounds.loan_time();
         self.sent.retain(|sent| now.since(sent.sent) < loan_time);
         let returns = self.release(now, loan_time);
+        let mut due = std::mem::take(&mut self.urgent);
+        if now.since(self.examined) >= ASK_INTERVAL {
+            self.examined = now;
+            due = self.budgets.keys().copied().collect();
+        }
+        due.sort_unstable();
+        due.dedup();
         let mut needs = Vec::new();
-        for (id, budget) in &mut self.budgets {
+        for id in due {
+            let Some(budget) = self.budgets.get_mut(&id) else {
+                continue;
+            };
             budget.refresh(now);
             if let Some((tokens, part)) = budget.need(now, loan_time) {
                 let among = self.fleet.holder_count(self.bounds.holders(budget.limit()));
@@ -210,7 +228,7 @@
                     needs.push(Need {
                         among,
                         asked,
-                        id: *id,
+                        id,
                         tokens,
                     });
                 }
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -20,7 +20,7 @@
         Incarnation, NodeId, Time,
         account::Account,
         entry::EntryState,
-        quota::{Denial, Outgoing, OutgoingAsk, Quotas, Report},
+        quota::{ASK_INTERVAL, Denial, Outgoing, OutgoingAsk, Quotas, Report},
     },
     gateway::{
         Settings,
@@ -29,8 +29,6 @@
     },
 };
 
-/// Interval at which tokens are asked for. Those of a node last for longer.
-const ASK_INTERVAL: Duration = Duration::from_millis(200);
 /// Minimum time between messages at short notice. Requests that arrive at the same time share one.
 const MIN_ASK_INTERVAL: Duration = Duration::from_millis(2);
 /// Delay after a failed receive.
--- a/tests/decisions/quota/mod.rs
+++ b/tests/decisions/quota/mod.rs
@@ -4,7 +4,11 @@
 
 use std::{collections::HashSet, thread};
 
-use cranberrychute::core::{NodeId, account::RateLimit, quota::Quotas};
+use cranberrychute::core::{
+    NodeId,
+    account::RateLimit,
+    quota::{Ask, AskEntry, MAX_ENTRIES, Quotas, Report},
+};
 
 use self::fleet::{BOUNDS, Fault, Fleet, account, most_in_window};
 use crate::{at, seeds::seeds};
@@ -563,3 +567,23 @@
         .count();
     assert!((15..=26).contains(&admitted), "{admitted}");
 }
+
+/// Guards against messages that do not fit a datagram of 1,200 bytes with their envelope of up to 66.
+#[test]
+fn quota_messages_fit_a_datagram() {
+    let entry = AskEntry {
+        account: u64::MAX,
+        per_s: f64::MAX,
+        burst: f64::MAX,
+        demand: f32::MAX,
+        tokens: f32::MAX,
+        missing: f32::MAX,
+    };
+    let ask = Report::Ask(Ask {
+        stamp: u64::MAX,
+        deep: true,
+        entries: vec![entry; MAX_ENTRIES],
+    });
+    let size = postcard::to_stdvec(&ask).expect("encodable").len();
+    assert!(size <= 1_134, "{size}");
+}
