Shorten loans of quota tokens to 300 ms

Tokens on loan are missing from the buckets: with loans of 500 ms, demand spread over 91 nodes that all serve was rejected at 6.4% to 6.8%, and moving demand at 0.6% to 0.9%.

--- a/src/core/quota/bounds.rs
+++ b/src/core/quota/bounds.rs
@@ -7,9 +7,9 @@
 /// rejected while some tokens expire unused.
 const REFILL_PART: f64 = 0.2;
 
-/// Maximum time for which a borrowed token is valid. Longer than two ask intervals, so that one lost message does not
-/// empty a node.
-const MAX_LOAN: Duration = Duration::from_millis(500);
+/// Maximum time for which a borrowed token is valid: an ask interval and the round trip of a message to a busy node. Longer
+/// loans leave fewer tokens for the buckets: with 500 ms, demand spread over all of 91 nodes was rejected twice as often.
+const MAX_LOAN: Duration = Duration::from_millis(300);
 
 /// The users' bound on the requests of an account over all nodes: `(rate * window + burst) * (1 + overshoot) + slack` in
 /// any window.
--- a/tests/decisions/quota/mod.rs
+++ b/tests/decisions/quota/mod.rs
@@ -258,8 +258,8 @@
             name: "all nodes serve, all used",
             serving: 91,
             demand: |_, _| 0.95 / 91.0,
-            max_rejected: 0.1,
-            min_owed: 0.92,
+            max_rejected: 0.05,
+            min_owed: 0.96,
             ..base()
         },
         Case {
