Bound the list of accounts that need quota tokens at short notice

A node without a quota socket never asks for tokens, so that its list grew with every request short of tokens. It takes at most 256 accounts; the others are examined at the next interval.

--- a/src/core/quota/quotas.rs
+++ b/src/core/quota/quotas.rs
@@ -5,8 +5,8 @@
 };
 
 use super::{
-    Ask, Grant, GrantEntry, MAX_ENTRIES, QuotaBounds, Report, Return, account_id, budget::Budget,
-    fleet::Fleet,
+    Ask, Grant, GrantEntry, MAX_ENTRIES, MAX_HOLDERS, QuotaBounds, Report, Return, account_id,
+    budget::Budget, fleet::Fleet,
 };
 use crate::core::{
     NodeId, Time,
@@ -21,6 +21,8 @@
 const ASKED_PER_PART: f64 = 12.0;
 /// Interval at which the needs of all accounts are examined. Those that are urgent are examined in between.
 pub const ASK_INTERVAL: Duration = Duration::from_millis(200);
+/// Maximum number of accounts that are examined in between. The others wait for the interval.
+const MAX_URGENT: usize = 256;
 /// Part of the time of a loan after which tokens that are not needed are returned. Together with an ask interval it leaves
 /// time for the message.
 const RETURN_PART: f64 = 0.3;
@@ -113,7 +115,7 @@
         }
     }
 
-    /// Changes the bounds. Budgets are rebuilt by later requests.
+    /// Changes the bounds. Tokens beyond the new ones are lost.
     pub fn set_bounds(&mut self, now: Time, bounds: QuotaBounds) {
         if self.bounds != bounds {
             self.bounds = bounds;
@@ -181,7 +183,8 @@
                 peer_demand: budget.peer_demand(now),
             })
         };
-        if is_urgent && self.urgent.last() != Some(&id) {
+        let is_listed = self.urgent.last() == Some(&id);
+        if is_urgent && !is_listed && self.urgent.len() < MAX_URGENT {
             self.urgent.push(id);
         }
         result
@@ -197,7 +200,7 @@
 
     /// Returns whether tokens should be asked for now rather than at the next interval.
     pub fn is_urgent(&self) -> bool {
-        !self.urgent.is_empty()
+        !self.urgent.is_empty() && self.fleet.holders(MAX_HOLDERS).next().is_some()
     }
 
     /// Returns the messages that ask holders for the tokens that this node needs, and those that return tokens.
