Merge branch 'quota': quotas of accounts over all nodes, in force for requests

A request with an account is counted before its body is read; one over the quota is answered 429 with Retry-After and marked as not run. The node that takes a request from its caller counts it, not the one it hands it over to. A request that is rejected as not run after it was counted is refunded (`NotRun` as an extension of the response).

handle_request is split at that point: run_request reads the body and runs the request.

--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -5,13 +5,14 @@
     panic::AssertUnwindSafe,
     pin::pin,
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
 use anyhow::Context as _;
 use bytes::Bytes;
 use futures::FutureExt;
-use http::{Request, Response, StatusCode, header};
+use http::{Request, Response, StatusCode, header, request};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{
     body::{Body as _, Incoming},
@@ -27,7 +28,8 @@
 use crate::{
     adapter::accept_waiting,
     core::{
-        StopPhase, crash::Admission, mirror::Position, placement::RequestKey, retry::retry_after,
+        StopPhase, Time, account::Identity, crash::Admission, mirror::Position,
+        placement::RequestKey, retry::retry_after, routing::Route,
     },
     gateway::{
         Listen,
@@ -41,8 +43,8 @@
     },
     node::render_metrics,
     platform::{
-        CallerAnswer, CallerRequest, LeafRequest, directory_query, is_handed_over, is_ready_probe,
-        request_id,
+        CallerAnswer, CallerRequest, LeafRequest, NotRun, directory_query, is_handed_over,
+        is_ready_probe, request_id,
     },
 };
 
@@ -326,26 +328,18 @@
     let caller = CallerRequest::from_parts(&parts);
     open.start(&caller.id, arrived);
     let routing = gateway.routing.borrow().clone();
-    let record_rejection = |status: StatusCode, reason: &str| {
-        let labels = [("status", status.as_str().to_owned())];
-        metrics::counter!("cranberrychute_rejected_total", &labels).increment(1);
-        if let Some(suppressed) = gateway.log_limiter.admit(arrived, "rejected") {
-            log::warn!(
-                id = &*caller.id,
-                status = status.as_u16(),
-                version = routing.version(),
-                suppressed;
-                "request rejected: {reason}"
-            );
-        }
-    };
     let reject = |status: StatusCode, reason: &str| {
-        record_rejection(status, reason);
+        record_rejection(&gateway, &caller, status, reason);
         CallerAnswer::Rejected(status).into_response(&caller.id)
     };
     if routing.is_empty() {
         let retry_after = retry_after(NO_CONFIG_RETRY_DELAY, 0, &mut *gateway.rng.borrow_mut());
-        record_rejection(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet");
+        record_rejection(
+            &gateway,
+            &caller,
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no configuration yet",
+        );
         return CallerAnswer::Unavailable { retry_after }.into_response(&caller.id);
     }
     let host = parts
@@ -359,7 +353,6 @@
         Ok(identity) => identity,
         Err(error) => return reject(StatusCode::UNAUTHORIZED, &error.to_string()),
     };
-    let account = identity.account().cloned();
     let Some(route) = route else {
         return reject(StatusCode::NOT_FOUND, "no matching route");
     };
@@ -375,15 +368,78 @@
             "request head too large",
         );
     }
+    // The node that received a request from its caller has counted it.
+    let counted = identity.account().filter(|_| !handed_over).cloned();
+    if let Some(account) = &counted
+        && let Err(retry_after) = gateway.admit_account(account)
+    {
+        record_rejection(
+            &gateway,
+            &caller,
+            StatusCode::TOO_MANY_REQUESTS,
+            "over quota",
+        );
+        return CallerAnswer::OverQuota { retry_after }.into_response(&caller.id);
+    }
+    let accepted = AcceptedRequest {
+        parts,
+        host,
+        caller,
+        route,
+        identity,
+        arrived,
+        origin,
+    };
+    let answer = run_request(&gateway, accepted, body, open).await;
+    if let Some(account) = &counted
+        && answer.extensions().get::<NotRun>().is_some()
+    {
+        gateway.refund_account(account);
+    }
+    answer
+}
+
+/// A request that the configuration allows, before its body is read.
+struct AcceptedRequest {
+    parts: request::Parts,
+    host: String,
+    caller: CallerRequest,
+    route: Arc<Route>,
+    identity: Identity,
+    arrived: Time,
+    origin: Origin,
+}
+
+/// Reads the body of a request, and runs it.
+async fn run_request(
+    gateway: &Rc<Gateway>,
+    accepted: AcceptedRequest,
+    body: Incoming,
+    open: &OpenConnection,
+) -> Answer {
+    let AcceptedRequest {
+        parts,
+        host,
+        caller,
+        route,
+        identity,
+        arrived,
+        origin,
+    } = accepted;
+    let record = |status, reason: &str| record_rejection(gateway, &caller, status, reason);
+    let reject = |status: StatusCode, reason: &str| {
+        record(status, reason);
+        CallerAnswer::Rejected(status).into_response(&caller.id)
+    };
+    let account = identity.account().cloned();
     let priority = route.priority_for(account.as_deref());
-    // QUOTA: the place for `gateway.admit_account(..)`, which decides before the body is read. It applies only if `account` is
-    // set and `handed_over` is not: the node that received the request from its caller has counted it.
-    let reject_stopping = || {
-        record_rejection(StatusCode::SERVICE_UNAVAILABLE, "the node is stopping");
-        let rng = &mut *gateway.rng.borrow_mut();
-        let retry_after = retry_after(Duration::ZERO, priority, rng);
+    let reject_until = |earliest: Duration, reason: &str| {
+        record(StatusCode::SERVICE_UNAVAILABLE, reason);
+        let retry_after = retry_after(earliest, priority, &mut *gateway.rng.borrow_mut());
         CallerAnswer::Unavailable { retry_after }.into_response(&caller.id)
     };
+    let reject_stopping = || reject_until(Duration::ZERO, "the node is stopping");
+    let limits = gateway.routing.borrow().limits();
     let body = tokio::select! {
         biased;
         body = Limited::new(body, limits.body_bytes).collect() => Some(body),
@@ -406,19 +462,14 @@
     let content = fingerprint(&parts, &host, &body);
     if let Admission::Reject(until) = gateway.crashes.borrow().admit(arrived, content) {
         let reason = format!("its content {content} crashes leaves");
-        record_rejection(StatusCode::SERVICE_UNAVAILABLE, &reason);
-        let retry_after = retry_after(
-            until.since(arrived),
-            priority,
-            &mut *gateway.rng.borrow_mut(),
-        );
-        return CallerAnswer::Unavailable { retry_after }.into_response(&caller.id);
+        return reject_until(until.since(arrived), &reason);
     }
     let end_by = gateway.stop.end_by();
     let is_too_late = end_by.is_some_and(|end| {
         let typical = gateway.route_stats.stats(&route).borrow().typical;
         gateway.now() + typical > end
     });
+    let handed_over = origin == Origin::OtherNode;
     if is_too_late || handed_over && gateway.stop.is_draining() {
         return reject_stopping();
     }
@@ -437,5 +488,19 @@
         asked: RefCell::default(),
         end_by,
     };
-    dispatch(gateway, inbound).await
+    dispatch(gateway.clone(), inbound).await
+}
+
+fn record_rejection(gateway: &Gateway, caller: &CallerRequest, status: StatusCode, reason: &str) {
+    let labels = [("status", status.as_str().to_owned())];
+    metrics::counter!("cranberrychute_rejected_total", &labels).increment(1);
+    if let Some(suppressed) = gateway.log_limiter.admit(gateway.now(), "rejected") {
+        log::warn!(
+            id = &*caller.id,
+            status = status.as_u16(),
+            version = gateway.routing.borrow().version(),
+            suppressed;
+            "request rejected: {reason}"
+        );
+    }
 }
