Decide for each call whether it leaves its failure domain

A fixed extra cost of 0.4 typical latencies sent calls to other domains for small differences of measured latency. Calls now stay while the own domain's leaf is expected to answer within a quarter of the time left until the objective. They leave a leaf that is stalled, ejected, full or failing, and a share of them, which moves in steps, leaves one that is too slow. Leaves elsewhere get them only while they report spare capacity. The fourth figure of Leaf-Load corrects the expected latency, with bounded influence.

--- a/src/core/placement/leaf_stats.rs
+++ b/src/core/placement/leaf_stats.rs
@@ -2,7 +2,7 @@
 
 use smallvec::SmallVec;
 
-use crate::core::Time;
+use crate::core::{Time, placement::machine_speed::MachineSpeed};
 
 /// Weight of a new answer in the relative latency. With it, two answers distinguish a slow leaf from a typical one.
 const LATENCY_WEIGHT: f64 = 0.35;
@@ -19,6 +19,12 @@
 const FAILURE_WEIGHT: f64 = 0.25;
 /// Time for which a reported load is used.
 const LOAD_TTL: Duration = Duration::from_millis(60);
+/// Time for which a reported load shows that a leaf has spare capacity. It is longer than [`LOAD_TTL`], because a node in
+/// another domain calls the leaf only now and then.
+const SPARE_TTL: Duration = Duration::from_millis(250);
+/// Time for which a leaf that shed a call, or reported that all its slots are taken, gets no calls from other failure
+/// domains. Afterwards one call at a time shows whether this still holds.
+const FULL_TTL: Duration = Duration::from_millis(1_000);
 /// Multiple of a leaf's own recent latency after which a call without an answer indicates that the leaf is stalled.
 const STALL_RATIO: f64 = 3.0;
 /// Minimum time without an answer after which a leaf counts as stalled.
@@ -59,6 +65,31 @@
     pub running: u32,
     pub waiting: u32,
     pub slots: u32,
+    /// How long work currently takes on the leaf's machine, in percent of the usual time.
+    pub speed: Option<u16>,
+}
+
+/// What a call to a leaf is expected to cost.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Estimate {
+    /// Expected latency of an answer, as a multiple of the typical latency.
+    pub latency: f64,
+    /// Share of calls that currently fail or are shed.
+    pub failure_rate: f64,
+    /// Cost of the calls that wait for a stalled leaf; zero if it is not stalled.
+    pub stall: f64,
+}
+
+impl Estimate {
+    /// Returns the expected cost, as a multiple of the typical latency.
+    pub fn cost(&self) -> f64 {
+        self.latency + self.failure_rate * FAILURE_COST + self.stall
+    }
+
+    /// Returns whether a call to the leaf has waited so long that it appears to be stalled.
+    pub fn is_stalled(&self) -> bool {
+        self.stall > 0.0
+    }
 }
 
 /// How a call ended.
@@ -83,7 +114,7 @@
 }
 
 /// Identifies a call in progress.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CallToken(u32);
 
 /// Statistics of one node about one leaf, from the node's own calls and the load that the leaf reports.
@@ -98,8 +129,11 @@
     /// Share of calls that failed or were shed, as a moving average.
     failure_rate: f64,
     updated_at: Time,
+    speed: MachineSpeed,
     load: LeafLoad,
     load_at: Option<Time>,
+    /// When the leaf last shed a call or reported that all its slots are taken, if it has not reported spare capacity since.
+    full_at: Option<Time>,
     /// Failure points since the last answer.
     points: u32,
     /// Number of ejections since the last answer.
@@ -120,11 +154,13 @@
             last_slow: false,
             failure_rate: 0.0,
             updated_at: now,
+            speed: MachineSpeed::default(),
             load: LeafLoad {
                 slots,
                 ..LeafLoad::default()
             },
             load_at: None,
+            full_at: None,
             points: 0,
             ejections: 0,
             ejected_until: None,
@@ -149,6 +185,7 @@
             Outcome::Answered(latency) => {
                 let ratio = latency.as_secs_f64() / typical.as_secs_f64().max(1e-4);
                 let mut ratio = ratio.clamp(LATENCY_RANGE.0, LATENCY_RANGE.1);
+                self.speed.record_latency(ratio);
                 let slow = ratio > SLOW_RATIO;
                 if slow && !self.last_slow {
                     ratio = FIRST_SLOW_RATIO;
@@ -167,6 +204,7 @@
                 self.record_result(1.0);
                 self.record_alive();
                 self.limit = (calls * LIMIT_DECREASE).clamp(1.0, self.limit);
+                self.full_at = Some(now);
             }
             Outcome::Refused => self.record_unanswered(now, REFUSED_POINTS),
             Outcome::NoAnswer => self.record_unanswered(now, NO_ANSWER_POINTS),
@@ -183,6 +221,12 @@
             ..load
         };
         self.load_at = Some(now);
+        // The call whose answer brings the report counts as running in it and has ended.
+        let is_full = load.running.saturating_add(load.waiting) > self.load.slots;
+        self.full_at = is_full.then_some(now);
+        if let Some(percent) = load.speed {
+            self.speed.record_report(now, percent);
+        }
         if load.waiting > load.slots.saturating_mul(MAX_QUEUE_PER_SLOT) {
             self.limit = (self.calls.len() as f64 * LIMIT_DECREASE).clamp(1.0, self.limit);
         }
@@ -222,10 +266,28 @@
         self.ejected_until
     }
 
+    /// Returns whether the leaf has spare capacity for a call from another failure domain.
+    ///
+    /// A leaf that has not reported its load lately gets one call at a time, which brings a report.
+    pub fn has_spare(&self, now: Time) -> bool {
+        if self.full_at.is_some_and(|at| now.since(at) < FULL_TTL) {
+            return false;
+        }
+        let is_reported = self.load_at.is_some_and(|at| now.since(at) < SPARE_TTL);
+        let calls = if is_reported { self.load.slots } else { 1 };
+        self.calls.len() < calls as usize
+    }
+
     /// Returns the expected cost of another call, as a multiple of the typical latency.
     pub fn cost(&self, now: Time, typical: Duration) -> f64 {
+        self.estimate(now, typical).cost()
+    }
+
+    /// Returns what another call is expected to cost.
+    pub fn estimate(&self, now: Time, typical: Duration) -> Estimate {
         let weight = remaining_weight(now.since(self.updated_at));
-        let relative_latency = 1.0 + (self.relative_latency - 1.0) * weight;
+        let measured = 1.0 + (self.relative_latency - 1.0) * weight;
+        let relative_latency = self.speed.correct(now, measured);
         let reported = self
             .load_at
             .filter(|at| now.since(*at) < LOAD_TTL)
@@ -235,16 +297,17 @@
         let queue = ((busy + 1.0 - slots) / slots).max(0.0);
         let oldest = self.calls.iter().map(|(_, sent)| now.since(*sent)).max();
         let oldest = oldest.unwrap_or_default();
-        let stall = typical
-            .mul_f64(STALL_RATIO * relative_latency)
-            .max(MIN_STALL_TIME);
-        let stalled = if oldest > stall {
+        let stall = typical.mul_f64(STALL_RATIO * measured).max(MIN_STALL_TIME);
+        let stall = if oldest > stall {
             STALL_COST + oldest.as_secs_f64() / typical.as_secs_f64().max(1e-4)
         } else {
             0.0
         };
-        let failures = self.failure_rate * weight * FAILURE_COST;
-        relative_latency * (1.0 + queue) + failures + stalled + BUSY_COST * busy / slots
+        Estimate {
+            latency: relative_latency * (1.0 + queue) + BUSY_COST * busy / slots,
+            failure_rate: self.failure_rate * weight,
+            stall,
+        }
     }
 
     fn record_result(&mut self, failed: f64) {
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -6,17 +6,20 @@
 
 mod connection;
 mod contention;
+mod crossing;
 mod idle_limit;
 mod leaf_stats;
+mod machine_speed;
 mod pick;
 mod share;
 
 pub use self::{
     connection::{CarriedRequests, ConnectionChoice, RequestKey, choose_connection},
     contention::Contention,
+    crossing::{CrossReason, Crossing, CrossingQuery, Decision, Placement, ShareChange},
     idle_limit::{IdleLimit, MIN_IDLE_TIME},
-    leaf_stats::{CallToken, LeafLoad, LeafStats, Outcome},
-    pick::{Candidate, pick},
+    leaf_stats::{CallToken, Estimate, LeafLoad, LeafStats, Outcome},
+    pick::{Candidate, Choice, pick},
     share::{
         ConnectionShare, STALE_CONNECTION_TIME, connecting_nodes, connection_share, planned_nodes,
     },
--- a/src/core/placement/pick.rs
+++ b/src/core/placement/pick.rs
@@ -2,17 +2,15 @@
 
 use rand::Rng;
 
-use crate::core::{Time, placement::LeafStats};
+use crate::core::{
+    Time,
+    placement::{Estimate, LeafStats},
+};
 
 /// Maximum relative increase of a cost by the random factor. Nodes do not see each other's calls and would otherwise
 /// all choose the leaf with the least cost.
 const COST_JITTER: f64 = 0.25;
 
-/// Extra cost of a leaf in another failure domain, as a multiple of the typical latency. It accounts for the price of
-/// traffic between failure domains and for the longer round trip. A leaf in the same domain that is slower or busier
-/// by more than this is not preferred.
-const CROSS_DOMAIN_COST: f64 = 0.4;
-
 /// Extra cost of a leaf to which this node keeps no connections. It is below the cost of a stalled leaf.
 const OUTSIDE_SUBSET_COST: f64 = 2.0;
 
@@ -36,35 +34,50 @@
     pub connected: bool,
 }
 
-/// Returns the index of the leaf with the least expected cost, `None` if there are no candidates.
+/// The leaf with the least expected cost.
+#[derive(Clone, Copy, Debug)]
+pub struct Choice {
+    pub index: usize,
+    pub outside_subset: bool,
+    /// What a call is expected to cost. The latency includes the extra cost of a cold leaf, which is slower.
+    pub estimate: Estimate,
+}
+
+/// Returns the leaf with the least expected cost, `None` if there are no candidates. `distance` is the extra cost of
+/// leaves in other failure domains, as a multiple of the typical latency.
 pub fn pick<'a>(
     now: Time,
     typical: Duration,
+    distance: f64,
     candidates: impl Iterator<Item = (usize, Candidate<'a>)>,
     rng: &mut impl Rng,
-) -> Option<usize> {
+) -> Option<Choice> {
     candidates
         .map(|(index, candidate)| {
-            let mut cost = candidate.stats.cost(now, typical);
-            cost *= 1.0 + rng.random_range(0.0..COST_JITTER);
-            cost += if candidate.same_domain {
-                0.0
-            } else {
-                CROSS_DOMAIN_COST
-            };
+            let mut estimate = candidate.stats.estimate(now, typical);
+            let mut cost = estimate.cost() * (1.0 + rng.random_range(0.0..COST_JITTER));
+            cost += if candidate.same_domain { 0.0 } else { distance };
             cost += if candidate.outside_subset {
                 OUTSIDE_SUBSET_COST
             } else {
                 0.0
             };
-            cost += if candidate.cold { COLD_COST } else { 0.0 };
+            if candidate.cold {
+                cost += COLD_COST;
+                estimate.latency += COLD_COST;
+            }
             cost += if candidate.connected {
                 0.0
             } else {
                 CONNECT_COST
             };
-            (index, cost)
+            let choice = Choice {
+                index,
+                outside_subset: candidate.outside_subset,
+                estimate,
+            };
+            (choice, cost)
         })
         .min_by(|(_, a), (_, b)| a.total_cmp(b))
-        .map(|(index, _)| index)
+        .map(|(choice, _)| choice)
 }
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -19,7 +19,7 @@
         crashes::{LostCall, Trial},
         routes::RouteStats,
         state::Gateway,
-        upstreams::Leaf,
+        upstreams::{Leaf, Service},
     },
     platform::{LeafAnswer, LeafRequest, is_answer_to, leaf_answer},
 };
@@ -41,6 +41,7 @@
 /// One call to one leaf.
 pub(super) struct Call {
     pub(super) part: usize,
+    pub(super) service: Rc<Service>,
     pub(super) leaf: Rc<Leaf>,
     pub(super) request: Rc<LeafRequest>,
     /// Id of the caller's request.
@@ -228,6 +229,8 @@
         let reply = connection
             .exchange(&bytes, limit, |reply| is_answer_to(reply, &self.id))
             .await;
+        let received = reply.as_ref().map_or(0, |reply| reply.body.len());
+        gateway.record_traffic(&self.leaf, &self.service, bytes.len() + received);
         match (&reply, idle_time) {
             (Ok(_), _) => lease.release(gateway.now()),
             (Err(error), Some(idle_time)) if error.step != ExchangeStep::Body => {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -342,6 +342,8 @@
         let typical = self.route_stats.borrow().typical;
         let query = LeafQuery {
             typical,
+            time_left: self.plan.settings().partial_at.since(now),
+            is_extra: purpose.is_some(),
             regions: &self.inbound.route.regions,
             tried: &tried,
             key: self.inbound.key,
@@ -395,6 +397,7 @@
         } = *self.plan.settings();
         Some(Call {
             part,
+            service: service.clone(),
             leaf,
             request: self.inbound.request.clone(),
             id: self.inbound.caller.id.clone(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod calls;
 mod connections;
 mod crashes;
+mod crossing;
 mod directory;
 mod dispatch;
 mod entry;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -21,6 +21,8 @@
     /// Distinguishes messages of this fleet's nodes from those of other deployments.
     pub fleet_key: FleetKey,
     pub bounds: Bounds,
+    /// Latency that a call to another failure domain must gain for each KB that it sends and receives.
+    pub domain_traffic_price: Duration,
 }
 
 /// The addresses that the process listens on.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -24,6 +24,7 @@
     gateway::{
         Settings,
         connections::Connections,
+        crossing::DomainTraffic,
         entry::Entry,
         handover::Handovers,
         ingress,
@@ -63,6 +64,7 @@
     pub(super) handovers: Handovers,
     pub(super) lag: Cell<LoopLag>,
     pub(super) route_stats: RouteStatsMap,
+    pub(super) domain_traffic: DomainTraffic,
     pub(super) members: Members,
     pub(super) entry: Entry,
     /// The nodes that address answers named at last.
@@ -147,6 +149,7 @@
         .with_context(|| format!("bind the peer socket {}", listen.peer))?;
     let listeners = ingress::Listeners::bind(&listen).await?;
     let started = clock.now();
+    let metrics = start_metrics();
     let gateway = Rc::new(Gateway {
         clock,
         started,
@@ -162,6 +165,7 @@
         handovers: Handovers::default(),
         lag: Cell::default(),
         route_stats: RouteStatsMap::default(),
+        domain_traffic: DomainTraffic::new(),
         members: Members::new(socket, &settings, incarnation, started),
         entry: Entry::default(),
         named_nodes: RefCell::default(),
@@ -171,7 +175,7 @@
         active_requests: Cell::new(0),
         connections: Connections::default(),
         sync: SyncState::new(started),
-        metrics: start_metrics(),
+        metrics,
         settings: RefCell::new(settings),
     });
     log::info!(
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -17,8 +17,8 @@
         Domain, Instance, ServiceName, Time,
         limit::{Allowance, LeafLimit, Tally},
         placement::{
-            Candidate, CarriedRequests, ConnectionChoice, Contention, LeafStats, RequestKey,
-            choose_connection, connection_share, pick,
+            Candidate, CarriedRequests, ConnectionChoice, Contention, Crossing, CrossingQuery,
+            LeafStats, Placement, RequestKey, choose_connection, connection_share,
         },
         registry::{LeafChange, LeafRecord},
         retry::RetryBudget,
@@ -284,6 +284,8 @@
     max_connections: Cell<usize>,
     pub(super) budget: RefCell<RetryBudget>,
     pub(super) contention: Cell<Contention>,
+    /// Which calls leave the node's failure domain.
+    pub(super) crossing: RefCell<Crossing>,
 }
 
 /// Why no leaf of a service can take a call.
@@ -311,6 +313,10 @@
 pub(super) struct LeafQuery<'a> {
     /// Typical latency of the calls of the route.
     pub(super) typical: Duration,
+    /// Time left until the objective of the query, zero if it has passed.
+    pub(super) time_left: Duration,
+    /// Whether the call is a hedge or a retry, which goes to any failure domain.
+    pub(super) is_extra: bool,
     /// Regions whose leaves may be called; all if empty.
     pub(super) regions: &'a [Arc<str>],
     /// Leaves that must not be called.
@@ -323,6 +329,14 @@
     pub(super) least_used: bool,
 }
 
+/// A leaf that has room for a call.
+#[derive(Clone, Copy, Debug)]
+struct UsableLeaf {
+    index: usize,
+    /// The leaf is in the node's own failure domain.
+    is_near: bool,
+}
+
 impl Upstreams {
     /// Returns the service with this name, creating it on first use.
     pub(super) fn service(&self, name: &ServiceName) -> Rc<Service> {
@@ -508,7 +522,8 @@
         let max_connections = service.max_connections.get().max(1);
         let leaves = service.leaves.borrow();
         let (mut any_available, mut retry_at, mut limited_at) = (false, None::<Time>, None::<Time>);
-        let mut usable = SmallVec::<[usize; 8]>::new();
+        let mut any_near = false;
+        let mut usable = SmallVec::<[UsableLeaf; 8]>::new();
         for (index, leaf) in leaves.iter().enumerate() {
             let is_tried = query.tried.iter().any(|other| Rc::ptr_eq(other, leaf));
             if is_tried || !self.is_eligible(&settings, leaf, query.regions) {
@@ -528,35 +543,60 @@
                 continue;
             }
             any_available = true;
+            let is_near = leaf.record.borrow().domain == settings.domain;
+            any_near |= is_near;
             if leaf.has_room(now, max_connections) && stats.has_room() {
-                usable.push(index);
+                usable.push(UsableLeaf { index, is_near });
             }
         }
         if query.least_used {
-            let calls = |index: &usize| leaves[*index].stats.borrow().calls();
+            let calls = |leaf: &UsableLeaf| leaves[leaf.index].stats.borrow().calls();
             let fewest = usable.iter().map(calls).min();
-            usable.retain(|index| Some(calls(index)) == fewest);
+            usable.retain(|leaf| Some(calls(leaf)) == fewest);
         }
-        let usable_stats: SmallVec<[_; 8]> = usable
+        let stats: SmallVec<[_; 8]> = usable
             .iter()
-            .map(|index| (*index, leaves[*index].stats.borrow()))
+            .map(|leaf| leaves[leaf.index].stats.borrow())
             .collect();
-        let candidates = usable_stats.iter().map(|(index, stats)| {
-            let leaf = &leaves[*index];
-            let candidate = Candidate {
-                stats,
-                same_domain: leaf.record.borrow().domain == settings.domain,
-                outside_subset: !leaf.pooled.get(),
-                cold: leaf.is_cold(now),
-                connected: leaf.has_idle(query.key),
-            };
-            (*index, candidate)
-        });
-        let mut rng = gateway.rng.borrow_mut();
-        match pick(now, query.typical, candidates, &mut *rng) {
+        let candidates = || {
+            usable.iter().zip(&stats).map(|(usable, stats)| {
+                let leaf = &leaves[usable.index];
+                let candidate = Candidate {
+                    stats,
+                    same_domain: usable.is_near,
+                    outside_subset: !leaf.pooled.get(),
+                    cold: leaf.is_cold(now),
+                    connected: leaf.has_idle(query.key),
+                };
+                (usable.index, candidate)
+            })
+        };
+        let crossing_query = CrossingQuery {
+            typical: query.typical,
+            time_left: query.time_left,
+            price_per_kb: settings.domain_traffic_price,
+            is_free: query.is_extra || query.least_used,
+            has_own_leaf: any_near,
+        };
+        let decision = service.crossing.borrow_mut().place(
+            now,
+            crossing_query,
+            candidates,
+            &mut *gateway.rng.borrow_mut(),
+        );
+        if let Some(change) = decision.change {
+            gateway.log_share(now, service, change);
+        }
+        gateway.domain_traffic.record_placement(decision.placement);
+        let chosen = match decision.placement {
+            Placement::Leaf(index) | Placement::Crossing(index, _) => Some(index),
+            Placement::Wait => None,
+        };
+        match chosen {
             Some(index) => {
-                leaves[index].take_call(now);
-                Ok(leaves[index].clone())
+                let leaf = &leaves[index];
+                leaf.take_call(now);
+                Ok(leaf.clone())
             }
             None if any_available => Err(NoLeaf::Full),
             None => Err(limited_at.map_or(NoLeaf::Down(retry_at), NoLeaf::Limited)),
--- /dev/null
+++ b/tests/decisions/crossing.rs
@@ -0,0 +1,525 @@
+//! Nodes in three failure domains that call one service, in virtual time and without a network.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, VecDeque},
+    time::Duration,
+};
+
+use cranberrychute::core::{
+    Time,
+    placement::{
+        CallToken, Candidate, CrossReason, Crossing, CrossingQuery, LeafLoad, LeafStats, Outcome,
+        Placement,
+    },
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+use crate::at;
+
+const TYPICAL: Duration = Duration::from_millis(8);
+/// Nodes of each domain.
+const NODES: usize = 10;
+const SLOTS: usize = 4;
+/// Longest queue of a leaf, after which it sheds calls.
+const MAX_QUEUE: usize = 8;
+/// One-way latency to a leaf in the node's domain and to one in another, microseconds.
+const DISTANCE_US: (u64, u64) = (300, 1_200);
+
+enum Event {
+    Arrival(usize),
+    Call(Sent),
+    Done(Sent),
+    Answer(Sent, Outcome, Option<LeafLoad>),
+}
+
+/// A call on its way.
+#[derive(Clone, Copy)]
+struct Sent {
+    node: usize,
+    leaf: usize,
+    token: CallToken,
+    at: Time,
+    /// When the query arrived that the call belongs to.
+    since: Time,
+    is_retry: bool,
+}
+
+struct Node {
+    domain: usize,
+    stats: Vec<LeafStats>,
+    crossing: Crossing,
+}
+
+struct Leaf {
+    domain: usize,
+    /// Multiple of the usual service time.
+    slowness: f64,
+    running: usize,
+    queue: VecDeque<Sent>,
+    paused_until: Time,
+    evacuated: bool,
+    speed: Option<u16>,
+    ran: u64,
+}
+
+/// What happened to the queries of one domain's nodes.
+#[derive(Clone, Debug, Default)]
+struct Tally {
+    queries: u64,
+    crossed: u64,
+    late: u64,
+    total: Duration,
+    /// First calls that left, by domain of their leaf.
+    to: [u64; 3],
+}
+
+impl Tally {
+    fn crossed_share(&self) -> f64 {
+        self.crossed as f64 / self.queries.max(1) as f64
+    }
+
+    fn late_share(&self) -> f64 {
+        self.late as f64 / self.queries.max(1) as f64
+    }
+
+    fn mean_ms(&self) -> f64 {
+        self.total.as_secs_f64() * 1e3 / self.queries.max(1) as f64
+    }
+}
+
+struct World {
+    now: Time,
+    rng: Pcg64,
+    nodes: Vec<Node>,
+    leaves: Vec<Leaf>,
+    /// Queries per second of all nodes of each domain.
+    rates: [f64; 3],
+    objective: Duration,
+    price_per_kb: Duration,
+    heap: BinaryHeap<Reverse<(Time, u64)>>,
+    events: Vec<Option<Event>>,
+    tally: [Tally; 3],
+}
+
+impl World {
+    /// Creates domains with ten nodes each, and a leaf in each of `domains`. A leaf serves 500 calls a second.
+    fn new(domains: &[usize], rates: [f64; 3], seed: u64) -> Self {
+        let leaves = domains.iter().map(|domain| Leaf {
+            domain: *domain,
+            slowness: 1.0,
+            running: 0,
+            queue: VecDeque::new(),
+            paused_until: at(0),
+            evacuated: false,
+            speed: None,
+            ran: 0,
+        });
+        let nodes = (0..3 * NODES).map(|node| Node {
+            domain: node / NODES,
+            stats: domains
+                .iter()
+                .map(|_| LeafStats::new(at(0), SLOTS as u32))
+                .collect(),
+            crossing: Crossing::default(),
+        });
+        let mut world = Self {
+            now: at(0),
+            rng: Pcg64::seed_from_u64(seed),
+            nodes: nodes.collect(),
+            leaves: leaves.collect(),
+            rates,
+            objective: Duration::from_millis(100),
+            price_per_kb: Duration::ZERO,
+            heap: BinaryHeap::new(),
+            events: Vec::new(),
+            tally: Default::default(),
+        };
+        (0..3 * NODES).for_each(|node| world.schedule_arrival(node));
+        world
+    }
+
+    fn push(&mut self, at: Time, event: Event) {
+        self.heap.push(Reverse((at, self.events.len() as u64)));
+        self.events.push(Some(event));
+    }
+
+    fn schedule_arrival(&mut self, node: usize) {
+        let rate = self.rates[self.nodes[node].domain] / NODES as f64;
+        let gap = -(1.0 - self.rng.random::<f64>()).ln() / rate;
+        self.push(
+            self.now + Duration::from_secs_f64(gap),
+            Event::Arrival(node),
+        );
+    }
+
+    /// Runs for `time` and returns what happened in it.
+    fn run(&mut self, time: Duration) -> [Tally; 3] {
+        let end = self.now + time;
+        self.tally = Default::default();
+        while let Some(Reverse((at, _))) = self.heap.peek().copied().filter(|next| next.0.0 < end) {
+            let Reverse((_, index)) = self.heap.pop().unwrap();
+            self.now = at;
+            match self.events[index as usize].take().unwrap() {
+                Event::Arrival(node) => {
+                    self.schedule_arrival(node);
+                    let domain = self.nodes[node].domain;
+                    self.tally[domain].queries += 1;
+                    self.send(node, at, None);
+                }
+                Event::Call(sent) => self.receive(sent),
+                Event::Done(sent) => self.finish(sent),
+                Event::Answer(sent, outcome, load) => self.answer(sent, outcome, load),
+            }
+        }
+        self.now = end;
+        self.tally.clone()
+    }
+
+    fn seconds(&mut self, seconds: u64) -> [Tally; 3] {
+        self.run(Duration::from_secs(seconds))
+    }
+
+    /// Sends a query's call; a retry if `tried` has shed it before.
+    fn send(&mut self, node: usize, since: Time, tried: Option<usize>) {
+        let now = self.now;
+        let Node {
+            domain,
+            stats,
+            crossing,
+        } = &mut self.nodes[node];
+        let domain = *domain;
+        let leaves = &self.leaves;
+        let may_try = |leaf: &usize| {
+            Some(*leaf) != tried && !leaves[*leaf].evacuated && stats[*leaf].may_try(now)
+        };
+        let candidates = || {
+            let usable = (0..leaves.len()).filter(may_try);
+            let usable = usable.filter(|leaf| stats[*leaf].has_room());
+            usable.map(|leaf| {
+                let candidate = Candidate {
+                    stats: &stats[leaf],
+                    same_domain: leaves[leaf].domain == domain,
+                    outside_subset: false,
+                    cold: false,
+                    connected: true,
+                };
+                (leaf, candidate)
+            })
+        };
+        let query = CrossingQuery {
+            typical: TYPICAL,
+            time_left: (since + self.objective).since(now),
+            price_per_kb: self.price_per_kb,
+            is_free: tried.is_some(),
+            has_own_leaf: (0..leaves.len())
+                .any(|leaf| leaves[leaf].domain == domain && may_try(&leaf)),
+        };
+        let decision = crossing.place(now, query, candidates, &mut self.rng);
+        let leaf = match decision.placement {
+            Placement::Leaf(leaf) | Placement::Crossing(leaf, _) => leaf,
+            Placement::Wait => {
+                // The query tries again after 4 ms, as in the plan of a query.
+                let sent = Sent {
+                    node,
+                    leaf: 0,
+                    token: CallToken::default(),
+                    at: now,
+                    since,
+                    is_retry: false,
+                };
+                if now.since(since) < self.objective {
+                    self.push(
+                        now + Duration::from_millis(4),
+                        Event::Answer(sent, Outcome::Cancelled, None),
+                    );
+                } else {
+                    self.tally[domain].late += 1;
+                }
+                return;
+            }
+        };
+        let is_retry = tried.is_some();
+        if leaves[leaf].domain != domain && !is_retry {
+            self.tally[domain].crossed += 1;
+            self.tally[domain].to[leaves[leaf].domain] += 1;
+        }
+        let token = stats[leaf].start_call(now);
+        let sent = Sent {
+            node,
+            leaf,
+            token,
+            at: now,
+            since,
+            is_retry,
+        };
+        let arrival = now + self.distance(sent);
+        self.push(arrival, Event::Call(sent));
+    }
+
+    fn distance(&self, sent: Sent) -> Duration {
+        let near = self.nodes[sent.node].domain == self.leaves[sent.leaf].domain;
+        Duration::from_micros(if near { DISTANCE_US.0 } else { DISTANCE_US.1 })
+    }
+
+    fn receive(&mut self, sent: Sent) {
+        let leaf = &mut self.leaves[sent.leaf];
+        if leaf.running < SLOTS {
+            leaf.running += 1;
+            self.start(sent);
+        } else if leaf.queue.len() < MAX_QUEUE {
+            leaf.queue.push_back(sent);
+        } else {
+            let back = self.now + self.distance(sent);
+            self.push(back, Event::Answer(sent, Outcome::Shed, None));
+        }
+    }
+
+    fn start(&mut self, sent: Sent) {
+        let leaf = &mut self.leaves[sent.leaf];
+        leaf.ran += 1;
+        let random = 0.5 - 0.5 * (1.0 - self.rng.random::<f64>()).ln();
+        let time = TYPICAL.mul_f64(random * leaf.slowness);
+        let begin = self.now.max(leaf.paused_until);
+        self.push(begin + time, Event::Done(sent));
+    }
+
+    fn finish(&mut self, sent: Sent) {
+        let leaf = &mut self.leaves[sent.leaf];
+        if self.now < leaf.paused_until {
+            let later = leaf.paused_until;
+            self.push(later, Event::Done(sent));
+            return;
+        }
+        let load = LeafLoad {
+            running: leaf.running as u32,
+            waiting: leaf.queue.len() as u32,
+            slots: SLOTS as u32,
+            speed: leaf.speed,
+        };
+        match leaf.queue.pop_front() {
+            Some(next) => self.start(next),
+            None => leaf.running -= 1,
+        }
+        let back = self.now + self.distance(sent);
+        self.push(
+            back,
+            Event::Answer(sent, Outcome::Answered(Duration::ZERO), Some(load)),
+        );
+    }
+
+    fn answer(&mut self, sent: Sent, outcome: Outcome, load: Option<LeafLoad>) {
+        let now = self.now;
+        if outcome == Outcome::Cancelled {
+            self.send(sent.node, sent.since, None);
+            return;
+        }
+        let stats = &mut self.nodes[sent.node].stats[sent.leaf];
+        if let Some(load) = load {
+            stats.record_load(now, load);
+        }
+        let outcome = match outcome {
+            Outcome::Answered(_) => Outcome::Answered(now.since(sent.at)),
+            other => other,
+        };
+        stats.end_call(now, sent.token, outcome, TYPICAL);
+        let tally = &mut self.tally[self.nodes[sent.node].domain];
+        match outcome {
+            Outcome::Answered(_) => {
+                tally.total += now.since(sent.since);
+                tally.late += u64::from(now.since(sent.since) > self.objective);
+            }
+            _ if sent.is_retry => tally.late += 1,
+            _ => self.send(sent.node, sent.since, Some(sent.leaf)),
+        }
+    }
+}
+
+/// Guards against calls that leave a domain whose leaf answers as usual, and against calls that leave it for a leaf that
+/// is somewhat faster.
+#[test]
+fn calls_stay_at_rest_and_with_a_slow_leaf_that_is_fast_enough() {
+    let mut world = World::new(&[0, 1, 2], [150.0; 3], 1);
+    world.leaves[1].slowness = 1.6;
+    world.leaves[2].slowness = 0.8;
+    let day = world.seconds(30);
+    for (domain, tally) in day.iter().enumerate() {
+        assert!(tally.crossed_share() < 0.01, "domain {domain}: {tally:?}");
+        assert!(tally.late_share() < 0.005, "domain {domain}: {tally:?}");
+    }
+}
+
+/// Guards against a share of calls that swings between all and nothing while a domain lacks capacity, and against a
+/// crowded domain that takes the capacity of the others' own callers.
+#[test]
+fn a_steady_shortage_moves_a_steady_share_of_the_calls() {
+    let calm = World::new(&[0, 1, 2], [150.0; 3], 2).seconds(40)[1].clone();
+    let mut world = World::new(&[0, 1, 2], [700.0, 150.0, 150.0], 2);
+    world.seconds(10);
+    let shares: Vec<f64> = (0..30)
+        .map(|_| world.seconds(1)[0].crossed_share())
+        .collect();
+    println!("shares {shares:.2?}");
+    let mean = shares.iter().sum::<f64>() / shares.len() as f64;
+    let swings = shares
+        .windows(2)
+        .filter(|pair| (pair[1] - pair[0]).abs() > 0.2);
+    assert!((0.25..0.65).contains(&mean), "{mean}: {shares:.2?}");
+    assert!(swings.count() <= 1, "{shares:.2?}");
+    assert!(
+        shares.iter().all(|share| (mean - share).abs() < 0.25),
+        "{shares:.2?}"
+    );
+    let day = world.seconds(20);
+    println!(
+        "calm {:.2} day {day:?} means {:.2?}",
+        calm.mean_ms(),
+        day.clone().map(|t| t.mean_ms())
+    );
+    assert!(day[0].late_share() < 0.02, "{day:?}");
+    for tally in &day[1..] {
+        assert!(tally.mean_ms() < calm.mean_ms() * 1.25, "{calm:?} {day:?}");
+        assert!(tally.crossed_share() < 0.02, "{day:?}");
+    }
+    // The shortage ends.
+    world.rates[0] = 150.0;
+    world.seconds(20);
+    let after = world.seconds(10);
+    println!("after {after:?}");
+    assert!(after[0].crossed_share() < 0.01, "{after:?}");
+}
+
+/// Guards against two domains without capacity that send each other their calls.
+#[test]
+fn two_domains_that_lack_capacity_do_not_exchange_calls() {
+    let mut world = World::new(&[0, 1, 2], [650.0, 650.0, 100.0], 3);
+    world.seconds(10);
+    let day = world.seconds(20);
+    println!("both short {day:?}");
+    for (domain, other) in [(0, 1), (1, 0)] {
+        let exchanged = day[domain].to[other] as f64 / day[domain].queries as f64;
+        assert!(exchanged < 0.1, "domain {domain}: {exchanged} {day:?}");
+    }
+    assert!(day[2].crossed_share() < 0.05, "{day:?}");
+}
+
+/// Guards against a pause of one leaf after which calls stay away, and against calls of other domains that move.
+#[test]
+fn a_pause_moves_only_the_calls_that_it_affects() {
+    let mut world = World::new(&[0, 1, 2], [150.0; 3], 4);
+    world.seconds(10);
+    world.leaves[0].paused_until = world.now + Duration::from_millis(150);
+    let pause = world.run(Duration::from_millis(150));
+    let after = world.seconds(2);
+    println!("pause {pause:?} after {after:?}");
+    assert!(pause[0].crossed > 0, "{pause:?}");
+    assert!(pause[1].crossed + pause[2].crossed <= 1, "{pause:?}");
+    let all: u64 = after.iter().map(|tally| tally.crossed).sum();
+    assert!(all <= 15, "{after:?}");
+}
+
+/// Guards against calls that stay with a leaf that answers too late, and against calls that never return to it.
+#[test]
+fn calls_leave_a_leaf_that_is_too_slow_and_return() {
+    let mut world = World::new(&[0, 1, 2], [60.0, 100.0, 100.0], 5);
+    world.leaves[0].slowness = 8.0;
+    world.seconds(8);
+    let slow = world.seconds(10);
+    println!("slow {slow:?}");
+    assert!(slow[0].crossed_share() > 0.75, "{slow:?}");
+    world.leaves[0].slowness = 1.0;
+    world.seconds(15);
+    let recovered = world.seconds(10);
+    println!("recovered {recovered:?}");
+    assert!(recovered[0].crossed_share() < 0.01, "{recovered:?}");
+}
+
+/// Guards against nodes without a leaf in their domain that find none, or use only one of the others.
+#[test]
+fn a_domain_without_leaves_uses_all_others() {
+    for evacuated in [false, true] {
+        let domains: &[usize] = if evacuated { &[0, 1, 2] } else { &[1, 2] };
+        let mut world = World::new(domains, [200.0, 100.0, 100.0], 6);
+        world.leaves[0].evacuated = evacuated;
+        let day = world.seconds(20);
+        assert_eq!(day[0].crossed, day[0].queries);
+        assert!(day[0].late_share() < 0.005, "{day:?}");
+        let share = day[0].to[1] as f64 / day[0].queries as f64;
+        assert!((0.35..0.65).contains(&share), "{day:?}");
+        assert!(day[1].crossed_share() < 0.02, "{day:?}");
+    }
+}
+
+/// Guards against a leaf that draws calls, or sends them away, by a false figure about its machine.
+#[test]
+fn a_false_figure_neither_draws_nor_drives_away_calls() {
+    for speed in [1, 10_000] {
+        // All callers are in a domain without leaves, so the choice is by expected latency.
+        let mut world = World::new(&[1, 2], [300.0, 1.0, 1.0], 7);
+        world.leaves[0].speed = Some(speed);
+        let shares: Vec<f64> = (0..5)
+            .map(|_| {
+                let second = world.seconds(1)[0].clone();
+                second.to[1] as f64 / second.queries as f64
+            })
+            .collect();
+        println!("speed {speed}: {shares:.2?}");
+        assert!((0.35..0.65).contains(&shares[0]), "{speed}: {shares:?}");
+        let later = shares[1..].iter().sum::<f64>() / 4.0;
+        assert!((0.43..0.57).contains(&later), "{speed}: {shares:?}");
+    }
+}
+
+/// Guards against a price that changes nothing: with it, only calls with a larger gain leave.
+#[test]
+fn a_price_of_traffic_keeps_calls_with_a_small_gain() {
+    let crossed = |price| {
+        let mut world = World::new(&[0, 1, 2], [60.0, 100.0, 100.0], 8);
+        world.price_per_kb = Duration::from_millis(price);
+        world.leaves[0].slowness = 5.0;
+        world.seconds(5);
+        world.seconds(20)[0].crossed_share()
+    };
+    let shares = [0, 20, 200].map(crossed);
+    println!("price {shares:.2?}");
+    assert!(shares[0] > 0.5 && shares[2] < 0.01, "{shares:?}");
+    assert!(shares[1] < shares[0], "{shares:?}");
+}
+
+/// Guards against calls that stay with a leaf that is ejected, and against ones counted under another reason.
+#[test]
+fn calls_leave_an_ejected_leaf() {
+    let mut stats = [LeafStats::new(at(0), 2), LeafStats::new(at(0), 2)];
+    let token = stats[0].start_call(at(0));
+    stats[0].end_call(at(1), token, Outcome::Refused, TYPICAL);
+    let query = CrossingQuery {
+        typical: TYPICAL,
+        time_left: Duration::from_millis(80),
+        price_per_kb: Duration::ZERO,
+        is_free: false,
+        has_own_leaf: false,
+    };
+    let candidates = || {
+        let usable = stats
+            .iter()
+            .enumerate()
+            .filter(|(_, stats)| stats.may_try(at(2)));
+        usable.map(|(index, stats)| {
+            let candidate = Candidate {
+                stats,
+                same_domain: index == 0,
+                outside_subset: false,
+                cold: false,
+                connected: true,
+            };
+            (index, candidate)
+        })
+    };
+    let mut rng = Pcg64::seed_from_u64(9);
+    let decision = Crossing::default().place(at(2), query, candidates, &mut rng);
+    assert_eq!(
+        decision.placement,
+        Placement::Crossing(1, CrossReason::NoLeaf)
+    );
+}
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 
 mod connection;
 mod crash;
+mod crossing;
 mod entry;
 mod gather;
 mod idle_limit;
--- a/tests/decisions/numbers.rs
+++ b/tests/decisions/numbers.rs
@@ -29,10 +29,11 @@
         running in extreme_u32(),
         waiting in extreme_u32(),
         slots in extreme_u32(),
+        speed in any::<Option<u16>>(),
     ) {
         let mut stats = LeafStats::new(at(0), slots);
         stats.start_call(at(0));
-        stats.record_load(at(1), LeafLoad { running, waiting, slots });
+        stats.record_load(at(1), LeafLoad { running, waiting, slots, speed });
         let cost = stats.cost(at(2), Duration::from_millis(8));
         prop_assert!(cost.is_finite() && cost > 0.0, "{cost}");
     }
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -48,7 +48,8 @@
                 };
                 (index, candidate)
             });
-        pick(now, TYPICAL, candidates, &mut self.rng).expect("at least one leaf may be tried")
+        let choice = pick(now, TYPICAL, 0.4, candidates, &mut self.rng);
+        choice.expect("at least one leaf may be tried").index
     }
 
     /// Makes a call to a leaf that ends before the next call.
@@ -199,6 +200,7 @@
         running: 2,
         waiting: 6,
         slots: 2,
+        speed: None,
     };
     stats.record_load(at(1_000), load);
     let idle = LeafStats::new(at(0), 2);
@@ -299,7 +301,7 @@
             };
             (index, candidate)
         });
-        pick(now, TYPICAL, candidates, &mut rng)
+        pick(now, TYPICAL, 0.4, candidates, &mut rng).map(|choice| choice.index)
     };
     assert_eq!(choose(&stats, at(0)), Some(0));
     stats[0].start_call(at(0));
@@ -342,6 +344,7 @@
             running: 2,
             waiting: 4,
             slots: 2,
+            speed: None,
         },
     );
     assert!(stats.has_room());
@@ -351,6 +354,7 @@
             running: 2,
             waiting: 5,
             slots: 2,
+            speed: None,
         },
     );
     assert!(!stats.has_room());
--- a/tests/panics.rs
+++ b/tests/panics.rs
@@ -84,6 +84,7 @@
             cold_overshoot: 1.5,
             cold_slack: 5.0,
         },
+        domain_traffic_price: Duration::ZERO,
     }
 }
 
