--- a/src/core/placement/crossing.rs
+++ b/src/core/placement/crossing.rs
@@ -4,7 +4,7 @@
 
 use crate::core::{
     Time,
-    placement::{Candidate, Choice, pick},
+    placement::{Candidate, Choice, LeafStats, pick},
 };
 
 /// Difference between the round trips to a leaf in another failure domain and to one in the own domain. One-way latency
@@ -197,71 +197,75 @@
             let crossing = |any: Choice| Placement::Crossing(any.index, CrossReason::NoLeaf);
             return any.map_or(Placement::Wait, crossing).into();
         }
-        let find_spare = |rng: &mut R| {
+        let find_other = |rng: &mut R, may_get: fn(&LeafStats, Time) -> bool| {
             let elsewhere = |candidate: &(usize, Candidate<'_>)| {
-                !candidate.1.same_domain && candidate.1.stats.has_spare(now)
+                !candidate.1.same_domain && may_get(candidate.1.stats, now)
             };
             pick(now, typical, 0.0, candidates().filter(elsewhere), rng)
         };
         let Some(own) = own else {
-            let other = find_spare(rng).filter(|other| {
+            let other = find_other(rng, |stats, now| !stats.is_full(now)).filter(|other| {
                 let expected = typical.mul_f64(other.estimate.cost()) + gain;
                 query.price_per_kb.is_zero() || expected < query.time_left
             });
             let crossing = |other: Choice| Placement::Crossing(other.index, CrossReason::Full);
             return other.map_or(Placement::Wait, crossing).into();
         };
-        self.compare(now, query, own, find_spare, rng)
+        self.compare(now, query, own, find_other, rng)
     }
 
-    /// Decides about a call that a leaf of the own domain has room for. `find_spare` returns the best leaf elsewhere that
-    /// has spare capacity; it is called only if the decision depends on it.
+    /// Decides about a call that a leaf of the own domain has room for. `find_other` returns the best leaf elsewhere that
+    /// meets a condition; it is called only if the decision depends on it.
     fn compare<R: Rng>(
         &mut self,
         now: Time,
         query: CrossingQuery,
         own: Choice,
-        find_spare: impl FnOnce(&mut R) -> Option<Choice>,
+        find_other: impl Fn(&mut R, fn(&LeafStats, Time) -> bool) -> Option<Choice>,
         rng: &mut R,
     ) -> Decision {
         let (home, own) = (Placement::Leaf(own.index), own.estimate);
-        let expected = query.typical.mul_f64(own.latency);
-        let acceptable = query.time_left.mul_f64(ACCEPTABLE_SHARE);
-        let is_relaxed = query.time_left.is_zero() || expected < acceptable.mul_f64(RELAXED_SHARE);
-        let is_failing = own.failure_rate > MIN_FAILURE_RATE;
-        if is_relaxed && !own.is_stalled() && !is_failing {
-            let change = self.record(now, false, 1, "own_leaves_fast", rng);
-            let placement = home;
-            return Decision { placement, change };
-        }
+        let typical = query.typical;
         let gain = self.required_gain(query.price_per_kb);
-        let Some(other) = find_spare(rng) else {
-            let change = self.record(now, false, 1, "no_capacity_elsewhere", rng);
-            let placement = home;
-            return Decision { placement, change };
+        let cost_of = |other: Choice| typical.mul_f64(other.estimate.cost()) + gain;
+        let failing_share = match own.failure_rate > MIN_FAILURE_RATE {
+            true => own.failure_rate * FAILURE_FACTOR,
+            false => 0.0,
         };
-        let elsewhere = query.typical.mul_f64(other.estimate.cost()) + gain;
-        let gains = |own: f64| elsewhere < query.typical.mul_f64(own);
-        let crossing = |reason| Placement::Crossing(other.index, reason);
-        if own.is_stalled() && gains(own.cost()) {
-            return crossing(CrossReason::Stalled).into();
-        }
-        let failing_share = own.failure_rate * FAILURE_FACTOR;
-        if is_failing && gains(own.cost()) && rng.random::<f64>() < failing_share {
-            return crossing(CrossReason::Failing).into();
+        let reason = match own.is_stalled() {
+            true => Some(CrossReason::Stalled),
+            false if rng.random::<f64>() < failing_share => Some(CrossReason::Failing),
+            false => None,
+        };
+        if let Some(reason) = reason
+            && let Some(other) = find_other(rng, |stats, now| !stats.is_full(now))
+            && cost_of(other) < typical.mul_f64(own.cost())
+        {
+            return Placement::Crossing(other.index, reason).into();
         }
-        let is_pressed = !is_relaxed && expected > acceptable && gains(own.latency);
-        let (steps, reason) = match (is_pressed, expected > query.time_left) {
-            (true, true) => (LARGE_STEP, "own_leaves_late"),
-            (true, false) => (1, "own_leaves_slow"),
-            (false, _) => (1, "own_leaves_fast"),
+        let expected = typical.mul_f64(own.latency);
+        let acceptable = query.time_left.mul_f64(ACCEPTABLE_SHARE);
+        let is_relaxed = query.time_left.is_zero() || expected < acceptable.mul_f64(RELAXED_SHARE);
+        let other = match is_relaxed {
+            true => None,
+            false => find_other(rng, LeafStats::has_spare),
+        };
+        let is_sooner = other.is_some_and(|other| cost_of(other) < expected);
+        let is_pressed = expected > acceptable && is_sooner;
+        let (steps, reason) = match is_pressed {
+            true if expected > query.time_left => (LARGE_STEP, "own_leaves_late"),
+            true => (1, "own_leaves_slow"),
+            false if !is_relaxed && other.is_none() => (1, "no_capacity_elsewhere"),
+            false => (1, "own_leaves_fast"),
         };
         let change = self.record(now, is_pressed, steps, reason, rng);
-        let is_useful = elsewhere <= acceptable.max(expected);
-        let leaves = !is_relaxed && is_useful && rng.random::<f64>() < self.share();
-        let placement = match leaves {
-            true => crossing(CrossReason::Slow),
-            false => home,
+        // A call of the share leaves as well if the own leaf is just fast enough, or the share would swing.
+        let other = other.filter(|other| cost_of(*other) <= acceptable.max(expected));
+        let placement = match other {
+            Some(other) if rng.random::<f64>() < self.share() => {
+                Placement::Crossing(other.index, CrossReason::Slow)
+            }
+            _ => home,
         };
         Decision { placement, change }
     }
--- a/src/core/placement/leaf_stats.rs
+++ b/src/core/placement/leaf_stats.rs
@@ -24,7 +24,7 @@
 const SPARE_TTL: Duration = Duration::from_millis(250);
 /// Time for which a leaf that shed a call, or reported that all its slots are taken, gets no calls from other failure
 /// domains. Afterwards one call at a time shows whether this still holds.
-const FULL_TTL: Duration = Duration::from_millis(1_000);
+const FULL_TTL: Duration = Duration::from_millis(400);
 /// Multiple of a leaf's own recent latency after which a call without an answer indicates that the leaf is stalled.
 const STALL_RATIO: f64 = 3.0;
 /// Minimum time without an answer after which a leaf counts as stalled.
@@ -266,16 +266,25 @@
         self.ejected_until
     }
 
+    /// Returns whether the leaf has lately shed a call or reported that all its slots are taken.
+    pub fn is_full(&self, now: Time) -> bool {
+        self.full_at.is_some_and(|at| now.since(at) < FULL_TTL)
+    }
+
     /// Returns whether the leaf has spare capacity for a call from another failure domain.
     ///
     /// A leaf that has not reported its load lately gets one call at a time, which brings a report.
     pub fn has_spare(&self, now: Time) -> bool {
-        if self.full_at.is_some_and(|at| now.since(at) < FULL_TTL) {
+        if self.is_full(now) {
             return false;
         }
-        let is_reported = self.load_at.is_some_and(|at| now.since(at) < SPARE_TTL);
-        let calls = if is_reported { self.load.slots } else { 1 };
-        self.calls.len() < calls as usize
+        let reported_at = self.load_at.filter(|at| now.since(*at) < SPARE_TTL);
+        let Some(reported_at) = reported_at else {
+            return self.calls.is_empty();
+        };
+        let sent_since = self.calls.iter().filter(|(_, sent)| *sent > reported_at);
+        let busy = self.load.running.saturating_add(self.load.waiting);
+        busy as usize + sent_since.count() <= self.load.slots as usize
     }
 
     /// Returns the expected cost of another call, as a multiple of the typical latency.
