Keep connections to the leaves of the own failure domain first

With more nodes than a leaf accepts connections, each node keeps connections to a subset of a shard's leaves, which was chosen regardless of domains. With 79 nodes, three leaves and 72 connections to each, a third of the nodes kept none to their own domain's leaf, and their calls left the domain. The own domain's leaves now come first, unless the number of nodes in a domain would exceed a leaf's limit.

--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -21,6 +21,7 @@
     leaf_stats::{CallToken, Estimate, LeafLoad, LeafStats, Outcome},
     pick::{Candidate, Choice, pick},
     share::{
-        ConnectionShare, STALE_CONNECTION_TIME, connecting_nodes, connection_share, planned_nodes,
+        ConnectionShare, STALE_CONNECTION_TIME, connecting_nodes, connection_share,
+        own_domain_first, planned_nodes,
     },
 };
--- a/src/core/placement/share.rs
+++ b/src/core/placement/share.rs
@@ -54,3 +54,33 @@
         per_leaf: (own / used).max(1),
     }
 }
+
+/// Returns whether all nodes can keep connections to the leaves of their own failure domain first, without more connections
+/// to any leaf than it accepts.
+///
+/// `domains` are the number of nodes and of leaves in each domain, and `nodes` is the number of nodes that the connections
+/// are split among, which includes unseen nodes. A leaf in a domain with many nodes would get more than its part. Then the
+/// leaves of each node are chosen regardless of domains, which distributes connections evenly.
+pub fn own_domain_first(
+    limit: u32,
+    share: ConnectionShare,
+    nodes: usize,
+    domains: &[(usize, usize)],
+) -> bool {
+    let known: usize = domains.iter().map(|(nodes, _)| nodes).sum();
+    let leaves: usize = domains.iter().map(|(_, leaves)| leaves).sum();
+    let unseen = nodes as f64 / known.max(1) as f64;
+    // Connections that each own leaf, and each other leaf, gets from the nodes of a domain.
+    let parts = |&(nodes, own): &(usize, usize)| {
+        let near = share.leaves.min(own);
+        let far = (share.leaves - near) as f64 / (leaves - own).max(1) as f64;
+        let nodes = (nodes * share.per_leaf) as f64 * unseen;
+        (nodes * near as f64 / own.max(1) as f64, nodes * far)
+    };
+    let far: f64 = domains.iter().map(|domain| parts(domain).1).sum();
+    domains
+        .iter()
+        .filter(|(_, leaves)| *leaves > 0)
+        .map(|domain| (parts(domain), far))
+        .all(|((near, own_far), far)| near + far - own_far <= f64::from(limit))
+}
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -1,5 +1,6 @@
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -15,7 +16,7 @@
         link::LinkState,
     },
     gateway::{
-        members::{millis, node_address, node_id},
+        members::{count_in, millis, node_address, node_id},
         state::Gateway,
     },
 };
@@ -134,6 +135,24 @@
             .connecting_nodes(self.members.alive_count())
     }
 
+    /// Counts by failure domain the nodes that the connections of leaves are divided among: the selected ones if this node is
+    /// one of them, else all.
+    pub(super) fn connecting_domains(&self) -> BTreeMap<Domain, usize> {
+        let mut counts = BTreeMap::new();
+        match (self.entry.role.get(), self.entry.selected()) {
+            (Role::Selected(_), Some(selected)) => {
+                let table = self.entry.table.borrow();
+                let chosen = table.iter().filter(|(node, _)| selected.contains(node));
+                chosen.for_each(|(_, report)| count_in(&mut counts, &report.domain));
+            }
+            _ => {
+                self.members.count_domains(&mut counts);
+                count_in(&mut counts, &self.settings.borrow().domain);
+            }
+        }
+        counts
+    }
+
     /// Returns whether connections to leaves are opened before they are needed.
     pub(super) fn connects_ahead(&self) -> bool {
         if matches!(
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -1,6 +1,6 @@
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
@@ -17,7 +17,7 @@
 use crate::{
     adapter::peer::ControlSocket,
     core::{
-        Incarnation, NodeId, Outbound, Time,
+        Domain, Incarnation, NodeId, Outbound, Time,
         entry::{EntryReport, EntryState},
         member::{MemberMessage, MemberSettings, Membership},
         mirror::{Position, READER_COUNT, reader_rank},
@@ -187,6 +187,16 @@
             .collect()
     }
 
+    /// Counts the other live nodes by failure domain.
+    pub(super) fn count_domains(&self, counts: &mut BTreeMap<Domain, usize>) {
+        let membership = self.membership.borrow();
+        for (node, (status, _)) in &*self.statuses.borrow() {
+            if membership.is_alive(node) {
+                count_in(counts, &status.entry.domain);
+            }
+        }
+    }
+
     /// Returns the other nodes that are ready for requests, with what they report about themselves.
     pub(super) fn ready_nodes(&self, now: Time) -> Vec<(NodeId, EntryReport)> {
         let membership = self.membership.borrow();
@@ -244,6 +254,14 @@
     }
 }
 
+/// Adds one to the count of a failure domain.
+pub(super) fn count_in(counts: &mut BTreeMap<Domain, usize>, domain: &Domain) {
+    match counts.get_mut(domain) {
+        Some(count) => *count += 1,
+        None => _ = counts.insert(domain.clone(), 1),
+    }
+}
+
 /// Returns whole milliseconds, the unit used in messages between nodes.
 pub(super) fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -19,6 +19,7 @@
         placement::{
             Candidate, CarriedRequests, ConnectionChoice, Contention, Crossing, CrossingQuery,
             LeafStats, Placement, RequestKey, choose_connection, connection_share,
+            own_domain_first,
         },
         registry::{LeafChange, LeafRecord},
         retry::RetryBudget,
@@ -466,6 +467,9 @@
         let nodes = gateway.connecting_node_count();
         let connects_ahead = gateway.connects_ahead();
         let uptime = now.since(gateway.started);
+        let node_counts = gateway.connecting_domains();
+        let domain = gateway.settings.borrow().domain.clone();
+        let is_evacuated = self.evacuated.borrow().contains(&domain);
         for (name, service) in &*self.services.borrow() {
             let limit = gateway
                 .routing
@@ -477,8 +481,15 @@
                 leaf.pooled.set(false);
                 !leaf.defunct.get() && !leaf.record.borrow().leaving
             });
-            usable.sort_unstable_by_key(|leaf| leaf.rank);
-            let share = connection_share(limit.unwrap_or(1), usable.len(), nodes, uptime);
+            let limit = limit.unwrap_or(1);
+            let share = connection_share(limit, usable.len(), nodes, uptime);
+            let is_near = |leaf: &Rc<Leaf>| leaf.record.borrow().domain == domain;
+            // With connections to all leaves, their order is irrelevant.
+            let own_first = share.leaves < usable.len() && !is_evacuated && {
+                let counts = domain_counts(&node_counts, &usable);
+                own_domain_first(limit, share, nodes, &counts)
+            };
+            usable.sort_unstable_by_key(|leaf| (own_first && !is_near(leaf), leaf.rank));
             service.max_connections.set(share.per_leaf);
             usable
                 .iter()
@@ -604,6 +615,26 @@
     }
 }
 
+/// Returns the number of nodes and of leaves in each failure domain.
+fn domain_counts(
+    nodes: &BTreeMap<Domain, usize>,
+    leaves: &[Rc<Leaf>],
+) -> SmallVec<[(usize, usize); 8]> {
+    let mut counts: SmallVec<[(Domain, usize, usize); 8]> = nodes
+        .iter()
+        .map(|(domain, nodes)| (domain.clone(), *nodes, 0))
+        .collect();
+    for leaf in leaves {
+        let domain = &leaf.record.borrow().domain;
+        match counts.iter_mut().find(|(other, ..)| other == domain) {
+            Some((.., leaves)) => *leaves += 1,
+            None => counts.push((domain.clone(), 0, 1)),
+        }
+    }
+    let counts = counts.into_iter();
+    counts.map(|(_, nodes, leaves)| (nodes, leaves)).collect()
+}
+
 impl Gateway {
     /// Returns a random delay of a connection that other nodes may open at the same time.
     fn connect_jitter(&self) -> Duration {
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -4,7 +4,7 @@
     Time,
     placement::{
         Candidate, LeafLoad, LeafStats, Outcome, STALE_CONNECTION_TIME, connecting_nodes,
-        connection_share, pick, planned_nodes,
+        connection_share, own_domain_first, pick, planned_nodes,
     },
     score,
 };
@@ -258,6 +258,52 @@
     }
 }
 
+/// Guards against calls that leave their domain for want of a connection, and against a leaf in a domain with many nodes
+/// that gets more connections than it accepts.
+#[test]
+fn leaves_of_the_own_domain_come_first_within_the_limit_of_each_leaf() {
+    // Nodes by domain, and whether each node can keep connections to its own domain's leaf.
+    let fleets: [(&[usize], bool); 5] = [
+        (&[27, 26, 26], true),
+        (&[20, 20, 20, 20], true),
+        (&[40, 20, 20], true),
+        (&[64, 8, 8], false),
+        (&[50, 50, 50], true),
+    ];
+    let (leaves, limit) = (3, 72);
+    for (fleet, expected) in fleets {
+        let nodes = connecting_nodes(fleet.iter().sum());
+        let share = connection_share(limit, leaves, nodes, STALE_CONNECTION_TIME);
+        let leaves_in = |domain| usize::from(domain < leaves);
+        let counts: Vec<_> = fleet
+            .iter()
+            .enumerate()
+            .map(|(domain, nodes)| (*nodes, leaves_in(domain)))
+            .collect();
+        let own_first = own_domain_first(limit, share, nodes, &counts);
+        assert_eq!(own_first, expected, "{fleet:?}");
+        let mut connections = [0; 3];
+        for (domain, nodes) in fleet.iter().enumerate() {
+            for node in 0..*nodes {
+                let node = format!("node-{domain}-{node}");
+                let mut order: Vec<usize> = (0..leaves).collect();
+                order.sort_by_key(|leaf| {
+                    (
+                        own_first && *leaf != domain,
+                        score(&node, &format!("i-{leaf}")),
+                    )
+                });
+                let used = &order[..share.leaves];
+                assert!(!own_first || domain >= leaves || used.contains(&domain));
+                used.iter()
+                    .for_each(|leaf| connections[*leaf] += share.per_leaf);
+            }
+        }
+        let most = connections.into_iter().max().unwrap();
+        assert!(most <= limit as usize, "{fleet:?}: {connections:?}");
+    }
+}
+
 /// Guards against nodes that all restart after a power loss and exceed the connection limits, because leaves still
 /// count their old connections.
 #[test]
