Fetch changes of the store from nodes of the own domain where possible

Nodes that were behind asked a random node that is ahead, two thirds of which are in other failure domains. A node of the own domain that is as far ahead as any is now preferred, except after a fetch without progress.

--- a/src/core/mirror/mod.rs
+++ b/src/core/mirror/mod.rs
@@ -12,6 +12,7 @@
 mod pause_guard;
 mod position;
 mod readers;
+mod source;
 mod state;
 
 pub use self::{
@@ -22,5 +23,6 @@
         Freshness, MAX_FIRST_READ_DELAY, MAX_MIRROR_AGE, READER_COUNT, ReadPlan, reader_rank,
         reads_store, retry_delay,
     },
+    source::choose_source,
     state::Mirror,
 };
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -20,7 +20,7 @@
         Domain, Incarnation, NodeId, Outbound, Time,
         entry::{EntryReport, EntryState},
         member::{MemberMessage, MemberSettings, Membership},
-        mirror::{Position, READER_COUNT, reader_rank},
+        mirror::{Position, READER_COUNT, choose_source, reader_rank},
     },
     gateway::{
         Settings,
@@ -233,16 +233,27 @@
         *self.listed.borrow_mut() = listed.into_iter().filter_map(node_address).collect();
     }
 
-    /// Returns a random live node whose mirror of the store has changes or held items that this node's lacks.
-    pub(super) fn random_peer_ahead(&self, gateway: &Gateway) -> Option<SocketAddr> {
+    /// Returns a random live node whose mirror of the store has changes or held items that this node's lacks. If
+    /// `prefers_own_domain` is set, nodes of the own failure domain come first unless another node is known to be further
+    /// ahead, since updates cross domains otherwise.
+    pub(super) fn random_peer_ahead(
+        &self,
+        gateway: &Gateway,
+        prefers_own_domain: bool,
+    ) -> Option<SocketAddr> {
         let own = gateway.mirror_state();
+        let domain = gateway.settings.borrow().domain.clone();
         let membership = self.membership.borrow();
         let statuses = self.statuses.borrow();
         let ahead = statuses
             .iter()
             .filter(|(node, (status, _))| status.is_ahead(own) && membership.is_alive(node))
-            .filter_map(|(node, _)| node_address(node));
-        ahead.choose(&mut *gateway.rng.borrow_mut())
+            .filter_map(|(node, (status, _))| {
+                let is_near = status.entry.domain == domain;
+                Some((node_address(node)?, status.position, is_near))
+            });
+        let rng = &mut *gateway.rng.borrow_mut();
+        choose_source(ahead, prefers_own_domain, rng)
     }
 
     /// Returns a random live node other than this one.
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -186,9 +186,10 @@
 
     /// Fetches changes from other nodes when they are ahead, and at a regular interval while the store does not answer.
     async fn sync_from_peers(self: Rc<Self>) {
+        let mut prefers_own_domain = true;
         loop {
             let lost = self.registry.borrow().is_store_lost();
-            let urgent = lost || self.members.random_peer_ahead(&self).is_some();
+            let urgent = lost || self.members.random_peer_ahead(&self, false).is_some();
             let pause = if urgent {
                 PEER_FETCH_INTERVAL
             } else {
@@ -208,7 +209,7 @@
                 sleep(delay).await;
             }
             let position = self.mirror.borrow().position();
-            let ahead = self.members.random_peer_ahead(&self);
+            let ahead = self.members.random_peer_ahead(&self, prefers_own_domain);
             let lost = self.registry.borrow().is_store_lost();
             let Some(peer) = ahead.or_else(|| self.members.random_peer(&self).filter(|_| lost))
             else {
@@ -219,7 +220,13 @@
             } else {
                 MAX_PEER_UPDATE_BYTES
             };
-            match fetch_update(peer, position, limit).await {
+            let fetched = fetch_update(peer, position, limit).await;
+            // After a fetch without progress, any node may be asked.
+            prefers_own_domain = fetched.as_ref().is_ok_and(|fetched| {
+                let update = fetched.update.as_ref();
+                update.is_some_and(|update| update.position > position)
+            });
+            match fetched {
                 Ok(PeerUpdate { update: None, .. }) => {
                     log::info!(peer:% = peer, position:% = position; "too much for another node, the store is read");
                     self.sync.catch_up.set(true);
--- a/tests/decisions/readers.rs
+++ b/tests/decisions/readers.rs
@@ -2,7 +2,10 @@
 
 use cranberrychute::core::{
     NodeId,
-    mirror::{Freshness, READER_COUNT, ReadPlan, reader_rank, reads_store, retry_delay},
+    mirror::{
+        Freshness, Position, READER_COUNT, ReadPlan, choose_source, reader_rank, reads_store,
+        retry_delay,
+    },
 };
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng};
@@ -206,3 +209,29 @@
         prop_assert!(reads_partial || !reads_full);
     }
 }
+
+/// Guards against updates that cross failure domains although a node of the own domain has them, against changes that
+/// are delayed because that node has only some of them, and against a node that depends on one other node.
+#[test]
+fn updates_come_from_the_own_domain_if_it_is_as_far_ahead() {
+    let mut rng = Pcg64::seed_from_u64(1);
+    let position = |revision| Position { era: 1, revision };
+    let mut sources = |nodes: [(u32, u64, bool); 3], prefers_own_domain| {
+        let mut counts = [0; 3];
+        for _ in 0..300 {
+            let ahead = nodes.map(|(node, revision, is_near)| (node, position(revision), is_near));
+            let node = choose_source(ahead.into_iter(), prefers_own_domain, &mut rng);
+            counts[node.unwrap() as usize] += 1;
+        }
+        counts
+    };
+    let equal = [(0, 7, true), (1, 7, false), (2, 7, true)];
+    let [first, other, second] = sources(equal, true);
+    assert_eq!(other, 0);
+    assert!(first > 100 && second > 100, "{first} {second}");
+    assert!(sources(equal, false).iter().all(|count| *count > 60));
+    let behind = [(0, 6, true), (1, 7, false), (2, 7, false)];
+    assert!(sources(behind, true).iter().all(|count| *count > 60));
+    let none = std::iter::empty::<(u32, Position, bool)>();
+    assert_eq!(choose_source(none, true, &mut rng), None);
+}
