Check the speed that leaves report by how well it predicts latencies

Trust that halved at each contradicted answer vanished with true figures as well, since service times vary. The figure now counts by the advantage of its predictions over those from earlier latencies.

--- a/src/core/placement/leaf_stats.rs
+++ b/src/core/placement/leaf_stats.rs
@@ -185,7 +185,7 @@
             Outcome::Answered(latency) => {
                 let ratio = latency.as_secs_f64() / typical.as_secs_f64().max(1e-4);
                 let mut ratio = ratio.clamp(LATENCY_RANGE.0, LATENCY_RANGE.1);
-                self.speed.record_latency(ratio);
+                self.speed.record_latency(ratio, self.relative_latency);
                 let slow = ratio > SLOW_RATIO;
                 if slow && !self.last_slow {
                     ratio = FIRST_SLOW_RATIO;
--- a/src/core/placement/machine_speed.rs
+++ b/src/core/placement/machine_speed.rs
@@ -11,14 +11,12 @@
 const HALF_LIFE: Duration = Duration::from_millis(100);
 /// Age from which a report is ignored.
 const MAX_AGE: Duration = Duration::from_millis(500);
-/// Trust in the figures of a leaf that has not been checked yet, as a share.
-const INITIAL_TRUST: f64 = 0.5;
-/// Factor on the trust after an answer that the figure predicts worse than the usual latency does.
-const DISTRUST_FACTOR: f64 = 0.5;
-/// Part of the missing trust that is gained by an answer that the figure predicts better.
-const TRUST_GAIN: f64 = 0.1;
-/// Difference of prediction errors below which an answer says nothing about the figure.
-const MIN_DIFFERENCE: f64 = 0.05;
+/// Advantage of the figures of a leaf that has not been checked yet. It gives them half of [`MAX_WEIGHT`].
+const INITIAL_ADVANTAGE: f64 = 0.1;
+/// Advantage from which figures are trusted fully. Service times vary so much that true figures rarely gain more.
+const TRUSTED_ADVANTAGE: f64 = 0.2;
+/// Weight of an answer in the advantage. Two answers that contradict a false figure by a factor of 2 end its influence.
+const ADVANTAGE_WEIGHT: f64 = 0.1;
 /// Weight of an answer in the usual latency.
 const USUAL_WEIGHT: f64 = 0.1;
 
@@ -29,9 +27,10 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct MachineSpeed {
     report: Option<Report>,
-    /// Share from 0 to 1.
-    trust: f64,
-    /// Relative latency that the leaf usually has.
+    /// By how much the figures predict latencies better than earlier latencies do: the moving average of the difference
+    /// between the logarithms of the errors.
+    advantage: f64,
+    /// Relative latency that the leaf has while its figure is 100.
     usual: f64,
 }
 
@@ -47,7 +46,7 @@
     fn default() -> Self {
         Self {
             report: None,
-            trust: INITIAL_TRUST,
+            advantage: INITIAL_ADVANTAGE,
             usual: 1.0,
         }
     }
@@ -64,19 +63,18 @@
         });
     }
 
-    /// Records the relative latency of an answer. The figure that came with it, if any, was recorded just before.
-    pub(super) fn record_latency(&mut self, ratio: f64) {
-        if let Some(report) = self.report.as_mut().filter(|report| !report.checked) {
+    /// Records the relative latency of an answer, and the one that was expected from earlier answers. The figure that came
+    /// with the answer, if any, was recorded just before.
+    pub(super) fn record_latency(&mut self, ratio: f64, expected: f64) {
+        let report = self.report.as_mut().filter(|report| !report.checked);
+        let factor = report.map_or(1.0, |report| {
             report.checked = true;
             let error = |predicted: f64| (ratio / predicted).ln().abs();
-            let difference = error(self.usual * report.factor) - error(self.usual);
-            if difference > MIN_DIFFERENCE {
-                self.trust *= DISTRUST_FACTOR;
-            } else if difference < -MIN_DIFFERENCE {
-                self.trust += (1.0 - self.trust) * TRUST_GAIN;
-            }
-        }
-        self.usual += (ratio - self.usual) * USUAL_WEIGHT;
+            let difference = error(expected) - error(self.usual * report.factor);
+            self.advantage += (difference - self.advantage) * ADVANTAGE_WEIGHT;
+            report.factor
+        });
+        self.usual += (ratio / factor - self.usual) * USUAL_WEIGHT;
     }
 
     /// Returns a measured relative latency, corrected by the reported figure.
@@ -89,7 +87,8 @@
             return measured;
         }
         let decay = (-age.as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2();
-        let weight = MAX_WEIGHT * self.trust * decay;
+        let trust = (self.advantage / TRUSTED_ADVANTAGE).clamp(0.0, 1.0);
+        let weight = MAX_WEIGHT * trust * decay;
         // Measured latencies already contain a part of what the figure says, so it applies to the usual latency.
         let change = self.usual * report.factor / measured;
         measured * (1.0 + weight * (change.clamp(FACTOR_RANGE.0, FACTOR_RANGE.1) - 1.0))
--- a/tests/decisions/crossing.rs
+++ b/tests/decisions/crossing.rs
@@ -6,12 +6,15 @@
     time::Duration,
 };
 
-use cranberrychute::core::{
-    Time,
-    placement::{
-        CallToken, Candidate, CrossReason, Crossing, CrossingQuery, LeafLoad, LeafStats, Outcome,
-        Placement,
+use cranberrychute::{
+    core::{
+        Time,
+        placement::{
+            CallToken, Candidate, CrossReason, Crossing, CrossingQuery, LeafLoad, LeafStats,
+            Outcome, Placement,
+        },
     },
+    platform::parse_load,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -471,6 +474,72 @@
     }
 }
 
+/// Guards against a true figure that is ignored although a machine's speed changes faster than latencies show it.
+#[test]
+fn a_true_figure_lowers_the_latency() {
+    let mean_ms = |reports: bool| {
+        let mut world = World::new(&[1, 2], [400.0, 1.0, 1.0], 10);
+        let mut total = 0.0;
+        for round in 0..60 {
+            for (leaf, slowness) in [(0, 2.5), (1, 1.0)] {
+                let slowness = if round % 2 == 0 {
+                    slowness
+                } else {
+                    3.5 - slowness
+                };
+                world.leaves[leaf].slowness = slowness;
+                world.leaves[leaf].speed = reports.then_some((slowness * 100.0) as u16);
+            }
+            total += world.run(Duration::from_millis(300))[0].mean_ms();
+        }
+        total / 60.0
+    };
+    let (without, with) = (mean_ms(false), mean_ms(true));
+    println!("without {without:.2} ms, with {with:.2} ms");
+    assert!(
+        with < without * 0.99,
+        "{without} ms without, {with} ms with"
+    );
+}
+
+/// Guards against a malformed fourth figure that is used, or that takes the first three with it.
+#[test]
+fn a_figure_that_makes_no_sense_is_ignored() {
+    let figures = [
+        ("", None),
+        (",", None),
+        (",x", None),
+        (",-1", None),
+        (",0", None),
+        (",0.4", None),
+        (",nan", None),
+        (",inf", None),
+        (",-inf", None),
+        (",1e308", None),
+        (",10001", None),
+        (",99999999999999999999", None),
+        (",1", Some(1)),
+        (",100", Some(100)),
+        (", 149.6 ", Some(150)),
+        (",1e2", Some(100)),
+        (",10000", Some(10_000)),
+        (",120,7", Some(120)),
+    ];
+    for (figure, speed) in figures {
+        let expected = LeafLoad {
+            running: 1,
+            waiting: 2,
+            slots: 3,
+            speed,
+        };
+        let load = parse_load(&format!("1,2, 3{figure}"));
+        assert_eq!(load, Some(expected), "{figure:?}");
+    }
+    for text in ["", "1", "1,2", "1,2,", "1,2,x", "1,-2,3,100"] {
+        assert_eq!(parse_load(text), None, "{text:?}");
+    }
+}
+
 /// Guards against a price that changes nothing: with it, only calls with a larger gain leave.
 #[test]
 fn a_price_of_traffic_keeps_calls_with_a_small_gain() {
--- a/tests/gateway/numbers.rs
+++ b/tests/gateway/numbers.rs
@@ -72,6 +72,7 @@
             format!("0,{number},2"),
             format!("1,0,{number}"),
             format!("{number},{number},{number}"),
+            format!("1,0,2,{number}"),
         ];
         let loads = loads.map(|load| ("leaf-load", load));
         for (name, value) in [("warmup-ms", number)].into_iter().chain(loads) {
@@ -236,10 +237,12 @@
     let mut nodes = site.nodes().await;
     let node = &mut nodes[0];
     let path = site.folder.path().join("node-0.toml");
-    let good = fs::read_to_string(&path).unwrap();
+    let mut good = fs::read_to_string(&path).unwrap();
+    good.push_str("[placement]\ndomain_traffic_price = 0\n");
     let faults = ["nan", "-nan", "inf", "-inf", "-1", "1e308"];
     for (count, fault) in faults.into_iter().enumerate() {
         for (name, value) in [
+            ("domain_traffic_price", "0"),
             ("grace_s", "6"),
             ("budget_window_s", "10"),
             ("retry_slack", "56"),
