Leave slow domains also where calls are few, and tell pauses from slow leaves

A node that calls each leaf every two seconds forgets how fast leaves elsewhere are, and its typical latency grows with its own domain's. Leaves elsewhere are now compared by their last measured latency if that is lower.

Answers to calls that were sent before the first slow answer arrived belong to the same pause and no longer count as a second slow answer.

A call is no longer pressed if it would be late elsewhere, too.

--- a/src/core/placement/crossing.rs
+++ b/src/core/placement/crossing.rs
@@ -227,7 +227,7 @@
         let (home, own) = (Placement::Leaf(own.index), own.estimate);
         let typical = query.typical;
         let gain = self.required_gain(query.price_per_kb);
-        let cost_of = |other: Choice| typical.mul_f64(other.estimate.cost()) + gain;
+        let cost_of = |other: Choice| typical.mul_f64(other.estimate.remembered_cost()) + gain;
         let failing_share = match own.failure_rate > MIN_FAILURE_RATE {
             true => own.failure_rate * FAILURE_FACTOR,
             false => 0.0,
@@ -250,7 +250,8 @@
             true => None,
             false => find_other(rng, LeafStats::has_spare),
         };
-        let is_sooner = other.is_some_and(|other| cost_of(other) < expected);
+        // A call that would be late there as well gains nothing.
+        let is_sooner = other.is_some_and(|other| cost_of(other) < expected.min(query.time_left));
         let is_pressed = expected > acceptable && is_sooner;
         let (steps, reason) = match is_pressed {
             true if expected > query.time_left => (LARGE_STEP, "own_leaves_late"),
--- a/src/core/placement/leaf_stats.rs
+++ b/src/core/placement/leaf_stats.rs
@@ -8,8 +8,8 @@
 const LATENCY_WEIGHT: f64 = 0.35;
 /// Range to which the relative latency of a single answer is clamped.
 const LATENCY_RANGE: (f64, f64) = (0.2, 20.0);
-/// Relative latency above which an answer is slow. A single slow answer may come from a pause that is over; only two
-/// in a row indicate a slow leaf.
+/// Relative latency above which an answer is slow. A slow answer, and those to calls that were sent before it arrived, may
+/// come from a pause that is over; only another one in a row indicates a slow leaf.
 const SLOW_RATIO: f64 = 3.0;
 /// Relative latency with which the first slow answer in a row is counted.
 const FIRST_SLOW_RATIO: f64 = 1.2;
@@ -74,6 +74,8 @@
 pub struct Estimate {
     /// Expected latency of an answer, as a multiple of the typical latency.
     pub latency: f64,
+    /// The same as far as older answers show that it is lower.
+    pub remembered: f64,
     /// Share of calls that currently fail or are shed.
     pub failure_rate: f64,
     /// Cost of the calls that wait for a stalled leaf; zero if it is not stalled.
@@ -86,6 +88,12 @@
         self.latency + self.failure_rate * FAILURE_COST + self.stall
     }
 
+    /// Returns the expected cost of a leaf that is called rarely. The typical latency is that of other leaves, which may all
+    /// have become slower.
+    pub fn remembered_cost(&self) -> f64 {
+        self.cost() - self.latency + self.remembered
+    }
+
     /// Returns whether a call to the leaf has waited so long that it appears to be stalled.
     pub fn is_stalled(&self) -> bool {
         self.stall > 0.0
@@ -124,8 +132,10 @@
     next_token: u32,
     /// Latency relative to the typical one.
     relative_latency: f64,
-    /// The last answer was slow.
-    last_slow: bool,
+    /// Moving average of the latency, which does not decay.
+    remembered: Option<Duration>,
+    /// When the first of the last answers arrived that were all slow.
+    slow_since: Option<Time>,
     /// Share of calls that failed or were shed, as a moving average.
     failure_rate: f64,
     updated_at: Time,
@@ -151,7 +161,8 @@
             calls: SmallVec::new(),
             next_token: 0,
             relative_latency: 1.0,
-            last_slow: false,
+            remembered: None,
+            slow_since: None,
             failure_rate: 0.0,
             updated_at: now,
             speed: MachineSpeed::default(),
@@ -179,18 +190,25 @@
     /// Records the end of a call. `typical` is the typical latency of calls of this kind.
     pub fn end_call(&mut self, now: Time, token: CallToken, outcome: Outcome, typical: Duration) {
         let calls = self.calls.len() as f64;
+        let sent = self.calls.iter().find(|(call, _)| *call == token);
+        let sent = sent.map_or(now, |(_, sent)| *sent);
         self.calls.retain(|(call, _)| *call != token);
         self.decay(now);
         match outcome {
             Outcome::Answered(latency) => {
+                let remembered = self.remembered.unwrap_or(latency);
+                self.remembered = Some(
+                    remembered.mul_f64(1.0 - LATENCY_WEIGHT) + latency.mul_f64(LATENCY_WEIGHT),
+                );
                 let ratio = latency.as_secs_f64() / typical.as_secs_f64().max(1e-4);
                 let mut ratio = ratio.clamp(LATENCY_RANGE.0, LATENCY_RANGE.1);
                 self.speed.record_latency(ratio, self.relative_latency);
                 let slow = ratio > SLOW_RATIO;
-                if slow && !self.last_slow {
+                let slow_since = self.slow_since.filter(|_| slow);
+                if slow && slow_since.is_none_or(|at| sent <= at) {
                     ratio = FIRST_SLOW_RATIO;
                 }
-                self.last_slow = slow;
+                self.slow_since = slow.then(|| slow_since.unwrap_or(now));
                 self.relative_latency += (ratio - self.relative_latency) * LATENCY_WEIGHT;
                 self.record_result(0.0);
                 self.record_alive();
@@ -312,8 +330,14 @@
         } else {
             0.0
         };
+        let remembered = self.remembered.map_or(relative_latency, |latency| {
+            let latency = latency.as_secs_f64() / typical.as_secs_f64().max(1e-4);
+            latency.min(relative_latency)
+        });
+        let with_queue = |latency: f64| latency * (1.0 + queue) + BUSY_COST * busy / slots;
         Estimate {
-            latency: relative_latency * (1.0 + queue) + BUSY_COST * busy / slots,
+            latency: with_queue(relative_latency),
+            remembered: with_queue(remembered),
             failure_rate: self.failure_rate * weight,
             stall,
         }
