Hedge later where hedges cross failure domains and there is time

At rest, nearly all calls that cross domains are hedges: the slowest tenth of the calls. Where the own domain has no second leaf, hedges now wait up to 1.4 times as long, at most a quarter of the time left until the objective.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -16,7 +16,7 @@
     core::{
         ServiceName, StopPhase, Time,
         crash::{Admission, CrashId},
-        gather::{Completion, Failure, Plan, PlanSettings, Step, merge_top},
+        gather::{Completion, Failure, Plan, PlanSettings, Step, crossing_hedge_delay, merge_top},
         link::LinkState,
         retry::{Purpose, retry_after},
         routing::{Gather, Target},
@@ -51,12 +51,15 @@
 /// connection stays open.
 const DETACHED_CALL_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The services that answer the parts of a request.
+type Services = SmallVec<[(ServiceName, Rc<Service>); 16]>;
+
 /// The state of one request.
 struct RequestDispatch {
     gateway: Rc<Gateway>,
     inbound: Inbound,
     route_stats: Rc<RefCell<RouteStats>>,
-    services: SmallVec<[(ServiceName, Rc<Service>); 16]>,
+    services: Services,
     plan: Plan,
     replies: SmallVec<[Option<Reply>; 16]>,
     stamps: SmallVec<[Option<Bytes>; 16]>,
@@ -198,7 +201,7 @@
         let route = inbound.route.clone();
         let stats = gateway.route_stats.stats(&route);
         let service = |name: &ServiceName| (name.clone(), gateway.upstreams.service(name));
-        let (services, required) = match &route.target {
+        let (services, required): (Services, _) = match &route.target {
             Target::Service(name) => (SmallVec::from_iter([service(name)]), 1),
             Target::Split(parts) => {
                 let weights = parts.iter().map(|(_, weight)| *weight);
@@ -240,6 +243,11 @@
             .saturating_sub(spent + waited)
             .saturating_sub(margin + send_delay);
         let parts = services.len();
+        let hedges_cross = parts > 0 && services[0].1.hedges_cross(&gateway.settings.borrow());
+        let hedge_delay = match hedges_cross {
+            true => crossing_hedge_delay(hedge_delay, time_left),
+            false => hedge_delay,
+        };
         let settings = PlanSettings {
             parts,
             required,
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -289,6 +289,19 @@
     pub(super) crossing: RefCell<Crossing>,
 }
 
+impl Service {
+    /// Returns whether hedges of calls to the service leave the node's failure domain, because it has no second leaf there
+    /// but leaves elsewhere.
+    pub(super) fn hedges_cross(&self, settings: &Settings) -> bool {
+        let leaves = self.leaves.borrow();
+        let near = leaves
+            .iter()
+            .filter(|leaf| leaf.record.borrow().domain == settings.domain);
+        let near = near.count();
+        near < 2 && near < leaves.len()
+    }
+}
+
 /// Why no leaf of a service can take a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum NoLeaf {
--- a/tests/decisions/crossing.rs
+++ b/tests/decisions/crossing.rs
@@ -9,6 +9,7 @@
 use cranberrychute::{
     core::{
         Time,
+        gather::crossing_hedge_delay,
         placement::{
             CallToken, Candidate, CrossReason, Crossing, CrossingQuery, LeafLoad, LeafStats,
             Outcome, Placement,
@@ -280,7 +281,9 @@
             self.tally[domain].to[leaves[leaf].domain] += 1;
         }
         if calls == 0 {
-            self.push(now + typical.mul_f64(HEDGE_RATIO), Event::Hedge(query));
+            let hedge_delay = typical.mul_f64(HEDGE_RATIO);
+            let hedge_delay = crossing_hedge_delay(hedge_delay, crossing_query.time_left);
+            self.push(now + hedge_delay, Event::Hedge(query));
         }
         self.queries[query].tried.push(leaf);
         self.queries[query].calls += 1;
--- a/tests/decisions/gather.rs
+++ b/tests/decisions/gather.rs
@@ -3,7 +3,10 @@
 use bytes::Bytes;
 use cranberrychute::core::{
     Time,
-    gather::{Completion, Failure, Plan, PlanSettings, RECORD_BYTES, Step, merge_top},
+    gather::{
+        Completion, Failure, Plan, PlanSettings, RECORD_BYTES, Step, crossing_hedge_delay,
+        merge_top,
+    },
     placement::Contention,
     retry::Purpose,
 };
@@ -408,3 +411,22 @@
         [(0, Some(Purpose::Late))]
     );
 }
+
+/// Guards against hedges that cross failure domains so late that a query with a short objective misses it, and against ones
+/// that are as early as hedges in the domain although there is time.
+#[test]
+fn hedges_that_cross_domains_wait_longer_if_there_is_time() {
+    let cases = [
+        (0, 20),
+        (39, 20),
+        (80, 20),
+        (96, 24),
+        (112, 28),
+        (1_000, 28),
+    ];
+    for (time_left, expected) in cases {
+        let time_left = Duration::from_millis(time_left);
+        let delay = crossing_hedge_delay(Duration::from_millis(20), time_left);
+        assert_eq!(delay, Duration::from_millis(expected), "{time_left:?}");
+    }
+}
