--- a/tests/gateway/requests.rs
+++ b/tests/gateway/requests.rs
@@ -1,4 +1,7 @@
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use cranberrychute_emulator::LeafMode;
 use serde_json::json;
@@ -16,6 +19,9 @@
 /// Memory that a node may use at most, as stated for the large fleets, KB.
 const MAX_PEAK_KB: u64 = 30 << 10;
 
+/// Port of the metrics of a node.
+const METRICS_PORT: u16 = 9_464;
+
 /// Number of queries to each node around a repartition, 5 ms apart: together they take longer than the new configuration needs to
 /// become active.
 const REPARTITION_ROUNDS: usize = 200;
@@ -49,6 +55,47 @@
     assert_eq!(node.query("/none/x", "q2").await.status, 404);
 }
 
+/// Guards against calls that leave the node's failure domain although its leaf answers, against ones that stay with it when
+/// it fails, and against traffic that is not counted.
+#[tokio::test]
+async fn calls_stay_in_the_failure_domain_while_its_leaf_answers() {
+    let site = Site::start(2, 1).await;
+    let node = &site.nodes().await[0];
+    let runs = async |name: &str| {
+        let mut runs = [0; 2];
+        for request in 0..50 {
+            let id = format!("{name}-{request}");
+            assert_eq!(node.query("/all/x", &id).await.status, 200);
+            for pair in &site.shards {
+                runs[0] += pair[0].run_count(&id);
+                runs[1] += pair[1].run_count(&id);
+            }
+        }
+        runs
+    };
+    let [own, other] = runs("calm").await;
+    assert!(
+        own >= 90 && other <= 20,
+        "{own} in the domain, {other} elsewhere"
+    );
+    let metrics = SocketAddr::new(node.callers().ip(), METRICS_PORT);
+    let request = format!("GET /metrics HTTP/1.1\r\nHost: {metrics}\r\n\r\n");
+    let reply = send(metrics, request.as_bytes()).await.unwrap();
+    let text = String::from_utf8(reply.body.to_vec()).unwrap();
+    let value = |name: &str| {
+        let line = text.lines().find(|line| line.starts_with(name)).unwrap();
+        line.rsplit(' ').next().unwrap().parse::<u32>().unwrap()
+    };
+    assert!(value("cranberrychute_domain_calls_total{domain=\"own\"}") >= own);
+    assert!(value("cranberrychute_domain_bytes_total{domain=\"own\"}") >= own * 16);
+    assert!(value("cranberrychute_domain_calls_total{domain=\"other\"}") >= other);
+    site.shards
+        .iter()
+        .for_each(|pair| pair[0].set_mode(LeafMode::Fail));
+    let [_, other] = runs("failing").await;
+    assert!(other >= 80, "{other} elsewhere");
+}
+
 /// Guards against a request that runs on a different leaf because that leaf took over the address of the intended one.
 #[tokio::test]
 async fn a_leaf_that_took_over_an_address_runs_no_request() {
