--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -243,6 +243,7 @@
             .saturating_sub(spent + waited)
             .saturating_sub(margin + send_delay);
         let parts = services.len();
+        // The shards of a query are placed alike, so the first one stands for all.
         let hedges_cross = parts > 0 && services[0].1.hedges_cross(&gateway.settings.borrow());
         let hedge_delay = match hedges_cross {
             true => crossing_hedge_delay(hedge_delay, time_left),
