Test the steps of each node's share and the reasons for which calls leave

A share of all or nothing passed the test of a steady shortage, since the nodes moved at different times, and ignoring stalls passed all tests. Both fail now.

--- a/tests/decisions/crossing.rs
+++ b/tests/decisions/crossing.rs
@@ -402,9 +402,25 @@
     let calm = World::new(&[0, 1, 2], [150.0; 3], 2).seconds(40)[1].clone();
     let mut world = World::new(&[0, 1, 2], [700.0, 150.0, 150.0], 2);
     world.seconds(10);
-    let shares: Vec<f64> = (0..30)
-        .map(|_| world.seconds(1)[0].crossed_share())
-        .collect();
+    let node_shares = |world: &World| -> Vec<f64> {
+        let nodes = world.nodes[..NODES].iter();
+        nodes.map(|node| node.crossing.share()).collect()
+    };
+    let mut shares = Vec::new();
+    for _ in 0..30 {
+        let mut crossed = 0.0;
+        for _ in 0..4 {
+            let before = node_shares(&world);
+            crossed += world.run(Duration::from_millis(250))[0].crossed_share() / 4.0;
+            let after = node_shares(&world);
+            let mut changes = before
+                .iter()
+                .zip(&after)
+                .map(|(from, to)| (to - from).abs());
+            assert!(changes.all(|change| change < 0.45), "{before:?} {after:?}");
+        }
+        shares.push(crossed);
+    }
     println!("shares {shares:.2?}");
     let mean = shares.iter().sum::<f64>() / shares.len() as f64;
     let swings = shares
@@ -617,39 +633,56 @@
     assert!(shares[1] < shares[0], "{shares:?}");
 }
 
-/// Guards against calls that stay with a leaf that is ejected, and against ones counted under another reason.
+/// Guards against calls that stay with a leaf that is ejected, stalled, failing or full, and against calls that leave a healthy
+/// one.
 #[test]
-fn calls_leave_an_ejected_leaf() {
-    let mut stats = [LeafStats::new(at(0), 2), LeafStats::new(at(0), 2)];
-    let token = stats[0].start_call(at(0));
-    stats[0].end_call(at(1), token, Outcome::Refused, TYPICAL);
-    let query = CrossingQuery {
-        typical: TYPICAL,
-        time_left: Duration::from_millis(80),
-        price_per_kb: Duration::ZERO,
-        is_free: false,
-        has_own_leaf: false,
+fn calls_leave_a_leaf_that_cannot_serve_them() {
+    let decide = |prepare: &dyn Fn(&mut LeafStats), has_room: bool| {
+        let mut stats = [LeafStats::new(at(0), 2), LeafStats::new(at(0), 2)];
+        prepare(&mut stats[0]);
+        let now = at(60);
+        let query = CrossingQuery {
+            typical: TYPICAL,
+            time_left: Duration::from_millis(80),
+            price_per_kb: Duration::ZERO,
+            is_free: false,
+            has_own_leaf: stats[0].may_try(now),
+        };
+        let candidates = || {
+            let usable = stats.iter().enumerate();
+            let usable =
+                usable.filter(|(index, stats)| stats.may_try(now) && (*index > 0 || has_room));
+            usable.map(|(index, stats)| {
+                let candidate = Candidate {
+                    stats,
+                    same_domain: index == 0,
+                    outside_subset: false,
+                    cold: false,
+                    connected: true,
+                };
+                (index, candidate)
+            })
+        };
+        let mut rng = Pcg64::seed_from_u64(9);
+        Crossing::default()
+            .place(now, query, candidates, &mut rng)
+            .placement
     };
-    let candidates = || {
-        let usable = stats
-            .iter()
-            .enumerate()
-            .filter(|(_, stats)| stats.may_try(at(2)));
-        usable.map(|(index, stats)| {
-            let candidate = Candidate {
-                stats,
-                same_domain: index == 0,
-                outside_subset: false,
-                cold: false,
-                connected: true,
-            };
-            (index, candidate)
-        })
+    let fail = |stats: &mut LeafStats, outcome: Outcome, count: u64| {
+        for time in 0..count {
+            let token = stats.start_call(at(50 + time));
+            stats.end_call(at(51 + time), token, outcome, TYPICAL);
+        }
     };
-    let mut rng = Pcg64::seed_from_u64(9);
-    let decision = Crossing::default().place(at(2), query, candidates, &mut rng);
-    assert_eq!(
-        decision.placement,
-        Placement::Crossing(1, CrossReason::NoLeaf)
-    );
+    let crossing = |reason| Placement::Crossing(1, reason);
+    assert_eq!(decide(&|_| {}, true), Placement::Leaf(0));
+    assert_eq!(decide(&|_| {}, false), crossing(CrossReason::Full));
+    let refused = |stats: &mut LeafStats| fail(stats, Outcome::Refused, 1);
+    assert_eq!(decide(&refused, true), crossing(CrossReason::NoLeaf));
+    let failing = |stats: &mut LeafStats| fail(stats, Outcome::Failed, 6);
+    assert_eq!(decide(&failing, true), crossing(CrossReason::Failing));
+    let stalled = |stats: &mut LeafStats| _ = stats.start_call(at(0));
+    assert_eq!(decide(&stalled, true), crossing(CrossReason::Stalled));
+    let waiting = |stats: &mut LeafStats| _ = stats.start_call(at(50));
+    assert_eq!(decide(&waiting, true), Placement::Leaf(0));
 }
