--- a/src/core/placement/leaf_stats.rs
+++ b/src/core/placement/leaf_stats.rs
@@ -2,14 +2,14 @@
 
 use smallvec::SmallVec;
 
-use crate::core::Time;
+use crate::core::{Time, placement::machine_speed::MachineSpeed};
 
 /// Weight of a new answer in the relative latency. With it, two answers distinguish a slow leaf from a typical one.
 const LATENCY_WEIGHT: f64 = 0.35;
 /// Range to which the relative latency of a single answer is clamped.
 const LATENCY_RANGE: (f64, f64) = (0.2, 20.0);
-/// Relative latency above which an answer is slow. A single slow answer may come from a pause that is over; only two
-/// in a row indicate a slow leaf.
+/// Relative latency above which an answer is slow. A slow answer, and those to calls that were sent before it arrived, may
+/// come from a pause that is over; only another one in a row indicates a slow leaf.
 const SLOW_RATIO: f64 = 3.0;
 /// Relative latency with which the first slow answer in a row is counted.
 const FIRST_SLOW_RATIO: f64 = 1.2;
@@ -19,6 +19,12 @@
 const FAILURE_WEIGHT: f64 = 0.25;
 /// Time for which a reported load is used.
 const LOAD_TTL: Duration = Duration::from_millis(60);
+/// Time for which a reported load shows that a leaf has spare capacity. It is longer than [`LOAD_TTL`], because a node in
+/// another domain calls the leaf only now and then.
+const SPARE_TTL: Duration = Duration::from_millis(250);
+/// Time for which a leaf that shed a call, or reported that all its slots are taken, gets no calls from other failure
+/// domains. Afterwards one call at a time shows whether this still holds.
+const FULL_TTL: Duration = Duration::from_millis(400);
 /// Multiple of a leaf's own recent latency after which a call without an answer indicates that the leaf is stalled.
 const STALL_RATIO: f64 = 3.0;
 /// Minimum time without an answer after which a leaf counts as stalled.
@@ -59,6 +65,39 @@
     pub running: u32,
     pub waiting: u32,
     pub slots: u32,
+    /// How long work currently takes on the leaf's machine, in percent of the usual time.
+    pub speed: Option<u16>,
+}
+
+/// What a call to a leaf is expected to cost.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Estimate {
+    /// Expected latency of an answer, as a multiple of the typical latency.
+    pub latency: f64,
+    /// The same as far as older answers show that it is lower.
+    pub remembered: f64,
+    /// Share of calls that currently fail or are shed.
+    pub failure_rate: f64,
+    /// Cost of the calls that wait for a stalled leaf; zero if it is not stalled.
+    pub stall: f64,
+}
+
+impl Estimate {
+    /// Returns the expected cost, as a multiple of the typical latency.
+    pub fn cost(&self) -> f64 {
+        self.latency + self.failure_rate * FAILURE_COST + self.stall
+    }
+
+    /// Returns the expected cost of a leaf that is called rarely. The typical latency is that of other leaves, which may all
+    /// have become slower.
+    pub fn remembered_cost(&self) -> f64 {
+        self.cost() - self.latency + self.remembered
+    }
+
+    /// Returns whether a call to the leaf has waited so long that it appears to be stalled.
+    pub fn is_stalled(&self) -> bool {
+        self.stall > 0.0
+    }
 }
 
 /// How a call ended.
@@ -83,7 +122,7 @@
 }
 
 /// Identifies a call in progress.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CallToken(u32);
 
 /// Statistics of one node about one leaf, from the node's own calls and the load that the leaf reports.
@@ -93,13 +132,18 @@
     next_token: u32,
     /// Latency relative to the typical one.
     relative_latency: f64,
-    /// The last answer was slow.
-    last_slow: bool,
+    /// Moving average of the latency, which does not decay.
+    remembered: Option<Duration>,
+    /// When the first of the last answers arrived that were all slow.
+    slow_since: Option<Time>,
     /// Share of calls that failed or were shed, as a moving average.
     failure_rate: f64,
     updated_at: Time,
+    speed: MachineSpeed,
     load: LeafLoad,
     load_at: Option<Time>,
+    /// When the leaf last shed a call or reported that all its slots are taken, if it has not reported spare capacity since.
+    full_at: Option<Time>,
     /// Failure points since the last answer.
     points: u32,
     /// Number of ejections since the last answer.
@@ -117,14 +161,17 @@
             calls: SmallVec::new(),
             next_token: 0,
             relative_latency: 1.0,
-            last_slow: false,
+            remembered: None,
+            slow_since: None,
             failure_rate: 0.0,
             updated_at: now,
+            speed: MachineSpeed::default(),
             load: LeafLoad {
                 slots,
                 ..LeafLoad::default()
             },
             load_at: None,
+            full_at: None,
             points: 0,
             ejections: 0,
             ejected_until: None,
@@ -143,17 +190,25 @@
     /// Records the end of a call. `typical` is the typical latency of calls of this kind.
     pub fn end_call(&mut self, now: Time, token: CallToken, outcome: Outcome, typical: Duration) {
         let calls = self.calls.len() as f64;
+        let sent = self.calls.iter().find(|(call, _)| *call == token);
+        let sent = sent.map_or(now, |(_, sent)| *sent);
         self.calls.retain(|(call, _)| *call != token);
         self.decay(now);
         match outcome {
             Outcome::Answered(latency) => {
+                let remembered = self.remembered.unwrap_or(latency);
+                self.remembered = Some(
+                    remembered.mul_f64(1.0 - LATENCY_WEIGHT) + latency.mul_f64(LATENCY_WEIGHT),
+                );
                 let ratio = latency.as_secs_f64() / typical.as_secs_f64().max(1e-4);
                 let mut ratio = ratio.clamp(LATENCY_RANGE.0, LATENCY_RANGE.1);
+                self.speed.record_latency(ratio, self.relative_latency);
                 let slow = ratio > SLOW_RATIO;
-                if slow && !self.last_slow {
+                let slow_since = self.slow_since.filter(|_| slow);
+                if slow && slow_since.is_none_or(|at| sent <= at) {
                     ratio = FIRST_SLOW_RATIO;
                 }
-                self.last_slow = slow;
+                self.slow_since = slow.then(|| slow_since.unwrap_or(now));
                 self.relative_latency += (ratio - self.relative_latency) * LATENCY_WEIGHT;
                 self.record_result(0.0);
                 self.record_alive();
@@ -167,6 +222,7 @@
                 self.record_result(1.0);
                 self.record_alive();
                 self.limit = (calls * LIMIT_DECREASE).clamp(1.0, self.limit);
+                self.full_at = Some(now);
             }
             Outcome::Refused => self.record_unanswered(now, REFUSED_POINTS),
             Outcome::NoAnswer => self.record_unanswered(now, NO_ANSWER_POINTS),
@@ -183,6 +239,12 @@
             ..load
         };
         self.load_at = Some(now);
+        // The call whose answer brings the report counts as running in it and has ended.
+        let is_full = load.running.saturating_add(load.waiting) > self.load.slots;
+        self.full_at = is_full.then_some(now);
+        if let Some(percent) = load.speed {
+            self.speed.record_report(now, percent);
+        }
         if load.waiting > load.slots.saturating_mul(MAX_QUEUE_PER_SLOT) {
             self.limit = (self.calls.len() as f64 * LIMIT_DECREASE).clamp(1.0, self.limit);
         }
@@ -222,10 +284,37 @@
         self.ejected_until
     }
 
+    /// Returns whether the leaf has lately shed a call or reported that all its slots are taken.
+    pub fn is_full(&self, now: Time) -> bool {
+        self.full_at.is_some_and(|at| now.since(at) < FULL_TTL)
+    }
+
+    /// Returns whether the leaf has spare capacity for a call from another failure domain.
+    ///
+    /// A leaf that has not reported its load lately gets one call at a time, which brings a report.
+    pub fn has_spare(&self, now: Time) -> bool {
+        if self.is_full(now) {
+            return false;
+        }
+        let reported_at = self.load_at.filter(|at| now.since(*at) < SPARE_TTL);
+        let Some(reported_at) = reported_at else {
+            return self.calls.is_empty();
+        };
+        let sent_since = self.calls.iter().filter(|(_, sent)| *sent > reported_at);
+        let busy = self.load.running.saturating_add(self.load.waiting);
+        busy as usize + sent_since.count() <= self.load.slots as usize
+    }
+
     /// Returns the expected cost of another call, as a multiple of the typical latency.
     pub fn cost(&self, now: Time, typical: Duration) -> f64 {
+        self.estimate(now, typical).cost()
+    }
+
+    /// Returns what another call is expected to cost.
+    pub fn estimate(&self, now: Time, typical: Duration) -> Estimate {
         let weight = remaining_weight(now.since(self.updated_at));
-        let relative_latency = 1.0 + (self.relative_latency - 1.0) * weight;
+        let measured = 1.0 + (self.relative_latency - 1.0) * weight;
+        let relative_latency = self.speed.correct(now, measured);
         let reported = self
             .load_at
             .filter(|at| now.since(*at) < LOAD_TTL)
@@ -235,16 +324,23 @@
         let queue = ((busy + 1.0 - slots) / slots).max(0.0);
         let oldest = self.calls.iter().map(|(_, sent)| now.since(*sent)).max();
         let oldest = oldest.unwrap_or_default();
-        let stall = typical
-            .mul_f64(STALL_RATIO * relative_latency)
-            .max(MIN_STALL_TIME);
-        let stalled = if oldest > stall {
+        let stall = typical.mul_f64(STALL_RATIO * measured).max(MIN_STALL_TIME);
+        let stall = if oldest > stall {
             STALL_COST + oldest.as_secs_f64() / typical.as_secs_f64().max(1e-4)
         } else {
             0.0
         };
-        let failures = self.failure_rate * weight * FAILURE_COST;
-        relative_latency * (1.0 + queue) + failures + stalled + BUSY_COST * busy / slots
+        let remembered = self.remembered.map_or(relative_latency, |latency| {
+            let latency = latency.as_secs_f64() / typical.as_secs_f64().max(1e-4);
+            latency.min(relative_latency)
+        });
+        let with_queue = |latency: f64| latency * (1.0 + queue) + BUSY_COST * busy / slots;
+        Estimate {
+            latency: with_queue(relative_latency),
+            remembered: with_queue(remembered),
+            failure_rate: self.failure_rate * weight,
+            stall,
+        }
     }
 
     fn record_result(&mut self, failed: f64) {
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -1,6 +1,6 @@
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
@@ -17,10 +17,10 @@
 use crate::{
     adapter::peer::ControlSocket,
     core::{
-        Incarnation, NodeId, Outbound, Time,
+        Domain, Incarnation, NodeId, Outbound, Time,
         entry::{EntryReport, EntryState},
         member::{MemberMessage, MemberSettings, Membership},
-        mirror::{Position, READER_COUNT, reader_rank},
+        mirror::{Position, READER_COUNT, choose_source, reader_rank},
     },
     gateway::{
         Settings,
@@ -187,6 +187,16 @@
             .collect()
     }
 
+    /// Counts the other live nodes by failure domain.
+    pub(super) fn count_domains(&self, counts: &mut BTreeMap<Domain, usize>) {
+        let membership = self.membership.borrow();
+        for (node, (status, _)) in &*self.statuses.borrow() {
+            if membership.is_alive(node) {
+                count_in(counts, &status.entry.domain);
+            }
+        }
+    }
+
     /// Returns the other nodes that are ready for requests, with what they report about themselves.
     pub(super) fn ready_nodes(&self, now: Time) -> Vec<(NodeId, EntryReport)> {
         let membership = self.membership.borrow();
@@ -223,16 +233,27 @@
         *self.listed.borrow_mut() = listed.into_iter().filter_map(node_address).collect();
     }
 
-    /// Returns a random live node whose mirror of the store has changes or held items that this node's lacks.
-    pub(super) fn random_peer_ahead(&self, gateway: &Gateway) -> Option<SocketAddr> {
+    /// Returns a random live node whose mirror of the store has changes or held items that this node's lacks. If
+    /// `prefers_own_domain` is set, nodes of the own failure domain come first unless another node is known to be further
+    /// ahead, since updates cross domains otherwise.
+    pub(super) fn random_peer_ahead(
+        &self,
+        gateway: &Gateway,
+        prefers_own_domain: bool,
+    ) -> Option<SocketAddr> {
         let own = gateway.mirror_state();
+        let domain = gateway.settings.borrow().domain.clone();
         let membership = self.membership.borrow();
         let statuses = self.statuses.borrow();
         let ahead = statuses
             .iter()
             .filter(|(node, (status, _))| status.is_ahead(own) && membership.is_alive(node))
-            .filter_map(|(node, _)| node_address(node));
-        ahead.choose(&mut *gateway.rng.borrow_mut())
+            .filter_map(|(node, (status, _))| {
+                let is_near = status.entry.domain == domain;
+                Some((node_address(node)?, status.position, is_near))
+            });
+        let rng = &mut *gateway.rng.borrow_mut();
+        choose_source(ahead, prefers_own_domain, rng)
     }
 
     /// Returns a random live node other than this one.
@@ -244,6 +265,14 @@
     }
 }
 
+/// Adds one to the count of a failure domain.
+pub(super) fn count_in(counts: &mut BTreeMap<Domain, usize>, domain: &Domain) {
+    match counts.get_mut(domain) {
+        Some(count) => *count += 1,
+        None => _ = counts.insert(domain.clone(), 1),
+    }
+}
+
 /// Returns whole milliseconds, the unit used in messages between nodes.
 pub(super) fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod calls;
 mod connections;
 mod crashes;
+mod crossing;
 mod directory;
 mod dispatch;
 mod entry;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -24,6 +24,7 @@
     gateway::{
         Settings,
         connections::Connections,
+        crossing::DomainTraffic,
         entry::Entry,
         handover::Handovers,
         ingress,
@@ -64,6 +65,7 @@
     pub(super) handovers: Handovers,
     pub(super) lag: Cell<LoopLag>,
     pub(super) route_stats: RouteStatsMap,
+    pub(super) domain_traffic: DomainTraffic,
     pub(super) members: Members,
     pub(super) entry: Entry,
     pub(super) quota: QuotaState,
@@ -150,6 +152,7 @@
     let listeners = ingress::Listeners::bind(&listen).await?;
     let started = clock.now();
     let quota = QuotaState::bind(&settings, incarnation, started).await;
+    let metrics = start_metrics();
     let gateway = Rc::new(Gateway {
         clock,
         started,
@@ -165,6 +168,7 @@
         handovers: Handovers::default(),
         lag: Cell::default(),
         route_stats: RouteStatsMap::default(),
+        domain_traffic: DomainTraffic::new(),
         members: Members::new(socket, &settings, incarnation, started),
         entry: Entry::default(),
         quota,
@@ -175,7 +179,7 @@
         active_requests: Cell::new(0),
         connections: Connections::default(),
         sync: SyncState::new(started),
-        metrics: start_metrics(),
+        metrics,
         settings: RefCell::new(settings),
     });
     log::info!(
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod accounts;
 mod connection;
 mod crash;
+mod crossing;
 mod entry;
 mod gather;
 mod idle_limit;
