Admit whole queries while the leaves are overloaded

Cause: each part of a gather takes a slot as it finds one and retries on a timer. When demand exceeds the capacity, gathers with some of their parts hold slots that others need, and most callers are answered late, in part or not at all.

Change: core::admission decides for a whole query before its first part is sent; gateway/admission.rs connects it to the dispatch. The limit on parts in flight is off until the share of queries that were late or incomplete and lacked room (shed calls, no leaf with room) stays above 0.2 for 250 ms. It is then adapted by AIMD. Queries wait for a quarter of the time to their objective at most, in the order of priority, punctual return, recent usage of their flow and objective, and are rejected when the measured rate leaves no hope. A tenth of the capacity is reserved for flows that received no more than the mean.

Not measured yet with real processes.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod account;
 pub mod address;
+pub mod admission;
 pub mod alarm;
 pub mod call;
 pub mod config;
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -22,6 +22,7 @@
         routing::{Gather, Target},
     },
     gateway::{
+        admission::Place,
         calls::{Call, CompletedCall},
         crashes::Trial,
         inbound::Inbound,
@@ -45,6 +46,8 @@
 /// Maximum share of the objective for which a request of the most urgent route waits for a leaf whose rate limit is used
 /// up.
 const MAX_RATE_WAIT_SHARE: f64 = 0.25;
+/// Time after the planned end of a query within which its answer counts as in time: what it takes to assemble it.
+const SEND_TOLERANCE: Duration = Duration::from_millis(2);
 /// Minimum time to wait for the parts of a request that has already missed its objective.
 const MIN_PART_WAIT: Duration = Duration::from_millis(20);
 /// Time for which calls continue after their request has ended. A leaf that was only paused answers within it, so its
@@ -75,6 +78,8 @@
     crash: CrashId,
     /// Why the first failed calls failed.
     reasons: SmallVec<[String; 2]>,
+    /// Parts that a leaf shed or that found no leaf with room.
+    short_parts: SmallVec<[usize; 4]>,
 }
 
 /// Runs a request and returns the answer to its caller.
@@ -88,6 +93,10 @@
         }
     }
     let mut dispatch = RequestDispatch::new(gateway.clone(), inbound);
+    let place = match dispatch.admit().await {
+        Ok(place) => place,
+        Err(retry_after) => return dispatch.reject(retry_after),
+    };
     let mut calls = Calls {
         gateway: gateway.clone(),
         running: FuturesUnordered::new(),
@@ -107,6 +116,7 @@
                     .into_iter()
                     .filter_map(|(part, purpose)| dispatch.prepare_call(now, part, purpose))
                     .collect();
+                place.lacked_room.set(!dispatch.short_parts.is_empty());
                 if let Step::Finish(completion) = dispatch.plan.step(now) {
                     // No call is sent for a request that cannot succeed.
                     for call in &prepared {
@@ -139,6 +149,13 @@
             }
         }
     };
+    let missing = dispatch.missing();
+    place.finish(
+        gateway.now(),
+        completion == Completion::Answer && missing == 0,
+        dispatch.lacked_room(),
+        dispatch.plan.answered_count(),
+    );
     let is_rejected = completion == Completion::Unreachable && !dispatch.plan.may_have_run();
     if is_rejected
         && !gateway.link.is_up()
@@ -146,7 +163,6 @@
     {
         return answer;
     }
-    let missing = dispatch.missing();
     let planned = dispatch.planned_time();
     let response = dispatch.finish(completion);
     let now = gateway.now();
@@ -264,6 +280,7 @@
             wanted: Rc::new(Cell::new(true)),
             crash: gateway.new_crash_id(),
             reasons: SmallVec::new(),
+            short_parts: SmallVec::new(),
             inbound,
             gateway,
         }
@@ -284,6 +301,38 @@
             .map_or(partial_at, |at| at.max(partial_at))
     }
 
+    /// Waits until the query may be sent.
+    async fn admit(&self) -> Result<Place, Duration> {
+        let target: SmallVec<[ServiceName; 16]> =
+            self.services.iter().map(|(name, _)| name.clone()).collect();
+        let objective_at = self.plan.settings().partial_at + SEND_TOLERANCE;
+        self.gateway
+            .admit(&self.inbound, &target, objective_at)
+            .await
+    }
+
+    /// Returns the answer to a query that was not admitted.
+    fn reject(self, retry_after: Duration) -> Answer {
+        let elapsed = self.gateway.now().since(self.inbound.arrived);
+        self.route_stats
+            .borrow()
+            .record_request(RequestOutcome::Rejected, elapsed, 0);
+        CallerAnswer::Unavailable { retry_after }.into_response(&self.inbound.caller.id)
+    }
+
+    /// Returns whether the parts that are missing, or any part of a whole answer, met a lack of room.
+    fn lacked_room(&self) -> bool {
+        let is_whole = self.missing() == 0;
+        let mut short = self.short_parts.iter();
+        short.any(|part| is_whole || !self.plan.is_answered(*part))
+    }
+
+    fn record_short(&mut self, part: usize) {
+        if !self.short_parts.contains(&part) {
+            self.short_parts.push(part);
+        }
+    }
+
     /// Returns the number of parts without an answer.
     fn missing(&self) -> usize {
         self.services.len() - self.plan.answered_count()
@@ -353,6 +402,7 @@
             Ok(leaf) => leaf,
             Err(NoLeaf::Full) => {
                 self.record_decision(now, part, "no_room", purpose);
+                self.record_short(part);
                 if !late {
                     let mut contention = service.contention.get();
                     contention.record_no_room(now);
@@ -473,6 +523,7 @@
                     self.fallback = failure.reply.or(self.fallback.take());
                 }
                 if failure.failure == Failure::Shed {
+                    self.record_short(part);
                     let leaf = &completed.leaf;
                     self.tried
                         .retain(|(other, tried)| *other != part || !Rc::ptr_eq(tried, leaf));
--- a/src/gateway/inbound.rs
+++ b/src/gateway/inbound.rs
@@ -1,10 +1,11 @@
-use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::RefCell, net::IpAddr, rc::Rc, sync::Arc, time::Duration};
 
 use smallvec::SmallVec;
 
 use crate::{
     core::{
         NodeId, Time,
+        admission::Flow,
         crash::Fingerprint,
         placement::RequestKey,
         routing::{Repeat, Route},
@@ -32,6 +33,8 @@
     pub(super) first: bool,
     /// Another node has handed the request over.
     pub(super) handed_over: bool,
+    /// The address of the caller, `None` if its connection ended while it was accepted.
+    pub(super) peer: Option<IpAddr>,
     /// Identifies the request on the connections that carry it.
     pub(super) key: RequestKey,
     /// Nodes to which the request was handed over.
@@ -53,6 +56,14 @@
         self.end_by.map_or(deadline, |end| deadline.min(end))
     }
 
+    /// Returns the flow with which the request shares capacity while the leaves are overloaded.
+    pub(super) fn flow(&self) -> Flow {
+        match self.peer {
+            Some(ip) if !self.handed_over => Flow::Caller(ip),
+            _ => Flow::OtherNode,
+        }
+    }
+
     /// Returns whether the request may run more than once.
     pub(super) fn is_repeatable(&self) -> bool {
         self.route.repeat == Repeat::Idempotent
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -2,6 +2,7 @@
     cell::{Cell, RefCell},
     convert::Infallible,
     future::pending,
+    net::IpAddr,
     panic::AssertUnwindSafe,
     pin::pin,
     rc::Rc,
@@ -170,6 +171,7 @@
     // Nagle's algorithm would delay answers until earlier segments are acknowledged.
     let _ = stream.set_nodelay(true);
     let limits = gateway.routing.borrow().limits();
+    let peer = stream.peer_addr().ok().map(|address| address.ip());
     let open = Rc::new(open);
     let stream = CountedStream::new(stream, open.clone());
     let first = Cell::new(true);
@@ -177,7 +179,14 @@
         let (gateway, open) = (gateway.clone(), open.clone());
         let first = first.replace(false);
         async move {
-            let answer = answer_always(gateway, request, port, first, &open).await;
+            let answer = answer_always(
+                gateway,
+                request,
+                port,
+                Origin::Caller { first, peer },
+                &open,
+            )
+            .await;
             open.answer(answer.status(), answer.body().size_hint().lower());
             Ok::<_, Infallible>(answer)
         }
@@ -218,11 +227,11 @@
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
     port: Port,
-    first: bool,
+    origin: Origin,
     open: &OpenConnection,
 ) -> Answer {
     let id = request_id(request.headers());
-    let handler = AssertUnwindSafe(answer(gateway.clone(), request, port, first, open));
+    let handler = AssertUnwindSafe(answer(gateway.clone(), request, port, origin, open));
     handler.catch_unwind().await.unwrap_or_else(|_| {
         if let Some(suppressed) = gateway.log_limiter.admit(gateway.now(), "panicked") {
             log::error!(id = &*id, port:? = port, suppressed; "request ended: its handler panicked");
@@ -235,11 +244,11 @@
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
     port: Port,
-    first: bool,
+    origin: Origin,
     open: &OpenConnection,
 ) -> Answer {
     match port {
-        Port::Callers => answer_request(gateway, request, Origin::Caller { first }, open).await,
+        Port::Callers => answer_request(gateway, request, origin, open).await,
         Port::Ready => {
             let ready = is_ready_probe(request.uri()) && gateway.is_ready();
             empty_response(if ready {
@@ -293,7 +302,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Origin {
     /// `first` is set for the first request on a connection.
-    Caller { first: bool },
+    Caller { first: bool, peer: Option<IpAddr> },
     /// Another node, which has handed the request over.
     OtherNode,
 }
@@ -403,6 +412,10 @@
         );
         return CallerAnswer::Unavailable { retry_after }.into_response(&caller.id);
     }
+    let (first, peer) = match origin {
+        Origin::Caller { first, peer } => (first, peer),
+        Origin::OtherNode => (false, None),
+    };
     let handed_over = origin == Origin::OtherNode;
     let end_by = gateway.stop.end_by();
     let is_too_late = end_by.is_some_and(|end| {
@@ -421,8 +434,9 @@
         route,
         arrived,
         waited,
-        first: origin == Origin::Caller { first: true },
+        first,
         handed_over,
+        peer,
         asked: RefCell::default(),
         end_by,
     };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! Everything runs on one thread, since a node has a fraction of one core. Decisions are made in [`crate::core`]; this
 //! module performs the I/O.
 
+mod admission;
 mod calls;
 mod connections;
 mod crashes;
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -29,14 +29,17 @@
     Partial,
     Unreachable,
     Timeout,
+    /// Not admitted because the leaves are overloaded.
+    Rejected,
 }
 
 impl RequestOutcome {
-    const ALL: [Self; 4] = [
+    const ALL: [Self; 5] = [
         Self::Answered,
         Self::Partial,
         Self::Unreachable,
         Self::Timeout,
+        Self::Rejected,
     ];
 
     /// Returns the label used in logs and metrics.
@@ -46,6 +49,7 @@
             Self::Partial => "partial",
             Self::Unreachable => "unreachable",
             Self::Timeout => "timeout",
+            Self::Rejected => "rejected",
         }
     }
 }
@@ -62,7 +66,7 @@
     pub(super) max_timeout: Duration,
     pub(super) split: WeightedRoundRobin,
     /// Requests by outcome, in the order of [`RequestOutcome::ALL`].
-    requests: [Counter; 4],
+    requests: [Counter; 5],
     extra_calls: Counter,
     duration: Histogram,
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -23,6 +23,7 @@
     },
     gateway::{
         Settings,
+        admission::AdmissionState,
         connections::Connections,
         entry::Entry,
         handover::Handovers,
@@ -62,6 +63,7 @@
     pub(super) link: LeafLink,
     pub(super) handovers: Handovers,
     pub(super) lag: Cell<LoopLag>,
+    pub(super) admission: AdmissionState,
     pub(super) route_stats: RouteStatsMap,
     pub(super) members: Members,
     pub(super) entry: Entry,
@@ -118,6 +120,9 @@
                 .set(self.mirror.borrow().position().revision as f64);
             metrics::gauge!("cranberrychute_routing_version")
                 .set(self.routing.borrow().version() as f64);
+            let (queued, limited) = self.admission.counts();
+            metrics::gauge!("cranberrychute_admission_queued").set(queued as f64);
+            metrics::gauge!("cranberrychute_admission_limited").set(limited as f64);
             self.metrics.run_upkeep();
         }
     }
@@ -161,6 +166,7 @@
         link: LeafLink::default(),
         handovers: Handovers::default(),
         lag: Cell::default(),
+        admission: AdmissionState::new(),
         route_stats: RouteStatsMap::default(),
         members: Members::new(socket, &settings, incarnation, started),
         entry: Entry::default(),
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 #[path = "../seeds/mod.rs"]
 mod seeds;
 
+mod admission;
 mod connection;
 mod crash;
 mod entry;
@@ -13,6 +14,7 @@
 mod link;
 mod mirror;
 mod numbers;
+mod overload;
 mod pause_guard;
 mod placement;
 mod readers;
