Keep room for urgent queries, and test admission with real processes

Cause: an urgent query waited until a large one ended, and the first query in line was rejected on arrival by an estimate from the measured rate. With few queries a window, single hurt ones decreased the limit.

Change: a tenth of the limit, at least one query, is kept for the most urgent priority that sends. The first in line is rejected only when its waiting time is over. Windows hold 16 queries; the limit grows four times as fast while no query meets a lack of room. The emulated leaf can run a given number of requests, queue some and shed the rest.

--- a/emulator/src/gateway_leaf.rs
+++ b/emulator/src/gateway_leaf.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 use tokio::{
     net::TcpListener,
-    sync::Notify,
+    sync::{Notify, Semaphore},
     task::JoinSet,
     time::{Instant, sleep},
 };
@@ -52,11 +52,36 @@
 /// the connection.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(300);
 
+/// Requests that a leaf runs and queues at the same time. It sheds more.
+#[derive(Clone, Debug)]
+struct Capacity {
+    slots: usize,
+    running: Arc<Semaphore>,
+    /// Permits of requests that run or wait.
+    accepted: Arc<Semaphore>,
+    accepts: usize,
+}
+
+impl Capacity {
+    /// Returns the load that the leaf reports.
+    fn load(&self) -> String {
+        let running = self.slots - self.running.available_permits();
+        let accepted = self.accepts - self.accepted.available_permits();
+        format!(
+            "{running},{},{}",
+            accepted.saturating_sub(running),
+            self.slots
+        )
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     id: String,
     mode: LeafMode,
     delay: Duration,
+    /// Unlimited if `None`.
+    capacity: Option<Capacity>,
     /// Replaces the delay and the records.
     work: Option<Work>,
     records: Vec<u8>,
@@ -147,6 +172,16 @@
         self.lock().delay = delay;
     }
 
+    /// Limits the requests that run at the same time to `slots`, and those that wait to `queue`. Further ones are shed.
+    pub fn set_capacity(&self, slots: usize, queue: usize) {
+        self.lock().capacity = Some(Capacity {
+            slots,
+            running: Arc::new(Semaphore::new(slots)),
+            accepted: Arc::new(Semaphore::new(slots + queue)),
+            accepts: slots + queue,
+        });
+    }
+
     /// Lets requests run for times of their own and get answers of their own, which their stamps describe. A request that
     /// uses up its `deadline-ms` is answered 504 then.
     pub fn set_work(&self, work: Work) {
@@ -338,6 +373,20 @@
         | LeafMode::CloseIdle
         | LeafMode::Endless => {}
     }
+    let capacity = lock(&state).capacity.clone();
+    let mut permits = None;
+    if let Some(capacity) = &capacity {
+        let Ok(accepted) = capacity.accepted.try_acquire() else {
+            let load = capacity.load();
+            let headers = [("not-executed", "1"), ("leaf-load", load.as_str())];
+            return Ok(build_response(
+                StatusCode::SERVICE_UNAVAILABLE,
+                &headers,
+                b"",
+            ));
+        };
+        permits = Some((accepted, capacity.running.acquire().await));
+    }
     let (count, work) = {
         let mut state = lock(&state);
         state.running += 1;
@@ -364,11 +413,15 @@
         std::future::pending::<()>().await;
     }
     guard.1 = true;
+    let load = capacity
+        .as_ref()
+        .map_or_else(|| "1,0,2".to_owned(), Capacity::load);
+    drop(permits);
     let stamp = format!("{leaf_id}.{id}.{count}");
     let headers = [
         ("request-id", id.as_str()),
         ("server-stamp", &stamp),
-        ("leaf-load", "1,0,2"),
+        ("leaf-load", load.as_str()),
     ];
     match mode {
         LeafMode::Disconnect => Err(Closed),
--- a/src/core/admission/limiter.rs
+++ b/src/core/admission/limiter.rs
@@ -7,9 +7,9 @@
 /// Minimum length of an evidence window. Several leaf calls of 8 ms end within it.
 const WINDOW: Duration = Duration::from_millis(100);
 /// Length at which a window is evaluated even if it holds few queries.
-const MAX_WINDOW: Duration = Duration::from_secs(1);
+const MAX_WINDOW: Duration = Duration::from_millis(500);
 /// Number of queries from which a window is evaluated before [`MAX_WINDOW`].
-const MIN_QUERIES: u32 = 8;
+const MIN_QUERIES: u32 = 16;
 /// Minimum number of queries of one priority that were hurt by a lack of room for a window to be bad. Single ones are hurt
 /// by pauses of leaves.
 const MIN_HURT: u32 = 2;
@@ -27,6 +27,9 @@
 /// Increase for each good window in which the limit was used up: a share of the limit, at least this number of queries.
 const INCREASE_SHARE: f64 = 0.04;
 const INCREASE_QUERIES: f64 = 0.25;
+/// Factor of the increase while no query met a lack of room. Slots are free then, and each second at a limit that is too
+/// low rejects queries that could be served.
+const FREE_FACTOR: f64 = 4.0;
 /// Minimum limit in queries. Below 1, queries run one at a time with pauses, since with hundreds of nodes even one query
 /// from each is more than the leaves take.
 const MIN_LIMIT_QUERIES: f64 = 0.1;
@@ -170,7 +173,12 @@
             }
             Some(limit) if self.is_used_up && lacked < HOLD_SHARE => {
                 let step = (limit * INCREASE_SHARE).max(self.unit * INCREASE_QUERIES);
-                self.set_limit(limit + step);
+                let factor = if self.lacked_room == 0 {
+                    FREE_FACTOR
+                } else {
+                    1.0
+                };
+                self.set_limit(limit + step * factor);
             }
             Some(_) => {}
         }
--- a/src/core/admission/pool.rs
+++ b/src/core/admission/pool.rs
@@ -21,6 +21,11 @@
 const RESERVED_SHARE: f64 = 0.1;
 /// Maximum reserve that is kept while no such flow asks, in queries of the largest size.
 const MAX_RESERVE_QUERIES: f64 = 4.0;
+/// Share of the limit, at least one query, that is kept free for the most urgent of the priorities that send, so that they
+/// do not wait for a query to end.
+const URGENT_SHARE: f64 = 0.1;
+/// Time for which a priority counts as sending.
+const PRIORITY_TTL: Duration = Duration::from_secs(1);
 /// Shortest retry time. A smaller one would bring a caller back before the measured rate is updated.
 const MIN_RETRY: Duration = Duration::from_millis(50);
 /// Longest retry time. Rates measured during an overload do not hold for longer.
@@ -72,6 +77,8 @@
     told: SmallVec<[(u32, f64); 4]>,
     /// When the queue was last examined.
     settled_at: Time,
+    /// Priorities that send, and when they last did.
+    priorities: SmallVec<[(u32, Time); 4]>,
     /// Mean run time of whole answers within the objective, by cost.
     run_times: SmallVec<[(u32, Duration); 4]>,
     /// While the limit is below one query: when the next one may start.
@@ -103,6 +110,7 @@
             return Decision::Admitted;
         }
         let flow = self.flows.key(&claim.flow);
+        self.record_priority(now, claim.priority);
         let turn = self.flows.record_query(now, &flow, claim.content);
         self.queue.push(Waiting {
             id,
@@ -178,7 +186,9 @@
         }
         self.drain_told(now);
         while let Some((index, reserved)) = self.next(now) {
-            if !self.has_room(now, self.queue[index].cost) {
+            let Waiting { cost, priority, .. } = self.queue[index];
+            let is_urgent = reserved || priority == self.most_urgent(now);
+            if !self.has_room(now, cost, is_urgent) {
                 break;
             }
             let query = self.queue.swap_remove(index);
@@ -242,6 +252,7 @@
     fn reset(&mut self) {
         self.flows.clear();
         self.reserve = 0.0;
+        self.priorities.clear();
         self.told.clear();
         self.paced_until = Time::default();
     }
@@ -263,7 +274,7 @@
         current.map(|query| f64::from(query.cost)).sum()
     }
 
-    fn has_room(&self, now: Time, cost: u32) -> bool {
+    fn has_room(&self, now: Time, cost: u32, is_urgent: bool) -> bool {
         let Some(limit) = self.limiter.limit() else {
             return true;
         };
@@ -271,7 +282,26 @@
         if in_flight == 0.0 {
             return now >= self.paced_until;
         }
-        in_flight + f64::from(cost) <= limit
+        let kept = match is_urgent {
+            true => 0.0,
+            false => (limit * URGENT_SHARE).max(self.limiter.unit),
+        };
+        in_flight + f64::from(cost) <= limit - kept
+    }
+
+    fn record_priority(&mut self, now: Time, priority: u32) {
+        self.priorities
+            .retain(|(other, seen)| *other != priority && now.since(*seen) < PRIORITY_TTL);
+        self.priorities.push((priority, now));
+    }
+
+    /// Returns the most urgent of the priorities that send.
+    fn most_urgent(&self, now: Time) -> u32 {
+        let sending = self
+            .priorities
+            .iter()
+            .filter(|(_, seen)| now.since(*seen) < PRIORITY_TTL);
+        sending.map(|(priority, _)| *priority).min().unwrap_or(0)
     }
 
     /// Returns the query that gets the next capacity, and whether it uses the reserve.
@@ -337,7 +367,7 @@
             let is_hopeless = now >= query.reject_at
                 || now + run > query.objective_at
                 || place >= MAX_QUEUED
-                || now + wait > query.reject_at && !uses_reserve;
+                || place > 0 && now + wait > query.reject_at && !uses_reserve;
             if is_hopeless {
                 let retry_after = match query.turn {
                     // Repeats do not move the time that the caller was told.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 #[path = "../seeds/mod.rs"]
 mod seeds;
 
+mod admission;
 mod build;
 mod caller;
 mod copies;
