Tell pauses of leaves near the capacity from overload

Cause: near the capacity, a leaf that pauses for 150 ms leaves urgent queries without room. The share of hurt queries of their priority alone switched the limit on, and each further pause decreased it.

Change: the limit is switched on only if a tenth of all queries is hurt as well, and decreased after one bad window only if half of a priority is hurt in it, otherwise after two in a row.

--- a/src/core/admission/limiter.rs
+++ b/src/core/admission/limiter.rs
@@ -13,12 +13,18 @@
 /// Minimum number of queries of one priority that were hurt by a lack of room for a window to be bad. Single ones are hurt
 /// by pauses of leaves.
 const MIN_HURT: u32 = 2;
-/// Share of the queries hurt by a lack of room from which a window is evidence of overload while the limit is off.
+/// Share of the queries of one priority hurt by a lack of room from which a window is evidence of overload while the limit
+/// is off.
 const ENGAGE_SHARE: f64 = 0.2;
+/// The same for the queries of all priorities. Pauses of leaves near the capacity hurt the urgent ones alone.
+const ENGAGE_TOTAL_SHARE: f64 = 0.1;
 /// Time for which all windows must be bad before the limit is switched on. It is longer than the pauses of leaves, 150 ms.
 const ENGAGE_TIME: Duration = Duration::from_millis(250);
 /// Share of hurt queries from which the limit is decreased.
 const DECREASE_SHARE: f64 = 0.1;
+/// Share of hurt queries from which one window is enough for a decrease. Below, two in a row are needed, since a leaf that
+/// pauses hurts the urgent queries of one window.
+const SEVERE_SHARE: f64 = 0.5;
 /// Factor of a decrease. Twice the usual 0.5 of AIMD in connections of which each adds one: here a handful of nodes shares
 /// the leaves, and a limit that is too low rejects queries that could be served.
 const DECREASE: f64 = 0.8;
@@ -154,10 +160,12 @@
         let hurt = shares
             .map(|(_, ended, hurt)| f64::from(*hurt) / f64::from(*ended))
             .fold(0.0, f64::max);
+        let total: u32 = self.classes.iter().map(|class| class.2).sum();
+        let total = f64::from(total) / ended;
         let lacked = f64::from(self.lacked_room) / ended;
         match self.limit {
             None => {
-                if hurt >= ENGAGE_SHARE {
+                if hurt >= ENGAGE_SHARE && total >= ENGAGE_TOTAL_SHARE {
                     let since = *self.bad_since.get_or_insert(self.window_start);
                     if now.since(since) >= ENGAGE_TIME {
                         self.engage(now, in_flight());
@@ -167,11 +175,16 @@
                 }
             }
             Some(limit) if hurt >= DECREASE_SHARE => {
-                self.set_limit(limit * DECREASE);
-                self.decreased_at = now;
-                self.is_changed = true;
+                let was_bad = self.bad_since.replace(self.window_start).is_some();
+                if was_bad || hurt >= SEVERE_SHARE {
+                    self.set_limit(limit * DECREASE);
+                    self.decreased_at = now;
+                    self.bad_since = None;
+                    self.is_changed = true;
+                }
             }
             Some(limit) if self.is_used_up && lacked < HOLD_SHARE => {
+                self.bad_since = None;
                 let step = (limit * INCREASE_SHARE).max(self.unit * INCREASE_QUERIES);
                 let factor = if self.lacked_room == 0 {
                     FREE_FACTOR
@@ -180,7 +193,7 @@
                 };
                 self.set_limit(limit + step * factor);
             }
-            Some(_) => {}
+            Some(_) => self.bad_since = None,
         }
         self.window_start = now;
         (self.ended, self.lacked_room, self.answered) = (0, 0, 0);
@@ -194,6 +207,7 @@
         let served = self.rate() * run.as_secs_f64();
         let served = served.clamp(in_flight.parts * low, in_flight.parts * high);
         self.set_limit(served.max(self.unit));
+        self.bad_since = None;
         self.decreased_at = now;
         self.queued_at = now;
         self.is_changed = true;
--- a/tests/decisions/admission.rs
+++ b/tests/decisions/admission.rs
@@ -62,8 +62,8 @@
     }
 }
 
-/// Guards against rejections where the leaves have room: below the capacity, while leaves pause for 150 ms, and with one
-/// slow leaf.
+/// Guards against rejections where the leaves have room: below the capacity, while leaves pause for 150 ms, and with one leaf
+/// of three slow or hung.
 #[test]
 fn nothing_waits_without_overload() {
     let mut pauses = two_kinds(0.6);
@@ -72,11 +72,15 @@
     let mut slow = two_kinds(0.4);
     slow.slow = 1;
     slow.leaves = 3;
+    let mut hung = two_kinds(0.4);
+    hung.hung = 1;
+    hung.leaves = 3;
     for (name, scenario) in [
         ("half", two_kinds(0.5)),
         ("below the capacity", two_kinds(0.8)),
         ("pauses", pauses),
         ("a slow leaf", slow),
+        ("a hung leaf", hung),
     ] {
         let [(before, _), (after, trace)] = compare(name, &scenario);
         assert!(!trace.limited, "{name}");
@@ -171,3 +175,20 @@
     assert_eq!(trace.last_in_flight, 0);
     assert!(in_time(&after) >= in_time(&before));
 }
+
+/// Guards against a limit that costs more than it gains near the capacity, where pauses of leaves leave no room for a moment.
+#[test]
+fn little_is_lost_near_the_capacity() {
+    for leaves in [2, 3] {
+        let mut scenario = two_kinds(0.85);
+        scenario.leaves = leaves;
+        for kind in &mut scenario.kinds {
+            kind.rate *= leaves as f64 / 2.0;
+            kind.surge *= leaves as f64 / 2.0;
+        }
+        scenario.pause_every_ms = Some(3_600);
+        let [(before, _), (after, _)] = compare("pauses near the capacity", &scenario);
+        let kept = f64::from(in_time(&after)) / f64::from(in_time(&before));
+        assert!(kept >= 0.96, "{kept} of the queries in time");
+    }
+}
--- a/tests/decisions/overload.rs
+++ b/tests/decisions/overload.rs
@@ -132,6 +132,8 @@
     pub(crate) slots: usize,
     /// Number of leaves of each shard that take five times as long during the surge.
     pub(crate) slow: usize,
+    /// Number of leaves of each shard that hang during the surge.
+    pub(crate) hung: usize,
     /// Interval of pauses of 150 ms of each leaf.
     pub(crate) pause_every_ms: Option<u64>,
 }
@@ -147,6 +149,7 @@
             leaves: 2,
             slots: 2,
             slow: 0,
+            hung: 0,
             pause_every_ms: None,
         }
     }
@@ -184,6 +187,7 @@
     Leave(u64),
     CallEnd(usize, usize, u64),
     Pause(usize, usize),
+    Hang(usize, usize),
     Resume(usize, usize),
     Poll,
 }
@@ -287,6 +291,13 @@
                 }
             }
         }
+        let (from, to) = self.scenario.surge_ms;
+        for shard in 0..SHARDS {
+            for leaf in 0..self.scenario.hung {
+                self.schedule(Time::from_millis(from), Event::Hang(shard, leaf));
+                self.schedule(Time::from_millis(to), Event::Resume(shard, leaf));
+            }
+        }
         let end = Time::from_millis(self.scenario.duration_ms + 3_000);
         while let Some(Reverse((now, _, event))) = self.events.pop() {
             if now > end {
@@ -370,6 +381,7 @@
                     self.end_call(shard, leaf, call);
                 }
             }
+            Event::Hang(shard, leaf) => self.leaves[shard][leaf].paused = true,
             Event::Pause(shard, leaf) => {
                 self.leaves[shard][leaf].paused = true;
                 let every = self.scenario.pause_every_ms.unwrap_or(1_000);
