--- a/src/core/admission/limiter.rs
+++ b/src/core/admission/limiter.rs
@@ -6,10 +6,13 @@
 
 /// Minimum length of an evidence window. Several leaf calls of 8 ms end within it.
 const WINDOW: Duration = Duration::from_millis(100);
-/// Length at which a window is evaluated even if it holds few queries.
-const MAX_WINDOW: Duration = Duration::from_millis(500);
-/// Number of queries from which a window is evaluated before [`MAX_WINDOW`].
+/// Number of queries from which a window of this length is evaluated.
 const MIN_QUERIES: u32 = 16;
+/// The same for nodes that run few queries.
+const LONG_WINDOW: Duration = Duration::from_millis(500);
+const MIN_LONG_QUERIES: u32 = 4;
+/// Length at which a window is evaluated in any case. In a large fleet, a node may run two queries per second.
+const MAX_WINDOW: Duration = Duration::from_secs(2);
 /// Minimum number of queries of one priority that were hurt by a lack of room for a window to be bad. Single ones are hurt
 /// by pauses of leaves.
 const MIN_HURT: u32 = 2;
@@ -131,7 +134,10 @@
             }
         }
         let age = now.since(self.window_start);
-        if age >= MAX_WINDOW || age >= WINDOW && self.ended >= MIN_QUERIES {
+        let is_complete = age >= MAX_WINDOW
+            || age >= LONG_WINDOW && self.ended >= MIN_LONG_QUERIES
+            || age >= WINDOW && self.ended >= MIN_QUERIES;
+        if is_complete {
             self.close_window(now, in_flight);
         }
     }
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -1,6 +1,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    pin::pin,
     rc::Rc,
     time::Duration,
 };
@@ -13,6 +14,7 @@
     core::{
         ServiceName, StopPhase, Time,
         admission::{Admission, Claim, Decision, Ending, Load, Ticket},
+        retry::retry_after,
     },
     gateway::{inbound::Inbound, state::Gateway},
 };
@@ -126,7 +128,7 @@
             lacked_room: Cell::new(false),
         };
         let decided = match decision {
-            Decision::Queued => self.wait_admission(ticket).await,
+            Decision::Queued => self.wait_admission(inbound, ticket).await,
             decided => {
                 self.deliver_admissions();
                 decided
@@ -148,24 +150,27 @@
         }
     }
 
-    async fn wait_admission(&self, ticket: Ticket) -> Decision {
+    /// Waits for the decision on a queued query, which is rejected if the node exits before.
+    async fn wait_admission(&self, inbound: &Inbound, ticket: Ticket) -> Decision {
         let (sender, mut receiver) = oneshot::channel();
         self.admission
             .waiting
             .borrow_mut()
             .insert(ticket.id(), sender);
+        let ends = async {
+            self.stop.reached(StopPhase::Aborting).await;
+            let priority = inbound.route.priority;
+            retry_after(Duration::ZERO, priority, &mut *self.rng.borrow_mut())
+        };
+        let mut ends = pin!(ends);
         loop {
             self.deliver_admissions();
             let now = self.now();
             let due = self.admission.admission.borrow().next_poll();
             tokio::select! {
                 biased;
-                decision = &mut receiver => {
-                    return decision.unwrap_or(Decision::Rejected(Duration::ZERO));
-                }
-                () = self.stop.reached(StopPhase::Aborting) => {
-                    return Decision::Rejected(Duration::ZERO);
-                }
+                Ok(decision) = &mut receiver => return decision,
+                retry_after = ends.as_mut() => return Decision::Rejected(retry_after),
                 () = sleep(due.unwrap_or(now).since(now)) => {}
             }
         }
--- a/tests/decisions/admission.rs
+++ b/tests/decisions/admission.rs
@@ -83,7 +83,7 @@
         ("a hung leaf", hung),
     ] {
         let [(before, _), (after, trace)] = compare(name, &scenario);
-        assert!(!trace.limited, "{name}");
+        assert_eq!(trace.limited_at_ms, None, "{name}");
         assert_eq!(trace.most_queued, 0, "{name}");
         assert_eq!(before, after, "{name}");
     }
@@ -160,7 +160,7 @@
             );
         }
     }
-    assert!(trace.limited);
+    assert!(trace.limited_at_ms.is_some());
     assert_eq!(trace.last_limit, None, "the limit is still on");
 }
 
--- a/tests/decisions/overload.rs
+++ b/tests/decisions/overload.rs
@@ -167,8 +167,8 @@
 /// What happened to the limit.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Trace {
-    /// The limit was on at some time.
-    pub(crate) limited: bool,
+    /// When the limit was first switched on, milliseconds.
+    pub(crate) limited_at_ms: Option<u64>,
     /// The limit at the end.
     pub(crate) last_limit: Option<f64>,
     /// Largest number of queries that waited.
@@ -495,7 +495,10 @@
         }
         self.trace.most_queued = self.trace.most_queued.max(self.admission.queued());
         if let Some(load) = self.admission.take_change() {
-            self.trace.limited |= load.limit.is_some();
+            if load.limit.is_some() {
+                let now_ms = self.now.0 / 1_000;
+                self.trace.limited_at_ms.get_or_insert(now_ms);
+            }
             self.trace.last_limit = load.limit;
         }
         if let Some(due) = self.admission.next_poll()
