--- a/src/gateway/inbound.rs
+++ b/src/gateway/inbound.rs
@@ -1,4 +1,4 @@
-use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::RefCell, net::IpAddr, rc::Rc, sync::Arc, time::Duration};
 
 use smallvec::SmallVec;
 
@@ -6,6 +6,7 @@
     core::{
         NodeId, Time,
         account::Account,
+        admission::Flow,
         crash::Fingerprint,
         placement::RequestKey,
         routing::{Repeat, Route},
@@ -35,6 +36,8 @@
     pub(super) first: bool,
     /// Another node has handed the request over.
     pub(super) handed_over: bool,
+    /// The address of the caller, `None` if its connection ended while it was accepted.
+    pub(super) peer: Option<IpAddr>,
     /// Identifies the request on the connections that carry it.
     pub(super) key: RequestKey,
     /// Nodes to which the request was handed over.
@@ -61,6 +64,15 @@
         self.route.priority_for(self.account.as_deref())
     }
 
+    /// Returns the flow with which the request shares capacity while the leaves are overloaded.
+    pub(super) fn flow(&self) -> Flow {
+        match (&self.account, self.peer) {
+            (Some(account), _) => Flow::Account(account.name.clone()),
+            (None, Some(ip)) if !self.handed_over => Flow::Caller(ip),
+            _ => Flow::OtherNode,
+        }
+    }
+
     /// Returns whether the request may run more than once.
     pub(super) fn is_repeatable(&self) -> bool {
         self.route.repeat == Repeat::Idempotent
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -23,6 +23,7 @@
     },
     gateway::{
         Settings,
+        admission::AdmissionState,
         connections::Connections,
         crossing::DomainTraffic,
         entry::Entry,
@@ -64,6 +65,7 @@
     pub(super) link: LeafLink,
     pub(super) handovers: Handovers,
     pub(super) lag: Cell<LoopLag>,
+    pub(super) admission: AdmissionState,
     pub(super) route_stats: RouteStatsMap,
     pub(super) domain_traffic: DomainTraffic,
     pub(super) members: Members,
@@ -122,6 +124,9 @@
                 .set(self.mirror.borrow().position().revision as f64);
             metrics::gauge!("cranberrychute_routing_version")
                 .set(self.routing.borrow().version() as f64);
+            let (queued, limited) = self.admission.counts();
+            metrics::gauge!("cranberrychute_admission_queued").set(queued as f64);
+            metrics::gauge!("cranberrychute_admission_limited").set(limited as f64);
             self.metrics.run_upkeep();
         }
     }
@@ -167,6 +172,7 @@
         link: LeafLink::default(),
         handovers: Handovers::default(),
         lag: Cell::default(),
+        admission: AdmissionState::new(),
         route_stats: RouteStatsMap::default(),
         domain_traffic: DomainTraffic::new(),
         members: Members::new(socket, &settings, incarnation, started),
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod seeds;
 
 mod accounts;
+mod admission;
 mod connection;
 mod crash;
 mod crossing;
@@ -15,6 +16,7 @@
 mod link;
 mod mirror;
 mod numbers;
+mod overload;
 mod pause_guard;
 mod placement;
 mod quota;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -164,6 +164,8 @@
     pub(crate) folder: TempDir,
     /// Time between SIGTERM and SIGKILL in the settings of nodes that are started from now on.
     pub(crate) grace: Duration,
+    /// Whether nodes that are started from now on admit whole queries.
+    pub(crate) admission: bool,
     ips: Vec<IpAddr>,
     /// For each node a store of its own, which differs in the addresses of the leaves, and its links to the leaves. Empty if
     /// all nodes share the store and reach the leaves directly.
@@ -208,6 +210,7 @@
             shards: pairs,
             folder: TempDir::new().unwrap(),
             grace: GRACE,
+            admission: false,
             _permit: permit,
         };
         for shard in 0..shards {
@@ -357,9 +360,10 @@
              seeds = [{}]\n[zones]\na = \"r\"\nb = \"r\"\n[listen]\nfront = \"{ip}:{CALLERS_PORT}\"\n\
              ready = \"{ip}:{READY_PORT}\"\ncontrol = \"{ip}:{CONTROL_PORT}\"\ndirectory = \"{ip}:{DIRECTORY_PORT}\"\n\
              [bounds]\ngrace_s = {}\nconfig_apply_ms = 3000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\n\
-             retry_slack = 56\nquota_overshoot = 0.25\n[platform]\naddress = \"{}\"\n",
+             retry_slack = 56\nquota_overshoot = 0.25\n[admission]\nenabled = {}\n[platform]\naddress = \"{}\"\n",
             seeds.join(", "),
             self.grace.as_secs(),
+            self.admission,
             store,
         );
         fs::write(&settings, text).unwrap();
--- a/tests/panics.rs
+++ b/tests/panics.rs
@@ -89,6 +89,7 @@
                 slack: 20.0,
             },
         },
+        admission: false,
         domain_traffic_price: Duration::ZERO,
     }
 }
