--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -21,6 +21,8 @@
     /// Distinguishes messages of this fleet's nodes from those of other deployments.
     pub fleet_key: FleetKey,
     pub bounds: Bounds,
+    /// Whether queries wait for admission while leaves are overloaded.
+    pub admission: bool,
     /// Latency that a call to another failure domain must gain for each KB that it sends and receives.
     pub domain_traffic_price: Duration,
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod seeds;
 
 mod accounts;
+mod admission;
 mod build;
 mod caller;
 mod copies;
