Check decoded configurations for faults and differences

Operators learn of entries that never match, of contradictory limits and of effects on callers only after a version is published.

--- a/src/core/account/accounts.rs
+++ b/src/core/account/accounts.rs
@@ -76,6 +76,33 @@
         self.accounts.iter()
     }
 
+    /// Returns for each key its account here and in `other`, in no particular order. Returns `None` if the keys of the two tables
+    /// are indexed under different digest keys, so that they cannot be compared.
+    pub fn compare_keys<'a>(
+        &'a self,
+        other: &'a Accounts,
+    ) -> Option<impl Iterator<Item = (&'a Account, Option<&'a Account>)>> {
+        let comparable = self.digest_key == other.digest_key;
+        comparable.then(|| {
+            self.keys.iter().map(|(digest, account)| {
+                let found = other.keys.binary_search_by_key(digest, |(other, _)| *other);
+                let found = found.ok().map(|position| other.keys[position].1);
+                let account = &*self.accounts[*account as usize];
+                (account, found.map(|index| &*other.accounts[index as usize]))
+            })
+        })
+    }
+
+    /// Returns the accounts that have no key, in the order in which they were added.
+    pub fn without_keys(&self) -> impl Iterator<Item = &Arc<Account>> {
+        let mut has_key = vec![false; self.accounts.len()];
+        for (_, account) in &self.keys {
+            has_key[*account as usize] = true;
+        }
+        let accounts = self.accounts.iter().zip(has_key);
+        accounts.filter_map(|(account, has_key)| (!has_key).then_some(account))
+    }
+
     /// Returns the number of different keys.
     pub fn key_count(&self) -> usize {
         self.keys.len()
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -19,6 +19,7 @@
 pub mod lease;
 pub mod limit;
 pub mod link;
+pub mod lint;
 pub mod member;
 pub mod mirror;
 pub mod once;
--- a/src/core/routing/table.rs
+++ b/src/core/routing/table.rs
@@ -134,6 +134,11 @@
         self.services.get(name)
     }
 
+    /// Returns all services with their settings, in no particular order.
+    pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &ServiceSpec)> {
+        self.services.iter()
+    }
+
     /// Returns the limits on callers' requests.
     pub fn limits(&self) -> IngressLimits {
         self.limits
