Add the command check-configuration

It prints the findings of core::lint as text or JSON, with exit codes 0 (clean or only differences), 1 (warnings), 2 (errors) and 3 (unreadable input). A configuration that is larger than what nodes read from the store is an error.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,9 +1,11 @@
 //! Command-line interface.
 //!
-//! Exit codes: 0 on success, 1 on failure, 2 on invalid usage or an unreadable file. `ask` documents its own codes.
+//! Exit codes: 0 on success, 1 on failure, 2 on invalid usage or an unreadable file. `ask` and
+//! `check-configuration` document their own codes.
 
 mod ask;
 mod check;
+mod check_configuration;
 mod gateway;
 mod key;
 mod node;
@@ -34,6 +36,7 @@
     example = "{command_name} gateway",
     example = "{command_name} node --settings node.toml",
     example = "{command_name} check settings node.toml",
+    example = "{command_name} check-configuration new.json --in-force active.json",
     example = "{command_name} ask --seed 127.0.0.1:8001 --service parts wok burner jet",
     example = "{command_name} state 127.0.0.1:8001",
     example = "{command_name} questionnaire --out parts.toml",
@@ -50,6 +53,7 @@
     Gateway(gateway::Gateway),
     Node(node::Node),
     Check(check::Check),
+    CheckConfiguration(check_configuration::CheckConfiguration),
     Ask(ask::Ask),
     State(state::State),
     Key(key::Key),
@@ -93,6 +97,7 @@
             Command::Gateway(command) => command.run(),
             Command::Node(command) => command.run(),
             Command::Check(command) => command.run(),
+            Command::CheckConfiguration(command) => command.run(),
             Command::Ask(command) => command.run(),
             Command::State(command) => command.run(),
             Command::Key(command) => command.run(),
