--- a/tests/gateway/accounts.rs
+++ b/tests/gateway/accounts.rs
@@ -2,6 +2,7 @@
 
 use cranberrychute::adapter::http1::{Connection, Reply};
 use http::HeaderMap;
+use rustix::process::Signal;
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -442,3 +443,83 @@
     }
     assert_no_key(node);
 }
+
+/// Guards against a quota that nodes exceed together while one of them is killed and started again and another is paused, and
+/// against rejected requests that run or say nothing about a retry.
+#[tokio::test]
+async fn a_quota_holds_over_nodes_that_are_killed_and_paused() {
+    const RATE: f64 = 20.0;
+    const BURST: f64 = 5.0;
+    const WINDOW: Duration = Duration::from_secs(5);
+    const LENGTH: Duration = Duration::from_secs(14);
+    /// Each of three nodes gets nearly twice the limit.
+    const INTERVAL: Duration = Duration::from_millis(28);
+    let site = Site::start(1, 3).await;
+    let mut nodes = site.nodes().await;
+    let mut config = with_accounts(site.config(8));
+    config["tenants"][0]["rate_per_s"] = json!(RATE);
+    config["tenants"][0]["burst"] = json!(BURST);
+    activate(&site, &nodes, &config).await;
+    for node in &nodes {
+        wait_until("the account is served", async || {
+            let request = request("/one/x", "probe", key_header(BIG_KEY));
+            send(node.callers(), &request).await.unwrap().status == 200
+        })
+        .await;
+    }
+    let start = Instant::now();
+    let senders = nodes.iter().enumerate().map(|(index, node)| {
+        let address = node.callers();
+        tokio::spawn(async move {
+            let (mut answers, mut number) = (Vec::new(), 0);
+            while start.elapsed() < LENGTH {
+                let id = format!("quota-{index}-{number}");
+                let request = request("/one/x", &id, key_header(BIG_KEY));
+                let sent = start.elapsed();
+                let reply = timeout(Duration::from_secs(1), send(address, &request)).await;
+                if let Ok(Ok(reply)) = reply {
+                    answers.push((id, sent, reply));
+                }
+                number += 1;
+                sleep((start + INTERVAL * number).saturating_duration_since(Instant::now())).await;
+            }
+            answers
+        })
+    });
+    let senders: Vec<_> = senders.collect();
+    sleep(Duration::from_secs(3)).await;
+    nodes[2].kill();
+    sleep(Duration::from_millis(500)).await;
+    nodes[2] = site.node(2);
+    sleep(Duration::from_secs(1)).await;
+    nodes[1].signal(Signal::STOP);
+    sleep(Duration::from_secs(2)).await;
+    nodes[1].signal(Signal::CONT);
+    let mut answers = Vec::new();
+    for sender in senders {
+        answers.extend(sender.await.unwrap());
+    }
+    let mut admitted = Vec::new();
+    for (id, sent, reply) in &answers {
+        match reply.status {
+            429 => {
+                let runs: u32 = site.shards[0].iter().map(|leaf| leaf.run_count(id)).sum();
+                assert_eq!(runs, 0, "{id} was rejected and has run");
+                let retry: f64 = reply.header_str("retry-after").unwrap().parse().unwrap();
+                assert!(retry > 0.0, "{id}: retry after {retry} s");
+            }
+            200 => admitted.push(*sent),
+            _ => {}
+        }
+    }
+    admitted.sort_unstable();
+    let limit = (RATE * WINDOW.as_secs_f64() + BURST) * 1.25 + 20.0;
+    for (index, from) in admitted.iter().enumerate() {
+        let end = admitted.partition_point(|at| *at < *from + WINDOW);
+        let count = end - index;
+        assert!(count as f64 <= limit, "{count} in 5 s from {from:?}");
+    }
+    let least = RATE * LENGTH.as_secs_f64() / 2.0;
+    let count = admitted.len();
+    assert!(count as f64 > least, "{count} admitted in {LENGTH:?}");
+}
