Let a price of traffic switch on the decision about other failure domains

Change: while placement.domain_traffic_price is 0, the default, a leaf in another domain has the fixed cost as before, and subsets and hedges do not look at domains.

--- a/src/core/placement/crossing.rs
+++ b/src/core/placement/crossing.rs
@@ -11,6 +11,9 @@
 /// between domains is 0.9 to 1.4 ms. It is counted in addition to measured latencies, so that equal leaves do not cause
 /// traffic between domains.
 const EXTRA_ROUND_TRIP: Duration = Duration::from_micros(2_800);
+/// Extra cost of a leaf in another domain while traffic has no price, as a multiple of the typical latency. It accounts for
+/// the longer round trip.
+const UNPRICED_DISTANCE: f64 = 0.4;
 /// Share of the time left until the objective that the expected latency of the own domain's leaves may take. With 0.25, calls
 /// of urgent queries leave leaves that serve them in time; with 0.35, queries with 36 parts miss their objective more often
 /// because of single slow leaves.
@@ -152,6 +155,8 @@
     pub price_per_kb: Duration,
     /// The call may go to any domain: it is a hedge or a retry.
     pub is_free: bool,
+    /// Traffic between domains has no price, so that another domain only has its fixed cost.
+    pub is_unpriced: bool,
     /// A leaf of the own domain may get calls, whether or not it has room for this one.
     pub has_own_leaf: bool,
 }
@@ -181,6 +186,12 @@
         rng: &mut R,
     ) -> Decision {
         let typical = query.typical;
+        if query.is_unpriced {
+            let any = pick(now, typical, UNPRICED_DISTANCE, candidates(), rng);
+            return any
+                .map_or(Placement::Wait, |any| Placement::Leaf(any.index))
+                .into();
+        }
         let gain = self.required_gain(query.price_per_kb);
         let is_own = |candidate: &(usize, Candidate<'_>)| candidate.1.same_domain;
         let own = pick(now, typical, 0.0, candidates().filter(is_own), rng);
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -291,8 +291,11 @@
 
 impl Service {
     /// Returns whether hedges of calls to the service leave the node's failure domain, because it has no second leaf there
-    /// but leaves elsewhere.
+    /// but leaves elsewhere. False if traffic between domains has no price.
     pub(super) fn hedges_cross(&self, settings: &Settings) -> bool {
+        if settings.domain_traffic_price.is_zero() {
+            return false;
+        }
         let leaves = self.leaves.borrow();
         let near = leaves
             .iter()
@@ -482,6 +485,7 @@
         let uptime = now.since(gateway.started);
         let node_counts = gateway.connecting_domains();
         let domain = gateway.settings.borrow().domain.clone();
+        let is_priced = !gateway.settings.borrow().domain_traffic_price.is_zero();
         let is_evacuated = self.evacuated.borrow().contains(&domain);
         for (name, service) in &*self.services.borrow() {
             let limit = gateway
@@ -498,7 +502,7 @@
             let share = connection_share(limit, usable.len(), nodes, uptime);
             let is_near = |leaf: &Rc<Leaf>| leaf.record.borrow().domain == domain;
             // With connections to all leaves, their order is irrelevant.
-            let own_first = share.leaves < usable.len() && !is_evacuated && {
+            let own_first = is_priced && share.leaves < usable.len() && !is_evacuated && {
                 let counts = domain_counts(&node_counts, &usable);
                 own_domain_first(limit, share, nodes, &counts)
             };
@@ -600,6 +604,7 @@
             time_left: query.time_left,
             price_per_kb: settings.domain_traffic_price,
             is_free: query.is_extra || query.least_used,
+            is_unpriced: settings.domain_traffic_price.is_zero(),
             has_own_leaf: any_near,
         };
         let decision = service.crossing.borrow_mut().place(
--- a/tests/decisions/crossing.rs
+++ b/tests/decisions/crossing.rs
@@ -260,6 +260,7 @@
             typical,
             time_left: (since + self.objective).since(now),
             price_per_kb: self.price_per_kb,
+            is_unpriced: false,
             is_free: calls > 0,
             has_own_leaf: own.any(|leaf| may_try(&leaf)),
         };
@@ -645,6 +646,7 @@
             typical: TYPICAL,
             time_left: Duration::from_millis(80),
             price_per_kb: Duration::ZERO,
+            is_unpriced: false,
             is_free: false,
             has_own_leaf: stats[0].may_try(now),
         };
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -360,7 +360,8 @@
              seeds = [{}]\n[zones]\na = \"r\"\nb = \"r\"\n[listen]\nfront = \"{ip}:{CALLERS_PORT}\"\n\
              ready = \"{ip}:{READY_PORT}\"\ncontrol = \"{ip}:{CONTROL_PORT}\"\ndirectory = \"{ip}:{DIRECTORY_PORT}\"\n\
              [bounds]\ngrace_s = {}\nconfig_apply_ms = 3000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\n\
-             retry_slack = 56\nquota_overshoot = 0.25\n[admission]\nenabled = {}\n[platform]\naddress = \"{}\"\n",
+             retry_slack = 56\nquota_overshoot = 0.25\n[admission]\nenabled = {}\n\
+             [placement]\ndomain_traffic_price = 0.1\n[platform]\naddress = \"{}\"\n",
             seeds.join(", "),
             self.grace.as_secs(),
             self.admission,
