--- /dev/null
+++ b/review/standins-2/src/cases/mod.rs
@@ -0,0 +1,6 @@
+//! The cases.
+
+pub mod foreign;
+pub mod key;
+pub mod pages;
+mod site;
