--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+pub mod evacuation;
 pub mod foreign;
 pub mod key;
 pub mod pages;
--- a/review/standins-2/src/leaf.rs
+++ b/review/standins-2/src/leaf.rs
@@ -80,6 +80,10 @@
         Ok(leaf)
     }
 
+    pub fn zone(&self) -> &str {
+        &self.spec.zone
+    }
+
     pub fn id(&self) -> &str {
         &self.spec.id
     }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -26,6 +26,7 @@
     let mut report = Report::new(Path::new(folder), trouble);
     fleet::limit_time(MAX_PLAY_TIME);
     let outcome = match name.as_str() {
+        "evacuation" => cases::evacuation::play(trouble, &mut report),
         "foreign" => cases::foreign::play(trouble, &mut report),
         "key" => cases::key::play(trouble, &mut report),
         "pages" => cases::pages::play(trouble, &mut report),
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -13,10 +13,12 @@
 
 /// Time in which the store answers.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
+/// Time for which a connection whose answer is lost stays open.
+const LOST_CONNECTION_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of items in a page. The users' pages say "at most about 500"; their site files say 50.
 const PAGE_ITEMS: usize = 50;
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Event {
     key: String,
     revision: u64,
@@ -24,8 +26,14 @@
     value: Option<Vec<u8>>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct State {
+    /// Number of restores from a copy, from 1. The store names none while it is 0.
+    era: u64,
+    /// The store answers no calls.
+    away: bool,
+    /// Revision up to which the history was discarded.
+    discarded: u64,
     revision: u64,
     items: BTreeMap<String, (u64, Vec<u8>)>,
     history: Vec<Event>,
@@ -35,6 +43,9 @@
     calls: Vec<usize>,
 }
 
+/// A copy of the content, from which a store can come back.
+pub struct StoreCopy(State);
+
 /// Runs after the store has answered a read of a prefix by a reader, and before the reader can send the next call.
 type Hook = Box<dyn Fn(usize, &str) + Send + Sync>;
 
@@ -90,6 +101,44 @@
         self.write(key, None)
     }
 
+    /// Names the era in all answers from now on.
+    pub fn name_era(&self) {
+        self.lock().era = 1;
+    }
+
+    /// Discards the history. Watches from an earlier revision get 410.
+    pub fn discard_history(&self) {
+        let mut state = self.lock();
+        state.history.clear();
+        state.discarded = state.revision;
+        drop(state);
+        self.changed.notify_all();
+    }
+
+    /// Copies the content.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.lock().clone())
+    }
+
+    /// Answers no call from now on, nor the watches that wait.
+    pub fn go_away(&self) {
+        self.lock().away = true;
+        self.changed.notify_all();
+    }
+
+    /// Comes back from a copy. What was written since is lost, and its revisions are given out again.
+    pub fn come_back(&self, copy: &StoreCopy) -> Instant {
+        let mut state = self.lock();
+        let StoreCopy(copy) = copy;
+        state.era += 1;
+        state.away = false;
+        state.revision = copy.revision;
+        state.items = copy.items.clone();
+        state.history = Vec::new();
+        state.discarded = copy.revision;
+        Instant::now()
+    }
+
     /// Returns the readers that have a watch waiting.
     pub fn watchers(&self) -> Vec<usize> {
         let state = self.lock();
@@ -138,6 +187,11 @@
             self.lock().calls[reader] += 1;
             thread::sleep(ANSWER_TIME);
             let (answer, read) = self.answer(reader, &request);
+            if self.lock().away {
+                // The answer is lost, and nothing further comes on this connection.
+                thread::sleep(LOST_CONNECTION_TIME);
+                return;
+            }
             if writer.write_all(&answer).is_err() {
                 return;
             }
@@ -154,7 +208,7 @@
         // A request line has three parts; a server rejects any other.
         let parts: Vec<&str> = request.start.split(' ').collect();
         let &[_, target, _] = parts.as_slice() else {
-            return (encode("400 Bad Request", "{}"), None);
+            return (self.encode("400 Bad Request", "{}"), None);
         };
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let params: BTreeMap<String, String> = query
@@ -168,19 +222,32 @@
             "/-/kv-range" => {
                 let prefix = text("prefix");
                 let body = self.range(&prefix, &text("after"));
-                (encode("200 OK", &body), Some(prefix))
+                (self.encode("200 OK", &body), Some(prefix))
             }
             "/-/kv-watch" => {
                 self.lock().watching[reader] += 1;
                 let wait = Duration::from_millis(number("wait_ms"));
-                let body = self.watch(&text("prefix"), number("after"), wait);
+                let answer = self.watch(&text("prefix"), number("after"), wait);
                 self.lock().watching[reader] -= 1;
-                (encode("200 OK", &body), None)
+                match answer {
+                    Ok(body) => (self.encode("200 OK", &body), None),
+                    Err(status) => (self.encode(status, "{}"), None),
+                }
             }
-            _ => (encode("404 Not Found", "{}"), None),
+            _ => (self.encode("404 Not Found", "{}"), None),
         }
     }
 
+    fn encode(&self, status: &str, body: &str) -> Vec<u8> {
+        let era = match self.lock().era {
+            0 => String::new(),
+            era => format!("Store-Era: {era}\r\n"),
+        };
+        let length = body.len();
+        let head = format!("HTTP/1.1 {status}\r\nContent-Type: application/json\r\n{era}");
+        format!("{head}Content-Length: {length}\r\n\r\n{body}").into_bytes()
+    }
+
     fn range(&self, prefix: &str, after: &str) -> String {
         let state = self.lock();
         let mut matching = state
@@ -199,10 +266,17 @@
         )
     }
 
-    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> String {
+    /// Waits for changes after a revision. Fails with the status of the rejection.
+    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<String, &'static str> {
         let end = Instant::now() + wait;
         let mut state = self.lock();
         loop {
+            if state.away {
+                return Err("503 Service Unavailable");
+            }
+            if after < state.discarded || after > state.revision {
+                return Err("410 Gone");
+            }
             let events = state.history.iter();
             let events = events.filter(|it| it.revision > after && it.key.starts_with(prefix));
             let events: Vec<String> = events
@@ -210,11 +284,11 @@
                 .collect();
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                return format!(
+                return Ok(format!(
                     r#"{{"events":[{}],"current_rev":{}}}"#,
                     events.join(","),
                     state.revision
-                );
+                ));
             }
             let waited = self.changed.wait_timeout(state, left);
             state = waited.expect("no thread panics with the lock").0;
@@ -222,14 +296,6 @@
     }
 }
 
-fn encode(status: &str, body: &str) -> Vec<u8> {
-    let length = body.len();
-    format!(
-        "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}"
-    )
-    .into_bytes()
-}
-
 fn item(key: &str, revision: u64, value: Option<&Vec<u8>>) -> String {
     let key = key.replace('\\', "\\\\").replace('"', "\\\"");
     match value {
