--- a/emulator/src/store.rs
+++ b/emulator/src/store.rs
@@ -15,8 +15,9 @@
     task::JoinSet,
     time::{Instant, sleep_until, timeout_at},
 };
+use url::form_urlencoded;
 
-use crate::http::{Closed, Payload, Reply, json as json_reply, lock, param, serve};
+use crate::http::{Closed, Payload, Reply, json as json_reply, lock, serve};
 
 /// Maximum number of items in a page.
 const PAGE_SIZE: usize = 7;
@@ -225,17 +226,16 @@
         Access::Disconnect => return Err(Closed),
         Access::Silent => std::future::pending().await,
     }
-    let number = |name| param(&request, name).and_then(|text| text.parse::<u64>().ok());
-    let prefix = param(&request, "prefix")
-        .unwrap_or_default()
-        .replace("%2F", "/");
+    let text = |name| {
+        let mut pairs =
+            form_urlencoded::parse(request.uri().query().unwrap_or_default().as_bytes());
+        let value = pairs.find_map(|(key, value)| (key == name).then_some(value));
+        value.unwrap_or_default()
+    };
+    let number = |name| text(name).parse::<u64>().ok();
+    let prefix = text("prefix");
     match request.uri().path() {
-        "/-/kv-range" => {
-            let after = param(&request, "after")
-                .unwrap_or_default()
-                .replace("%2F", "/");
-            Ok(range(&lock(&state), &prefix, &after))
-        }
+        "/-/kv-range" => Ok(range(&lock(&state), &prefix, &text("after"))),
         "/-/kv-watch" => {
             let after = number("after").unwrap_or_default();
             let wait = Duration::from_millis(number("wait_ms").unwrap_or_default());
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -23,3 +23,4 @@
 mod stop_edges;
 mod stop_report;
 mod stop_schedules;
+mod store;
