--- a/tests/bytes.rs
+++ b/tests/bytes.rs
@@ -98,6 +98,36 @@
     let _ = CallerAnswer::Leaf(reply).into_response("id");
 }
 
+/// Guards against an id that ends the line of the header which names the leaf and so adds lines to each request for it.
+#[test]
+fn a_leaf_whose_id_is_no_header_value_is_not_used() {
+    let entry = json!({
+        "service": "s", "address": "127.0.0.1:1", "zone": "a", "config_version": "v1", "slots": 2,
+        "state": "ready", "warmup_left_ms": 0, "sequence": 1,
+    });
+    let is_used = |id: &str| {
+        let change = Change {
+            key: format!("servers/{id}").into(),
+            position: Position::new(1, 1),
+            value: Some(entry.to_string().into()),
+        };
+        matches!(decode_change(&change), DecodedChange::Leaf(Ok(_)))
+    };
+    for id in ["i-1", "i-1 (copy)", "i-\u{e4}", "a/b"] {
+        assert!(is_used(id), "{id:?}");
+    }
+    for id in [
+        "i-1\r\nA: b",
+        "",
+        "i-1\r\n\r\nGET / HTTP/1.1",
+        "i-1\n",
+        "i\0",
+        "i\u{7f}",
+    ] {
+        assert!(!is_used(id), "{id:?}");
+    }
+}
+
 proptest! {
     #![proptest_config(seeds::proptest_config())]
 
