Pass on changes that a reader saw in a later page of its read

The mirror takes the position of the first page, but may know items of later revisions from the others. The watch returns those changes again. Mirror::advance dropped them as outdated without recording them, and moved its position past them. A peer at the position of the first page then got an update without them and moved past them, too. Nothing brings them back: neither the watch, which continues after its position, nor later updates. The same holds for an item that is added, moved or deleted between the pages.

Fix: every change after the mirror's position is recorded for peers, whatever the mirror itself knew of its key. So the history is again all changes between its floor and the position, which is what an update promises. Messages between nodes have the same form.

--- a/src/core/mirror/state.rs
+++ b/src/core/mirror/state.rs
@@ -192,9 +192,12 @@
             return Vec::new();
         }
         changes.sort_by_key(|change| change.position);
+        let known = self.position;
         changes.retain(|change| {
             let applied = self.apply(now, change);
-            if applied != Applied::Outdated {
+            // A change after the mirror's position may have been known from a page that was read later than the first
+            // one, but peers at that position have not seen it.
+            if change.position > known || applied != Applied::Outdated {
                 self.record(change.clone());
             }
             applied == Applied::Changed
--- a/tests/decisions/mirror.rs
+++ b/tests/decisions/mirror.rs
@@ -108,6 +108,23 @@
         }
     }
 
+    /// Checks that the node has the state of all keys that the store has not changed after the node's position.
+    fn check_complete(&self, store: &ChangeLog) {
+        let position = self.mirror.position();
+        let values = self.values();
+        let last: BTreeMap<_, _> = store
+            .changes
+            .iter()
+            .map(|change| (&change.key, change))
+            .collect();
+        for (key, change) in last {
+            if change.position <= position {
+                let value = values.get(key);
+                assert_eq!(value, change.value.as_ref(), "{key} at {position}");
+            }
+        }
+    }
+
     fn values(&self) -> BTreeMap<Arc<str>, Bytes> {
         let present = self.applied.iter();
         present
@@ -129,6 +146,11 @@
         node: usize,
         stale: u64,
     },
+    /// A node reads all items in two pages, and these are written in between.
+    ReadPages {
+        node: usize,
+        writes: Vec<(u8, Option<u8>)>,
+    },
     /// A node requests an update from another one and receives it `copies` times.
     Peer {
         from: usize,
@@ -143,11 +165,16 @@
     Restart(usize),
 }
 
+fn write() -> impl Strategy<Value = (u8, Option<u8>)> {
+    (0..6_u8, proptest::option::weighted(0.7, any::<u8>()))
+}
+
 fn action() -> impl Strategy<Value = Action> {
     prop_oneof![
-        4 => (0..6_u8, proptest::option::weighted(0.7, any::<u8>())).prop_map(|(k, v)| Action::Write(k, v)),
+        4 => write().prop_map(|(k, v)| Action::Write(k, v)),
         3 => (0..3_usize, 0..3_u64).prop_map(|(node, late)| Action::Watch { node, late }),
         1 => (0..3_usize, 0..3_u64).prop_map(|(node, stale)| Action::ReadAll { node, stale }),
+        1 => (0..3_usize, vec(write(), 0..4)).prop_map(|(node, writes)| Action::ReadPages { node, writes }),
         3 => (0..3_usize, 0..3_usize, 1..3_usize).prop_map(|(from, to, copies)| Action::Peer { from, to, copies }),
         1 => (0..3_usize, 0..3_usize).prop_map(|(from, to)| Action::LatePeer { from, to }),
         1 => (0..3_usize).prop_map(Action::Restart),
@@ -179,6 +206,15 @@
                     let changes = nodes[node].mirror.replace(at(0), items, first_era(upto));
                     nodes[node].apply(changes);
                 }
+                Action::ReadPages { node, writes } => {
+                    let upto = store.revision();
+                    let is_first = |item: &Change| *item.key < *"k3";
+                    let mut items: Vec<Change> = store.items().into_values().filter(is_first).collect();
+                    writes.into_iter().for_each(|(key, value)| store.write(key, value));
+                    items.extend(store.items().into_values().filter(|item| !is_first(item)));
+                    let changes = nodes[node].mirror.replace(at(0), items, first_era(upto));
+                    nodes[node].apply(changes);
+                }
                 Action::Peer { from, to, copies } => {
                     let after = nodes[to].mirror.position();
                     let update = nodes[from].mirror.update_since(at(0), after);
@@ -196,10 +232,12 @@
                     late.retain(|(to, _)| *to != node);
                 }
             }
+            nodes.iter().for_each(|node| node.check_complete(&store));
         }
         for (to, update) in late {
             let changes = nodes[to].mirror.merge(at(0), update);
             nodes[to].apply(changes);
+            nodes[to].check_complete(&store);
         }
         let (revision, items) = (store.revision(), store.items());
         let all_items: Vec<Change> = items.values().cloned().collect();
@@ -237,3 +275,59 @@
     assert_eq!(removed.len(), 1);
     assert_eq!(removed[0].value, None);
 }
+
+/// Guards against a leaf that leaves, starts, moves or ends between two pages of a node's read, of which the other nodes never
+/// learn: the reader knows the state from the page, and its watch returns the change after it.
+#[test]
+fn changes_between_the_pages_of_a_read_reach_peers() {
+    let item = |revision: u64, value: Option<&'static [u8]>| Change {
+        key: "k".into(),
+        position: first_era(revision),
+        value: value.map(Bytes::from_static),
+    };
+    let old = || item(5, Some(b"ready"));
+    let cases = [
+        ("changed", Some(old()), item(11, Some(b"draining"))),
+        ("added", None, item(11, Some(b"ready"))),
+        ("removed", Some(old()), item(11, None)),
+    ];
+    for (name, before, change) in cases {
+        let before: Vec<Change> = before.into_iter().collect();
+        let mut peer = Mirror::default();
+        peer.replace(at(0), before.clone(), first_era(10));
+        // The first page was read at revision 10, the page with the key at 11.
+        let mut reader = Mirror::default();
+        let page = Some(change.clone()).filter(|change| change.value.is_some());
+        reader.replace(at(0), page.into_iter().collect(), first_era(10));
+        reader.advance(at(0), vec![change.clone()], first_era(11));
+        let update = reader.update_since(at(0), peer.position());
+        let changes = peer.merge(at(0), update);
+        assert_eq!(changes, [change], "{name}");
+        assert_eq!(peer.position(), first_era(11), "{name}");
+        // A node that got the items from the reader passes the change on, too.
+        let mut third = Mirror::default();
+        third.replace(at(0), before, first_era(10));
+        let changes = third.merge(at(0), peer.update_since(at(0), third.position()));
+        assert_eq!(changes.len(), 1, "{name}");
+    }
+}
+
+/// Guards against a node that is updated with all items of a reader and does not pass on what the reader's later pages had.
+#[test]
+fn a_node_updated_by_a_reader_passes_on_changes_between_its_pages() {
+    let item = |revision: u64, value: &'static [u8]| Change {
+        key: "k".into(),
+        position: first_era(revision),
+        value: Some(Bytes::from_static(value)),
+    };
+    let mut reader = Mirror::default();
+    reader.replace(at(0), vec![item(11, b"draining")], first_era(10));
+    let mut updated = Mirror::default();
+    updated.merge(at(0), reader.update_since(at(0), Position::default()));
+    reader.advance(at(0), vec![item(11, b"draining")], first_era(11));
+    updated.merge(at(0), reader.update_since(at(0), updated.position()));
+    let mut third = Mirror::default();
+    third.replace(at(0), vec![item(5, b"ready")], first_era(10));
+    let changes = third.merge(at(0), updated.update_since(at(0), third.position()));
+    assert_eq!(changes, [item(11, b"draining")]);
+}
--- a/tests/decisions/restore.rs
+++ b/tests/decisions/restore.rs
@@ -473,6 +473,19 @@
         self.apply(changes);
     }
 
+    /// Reads all items in two pages, between which `writes` are made.
+    fn read_pages(&mut self, now: Time, world: &mut World, writes: &[(usize, bool)]) {
+        let is_first = |item: &Change| !item.key.starts_with("leaf");
+        let position = world.position();
+        let mut items: Vec<Change> = world.read_all().into_iter().filter(is_first).collect();
+        for (key, present) in writes {
+            world.write(KEYS[*key], *present);
+        }
+        items.extend(world.read_all().into_iter().filter(|item| !is_first(item)));
+        let changes = self.mirror.replace(now, items, position);
+        self.apply(changes);
+    }
+
     /// Waits for changes like a reader: the store answers only from a position of its own era.
     fn watch(&mut self, now: Time, world: &World) {
         let after = self.mirror.position();
@@ -511,6 +524,8 @@
     Rewrite(usize),
     Watch(usize),
     ReadAll(usize),
+    /// A node reads all items in two pages, and these are written in between.
+    ReadPages(usize, Vec<(usize, bool)>),
     Peer {
         from: usize,
         to: usize,
@@ -532,6 +547,7 @@
         2 => (1..3_usize).prop_map(Action::Rewrite),
         4 => (0..3_usize).prop_map(Action::Watch),
         1 => (0..3_usize).prop_map(Action::ReadAll),
+        1 => (0..3_usize, vec((0..KEYS.len(), any::<bool>()), 0..4)).prop_map(|(node, writes)| Action::ReadPages(node, writes)),
         3 => (0..3_usize, 0..3_usize).prop_map(|(from, to)| Action::Peer { from, to }),
         1 => (0..3_usize, 0..3_usize).prop_map(|(from, to)| Action::LatePeer { from, to }),
         1 => (0..3_usize).prop_map(Action::Restart),
@@ -558,6 +574,7 @@
                 Action::Rewrite(count) => world.rewrite(count),
                 Action::Watch(node) => nodes[node].watch(at(0), &world),
                 Action::ReadAll(node) => nodes[node].read_all(at(0), &world),
+                Action::ReadPages(node, writes) => nodes[node].read_pages(at(0), &mut world, &writes),
                 Action::Peer { from, to } => {
                     let update = update(&nodes, from, to);
                     nodes[to].merge(at(0), update);
