Reject answers whose status is no status of HTTP

Seen by callers: a leaf in trouble answered with status 000, and the client got it as an answer (MIXED): a 502 with all headers of the leaf, its Server-Stamp among them, and without the body.

Cause: the parser of heads takes any three digits. A code below 200 was read as an answer without a body, and into_response replaced a status that it could not send by 502 while it passed on the headers.

Evidence: an_answer_without_a_valid_status_is_not_passed_on failed before, at 000, with the stamp "i-spoilt.s000" in the 502.

Fix: parse_head, through which the answers of leaves, of other nodes and of the store are read, accepts 100 to 599 (RFC 9110, section 15), except 101, which no request asks for. The exchange fails, so the connection is closed, an idempotent request goes to another leaf, and the caller of an order gets a 502 of our own without any field of the answer.

--- a/src/adapter/http1/reply.rs
+++ b/src/adapter/http1/reply.rs
@@ -70,6 +70,7 @@
         Err(_) => return Err("not a valid HTTP response"),
     };
     let status = parsed.code.ok_or("no status code")?;
+    check_status(status)?;
     let span = |part: &[u8]| {
         let from = part.as_ptr() as usize - buffer.as_ptr() as usize;
         (from as u32, (from + part.len()) as u32)
@@ -99,6 +100,16 @@
     }))
 }
 
+/// Fails for a code that is no status of HTTP (RFC 9110, section 15), and for a switch of the protocol, which no request asks
+/// for.
+fn check_status(status: u16) -> Result<(), &'static str> {
+    match status {
+        101 => Err("protocol switch that was not requested"),
+        100..600 => Ok(()),
+        _ => Err("invalid status code"),
+    }
+}
+
 fn framing(reply: &Reply) -> Result<Framing, &'static str> {
     if reply.status < 200 || matches!(reply.status, 204 | 304) {
         return Ok(Framing::Length(0));
--- a/tests/gateway/copies.rs
+++ b/tests/gateway/copies.rs
@@ -8,14 +8,16 @@
 };
 
 use futures::future::join_all;
-use serde_json::json;
 use tokio::{
-    io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
+    io::{AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
     time::sleep,
 };
 
-use crate::site::{Node, Site, wait_until};
+use crate::{
+    raw_leaf::{self, read_request},
+    site::{Node, Site, wait_until},
+};
 
 const LEAF: &str = "i-copies";
 /// Beginning of the ids of requests that the leaf rejects once before it runs them.
@@ -97,53 +99,11 @@
     }
 }
 
-/// Reads a request and returns its id, `None` if the connection has ended.
-async fn read_request(stream: &mut BufReader<TcpStream>) -> Option<String> {
-    let (mut id, mut length) = (None, 0);
-    loop {
-        let mut line = String::new();
-        if stream.read_line(&mut line).await.ok()? == 0 {
-            return None;
-        }
-        let line = line.trim().to_ascii_lowercase();
-        if line.is_empty() {
-            break;
-        }
-        if let Some(value) = line.strip_prefix("request-id:") {
-            id = Some(value.trim().to_owned());
-        }
-        if let Some(value) = line.strip_prefix("content-length:") {
-            length = value.trim().parse().unwrap();
-        }
-    }
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body).await.ok()?;
-    Some(id.unwrap_or_default())
-}
-
 /// Starts a site whose only leaf sends copies of its rejections. Each node has one connection to it, so that a request that is
 /// sent again finds the one that has carried it.
 async fn start_site(nodes: usize) -> (Site, Vec<Node>, Requests) {
-    let site = Site::start(1, nodes).await;
     let (address, requests) = start_leaf().await;
-    for leaf in &site.shards[0] {
-        site.store.delete(&leaf.key());
-    }
-    let entry = json!({
-        "service": "s0", "address": address, "zone": "a", "config_version": "v1", "slots": 8,
-        "state": "ready", "warmup_left_ms": 0, "sequence": 1,
-    });
-    site.store.put(&format!("servers/{LEAF}"), &entry);
-    let mut config = site.config(8);
-    config["services"][0]["max_connections"] = json!(nodes);
-    site.store.put("op/config", &config);
-    let nodes = site.nodes().await;
-    for node in &nodes {
-        wait_until("the node uses the leaf", async || {
-            node.query("/one/x", "probe").await.status == 200
-        })
-        .await;
-    }
+    let (site, nodes) = raw_leaf::start_site(address, LEAF, nodes, 1).await;
     (site, nodes, requests)
 }
 
