Reject answers whose heads do not tell where their bodies end

Seen by callers: a leaf in trouble sent an answer whose head was spoilt where it tells the length of the body, and the client got it as complete, with a body that was not the leaf's (MIXED).

Cause: the reader was more lenient than the grammar. It took a length with a sign ("+2") or other blanks than a space and a tab, as Rust's parse and trim do. It looked at the first Transfer-Encoding only. It ended a head at two lone line feeds, so that the rest of the head became the body. It ignored a length beside a status that has no body. And it read to the end of the connection if the name of the length was spoilt, although the head said that the connection persists.

Evidence: failing before, responses_with_spoilt_framing_are_errors (at "+5", read as 200 with its body) and, with a gateway, an_answer_with_spoilt_framing_is_not_passed_on (200 for the form "sign").

Fix: one place decides, by RFC 9112 sections 2.2, 6 and 9.3, for leaves, other nodes and the store alike: Framing::of and Head::parse. Digits only; no more than one transfer coding, which is chunked, not beside a length and not in HTTP/1.0; every line ends with CRLF; 1xx and 204 bring no body; and without a length the body ends with the connection only if the head does not say that the connection stays open. Otherwise the exchange fails, the connection is closed, and nothing of the answer goes on. Sound forms still pass (responses_in_all_sound_forms_are_complete, answers_in_all_sound_forms_are_passed_on), also without a length and without `Connection: close`.

A line that is no field, and a name with a blank or a control byte, were reported beside this. The reader refused them before: 91 such lines, with odd names or values, at two places of the head, in tests that passed before the fix, too (responses_with_lines_that_are_no_fields_are_errors, an_answer_with_a_line_that_is_no_field_is_not_passed_on).

--- a/src/adapter/http1/connection.rs
+++ b/src/adapter/http1/connection.rs
@@ -7,10 +7,7 @@
     net::TcpStream,
 };
 
-use crate::adapter::http1::{
-    Reply,
-    reply::{Framing, Head, parse_head},
-};
+use crate::adapter::http1::{Reply, framing::Framing, head::Head};
 
 /// Maximum size of a response head, a chunk header or a trailer field, bytes. Responses of leaves carry a dozen short
 /// headers.
@@ -185,7 +182,7 @@
         let (mut skipped, mut interim) = (0_u32, 0_u32);
         loop {
             let head = loop {
-                match parse_head(&self.buffer) {
+                match Head::parse(&self.buffer) {
                     Ok(Some(_)) if skipped > MAX_SKIPPED => {
                         let reason = Reason::Protocol("too many responses");
                         return Err(fail(ExchangeStep::Head)(reason));
--- a/src/adapter/http1/mod.rs
+++ b/src/adapter/http1/mod.rs
@@ -5,6 +5,8 @@
 //! `httparse`.
 
 mod connection;
+mod framing;
+mod head;
 mod reply;
 
 pub use self::{
--- a/tests/gateway/spoilt.rs
+++ b/tests/gateway/spoilt.rs
@@ -84,3 +84,82 @@
     ])
     .await;
 }
+
+/// Guards against an answer that does not tell where its body ends and is passed on with another body than the leaf's.
+#[tokio::test]
+async fn an_answer_with_spoilt_framing_is_not_passed_on() {
+    check_failures(vec![
+        ("sign", |sound| sound.replace("Length: 16", "Length: +4")),
+        ("other-digits", |sound| {
+            sound.replace("Length: 16", "Length: 0x10")
+        }),
+        ("list", |sound| sound.replace("Length: 16", "Length: 4, 4")),
+        ("two", |sound| {
+            sound.replace("Length: 16", "Length: 4\r\nContent-Length: 16")
+        }),
+        ("renamed", |sound| {
+            let kept = sound.replace("Connection: close", "Keep-Alive: timeout=4");
+            kept.replace("Content-Length", "Content-Lengt")
+        }),
+        ("early-end", |sound| {
+            sound.replace("Content-Length", "A: b\n\nContent-Length")
+        }),
+        ("chunked-too", |sound| {
+            sound.replace(
+                "\r\n\r\n",
+                "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nlost\r\n0\r\n\r\n",
+            )
+        }),
+        ("no-body", |sound| sound.replace("200 OK", "204 No Content")),
+    ])
+    .await;
+}
+
+/// Guards against an answer whose head holds a line that is no field, or a name with a blank or a control byte.
+#[tokio::test]
+async fn an_answer_with_a_line_that_is_no_field_is_not_passed_on() {
+    check_failures(vec![
+        ("no-colon", |sound| {
+            sound.replace("Content-Length", "no colon here\r\nContent-Length")
+        }),
+        ("no-name", |sound| {
+            sound.replace("Content-Length", ": b\r\nContent-Length")
+        }),
+        ("folded", |sound| {
+            sound.replace("Content-Length", " folded\r\nContent-Length")
+        }),
+        ("blank", |sound| {
+            sound.replace("Content-Length", "A b: c\r\nContent-Length")
+        }),
+        ("blank-at-end", |sound| {
+            sound.replace("Content-Length", "A : c\r\nContent-Length")
+        }),
+        ("control", |sound| {
+            sound.replace("Content-Length", "A\u{1}b: c\r\nContent-Length")
+        }),
+    ])
+    .await;
+}
+
+/// The sound forms beside the spoilt ones.
+#[tokio::test]
+async fn answers_in_all_sound_forms_are_passed_on() {
+    let forms: Vec<(&str, Form)> = vec![
+        ("length", str::to_owned),
+        ("no-length", |sound| {
+            sound.replace("Content-Length: 16\r\n", "")
+        }),
+        ("no-length-nor-close", |sound| {
+            sound.replace("Connection: close\r\nContent-Length: 16\r\n", "")
+        }),
+        ("chunks", |sound| {
+            let head = sound.replace("Content-Length: 16", "Transfer-Encoding: chunked");
+            head.replace(BODY, &format!("10;a=b\r\n{BODY}\r\n0\r\nEnd: 1\r\n\r\n"))
+        }),
+    ];
+    for (name, reply) in send_to_leaf(forms).await {
+        assert_eq!(reply.status, 200, "{name}");
+        assert_eq!(reply.body, BODY, "{name}");
+        assert!(reply.header("server-stamp").is_some(), "{name}");
+    }
+}
--- a/tests/http1.rs
+++ b/tests/http1.rs
@@ -247,6 +247,161 @@
     }
 }
 
+/// Sends a request to a peer that sends these bytes and closes the connection.
+async fn read_response(bytes: Vec<u8>) -> Result<Reply, ExchangeError> {
+    let address = start_peer(move |mut stream| async move {
+        let mut request = [0; 1_024];
+        let _ = stream.read(&mut request).await;
+        let _ = stream.write_all(&bytes).await;
+    });
+    let mut connection = Connection::open(address.await).await.unwrap();
+    send_request(&mut connection).await
+}
+
+/// Returns a response whose head has these lines, and the body `hello`.
+fn with_lines(status: &str, lines: &str) -> Vec<u8> {
+    format!("HTTP/1.1 {status}\r\nServer-Stamp: s\r\n{lines}\r\n\r\nhello").into()
+}
+
+/// Returns a response with a chunked body.
+fn with_chunks(chunks: &str) -> Vec<u8> {
+    format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}").into()
+}
+
+/// Guards against a response that does not tell where its body ends, or contradicts itself, and is taken for a complete one
+/// with another body than the peer's.
+#[tokio::test]
+async fn responses_with_spoilt_framing_are_errors() {
+    let lines = [
+        "Content-Length: +5",
+        "Content-Length: -5",
+        "Content-Length: \u{a0}5",
+        "Content-Length: 5\u{a0}",
+        "Content-Length: 5, 5",
+        "Content-Length: 5 5",
+        "Content-Length: 0x5",
+        "Content-Length: 5.0",
+        "Content-Length: five",
+        "Content-Length:",
+        "Content-Length: 18446744073709551616",
+        "Content-Length: 3\r\nContent-Length: 5",
+        "Content-Length: 5\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: identity\r\nContent-Length: 5",
+        "Transfer-Encoding: chunked, chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip",
+        // The name of the length is spoilt, so the response states no length although its connection persists.
+        "Content-Lengt: 5\r\nKeep-Alive: timeout=5",
+        "Content-Lengt: 5\r\nConnection: x, Keep-Alive",
+        "Transfer_Encoding: chunked\r\nKeep-Alive: timeout=5",
+        // A line that lost its CR ends the head early.
+        "Content-Length: 5\n",
+        "Content-Length: 5\n\nA: b",
+        "A: b\n\nContent-Length: 5",
+        "A: b\nContent-Length: 5",
+    ];
+    let mut spoilt: Vec<Vec<u8>> = lines
+        .iter()
+        .map(|lines| with_lines("200 OK", lines))
+        .collect();
+    spoilt.push(with_lines("204 No Content", "Content-Length: 5"));
+    spoilt.push(with_lines("204 No Content", "Transfer-Encoding: chunked"));
+    spoilt.push(with_lines("103 Early Hints", "Content-Length: 5"));
+    spoilt.push(
+        b"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n".into(),
+    );
+    for bytes in spoilt {
+        let reply = read_response(bytes.clone()).await;
+        let reply = reply.map(|reply| (reply.status, reply.body));
+        assert_matches!(reply, Err(_), "{}", bytes.escape_ascii());
+    }
+}
+
+/// The sound forms beside those of `responses_with_spoilt_framing_are_errors`.
+#[tokio::test]
+async fn responses_in_all_sound_forms_are_complete() {
+    let lines = [
+        "Content-Length: 5",
+        "content-length:5",
+        "Content-Length: \t5 \t",
+        "Content-Length: 05",
+        "Content-Length: 5\r\nContent-Length: 5",
+        "Content-Length: 5\r\nKeep-Alive: timeout=5\r\nConnection: keep-alive",
+        "Content-Length: 5\r\nA:\r\n!#$%&'*+-.^_`|~: \u{e4}\tb",
+        // The body ends with the connection.
+        "Connection: close",
+        "Connection: x, Close",
+        "A: b",
+    ];
+    let mut sound: Vec<Vec<u8>> = lines
+        .iter()
+        .map(|lines| with_lines("200 OK", lines))
+        .collect();
+    sound.push(b"HTTP/1.0 200 OK\r\n\r\nhello".into());
+    sound.push(b"HTTP/1.1 599 \r\nContent-Length: 5\r\n\r\nhello".into());
+    sound.push(b"HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nhello".into());
+    sound.push(b"\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello".into());
+    let chunks = [
+        "5\r\nhello\r\n0\r\n\r\n",
+        "0005\r\nhello\r\n000\r\n\r\n",
+        "5 \t\r\nhello\r\n0\r\n\r\n",
+        "5 ; a=\"b c\"\r\nhello\r\n0\r\n\r\n",
+        "2\r\nhe\r\n3\r\nllo\r\n0\r\nA: b\r\nC:\r\n\r\n",
+    ];
+    sound.extend(chunks.iter().map(|chunks| with_chunks(chunks)));
+    for bytes in sound {
+        let reply = read_response(bytes.clone()).await;
+        let body = reply.map(|reply| reply.body);
+        assert_eq!(body.unwrap(), "hello", "{}", bytes.escape_ascii());
+    }
+    let empty = [
+        with_lines("204 No Content", "Content-Length: 0"),
+        with_lines("304 Not Modified", "Content-Length: 5"),
+        with_lines("200 OK", "Content-Length: 0"),
+    ];
+    for bytes in empty {
+        assert_eq!(read_response(bytes).await.unwrap().body, "");
+    }
+}
+
+/// Guards against a line of the head that is no field, or whose name has a blank or a control byte, and is skipped or passed on.
+#[tokio::test]
+async fn responses_with_lines_that_are_no_fields_are_errors() {
+    let mut lines: Vec<String> = [
+        "no colon here",
+        "A",
+        ": b",
+        " A: b",
+        "\tA: b",
+        "A : b",
+        "A\t: b",
+        " ",
+        "\u{e4}: b",
+    ]
+    .map(str::to_owned)
+    .into();
+    let separators = "()<>@,;\\\"/[]?={} ".chars();
+    let controls = (0..32_u8).chain([127]).map(char::from);
+    lines.extend(
+        separators
+            .chain(controls)
+            .map(|byte| format!("A{byte}B: c")),
+    );
+    let values = (0..32_u8).chain([127]).filter(|byte| *byte != b'\t');
+    lines.extend(values.map(|byte| format!("A: b{}c", char::from(byte))));
+    for line in lines {
+        for head in [
+            format!("{line}\r\nContent-Length: 5"),
+            format!("Content-Length: 5\r\n{line}"),
+        ] {
+            let bytes = with_lines("200 OK", &head);
+            let reply = read_response(bytes.clone()).await;
+            let reply = reply.map(|reply| (reply.status, reply.body));
+            assert_matches!(reply, Err(_), "{}", bytes.escape_ascii());
+        }
+    }
+}
+
 /// Guards against reuse of a connection whose peer responded before it had read the whole request. The peer reads
 /// on, so it would take the next request for the rest of the body.
 #[tokio::test]
