Reject chunked answers with lines that are no sizes or no fields

Lines of the trailer section were skipped whatever they held, also the head of another answer.

Cause: the library's parser of chunk lines reads a line without digits as 0 and does not look at extensions; trailers were only searched for their end.

Evidence: failing before, chunked_bodies_with_invalid_lines_are_errors (200 with an empty body for "\r\nhello\r\n0\r\n\r\n") and, with a gateway, an_answer_with_spoilt_chunks_is_not_passed_on (200 for both of its forms, one at a time).

Fix: chunk.rs parses these lines by RFC 9112, section 7.1: at least one and at most 16 hexadecimal digits, then blanks or extensions without control bytes; a trailer is a field with a valid name and value. A line that ends without CR is no line, as in heads.

--- a/src/adapter/http1/connection.rs
+++ b/src/adapter/http1/connection.rs
@@ -7,7 +7,12 @@
     net::TcpStream,
 };
 
-use crate::adapter::http1::{Reply, framing::Framing, head::Head};
+use crate::adapter::http1::{
+    Reply,
+    chunk::{check_trailer, first_line, parse_size},
+    framing::Framing,
+    head::Head,
+};
 
 /// Maximum size of a response head, a chunk header or a trailer field, bytes. Responses of leaves carry a dozen short
 /// headers.
@@ -301,17 +306,8 @@
     async fn read_chunked(&mut self, limit: usize, unsent: &mut &[u8]) -> Result<Bytes, Reason> {
         let mut body = BytesMut::new();
         loop {
-            let (start, size) = loop {
-                match httparse::parse_chunk_size(&self.buffer) {
-                    Ok(httparse::Status::Complete(parsed)) => break parsed,
-                    Ok(httparse::Status::Partial) if self.buffer.len() < MAX_HEAD_BYTES => {
-                        self.fill(unsent).await?;
-                    }
-                    _ => return Err(Reason::Protocol("invalid chunk size")),
-                }
-            };
-            self.buffer.advance(start);
-            let size = usize::try_from(size).unwrap_or(usize::MAX);
+            let line = self.read_line(unsent, "invalid chunk size").await?;
+            let size = parse_size(&line).map_err(Reason::Protocol)?;
             if size == 0 {
                 self.skip_trailers(unsent).await?;
                 return Ok(body.freeze());
@@ -332,16 +328,32 @@
 
     async fn skip_trailers(&mut self, unsent: &mut &[u8]) -> Result<(), Reason> {
         loop {
-            let end = self.buffer.windows(2).position(|pair| pair == b"\r\n");
-            match end {
-                Some(0) => {
-                    self.buffer.advance(2);
-                    return Ok(());
-                }
-                Some(end) => self.buffer.advance(end + 2),
-                None if self.buffer.len() < MAX_HEAD_BYTES => self.fill(unsent).await?,
-                None => return Err(Reason::Protocol("response trailers are too long")),
+            let line = self
+                .read_line(unsent, "response trailers are too long")
+                .await?;
+            if line.is_empty() {
+                return Ok(());
+            }
+            check_trailer(&line).map_err(Reason::Protocol)?;
+        }
+    }
+
+    /// Reads a line that ends with CRLF, and returns it without its end. A line that is too long fails with `reason`.
+    async fn read_line(
+        &mut self,
+        unsent: &mut &[u8],
+        reason: &'static str,
+    ) -> Result<BytesMut, Reason> {
+        loop {
+            if let Some(length) = first_line(&self.buffer).map(<[u8]>::len) {
+                let line = self.buffer.split_to(length);
+                self.buffer.advance(2);
+                return Ok(line);
+            }
+            if self.buffer.len() >= MAX_HEAD_BYTES {
+                return Err(Reason::Protocol(reason));
             }
+            self.fill(unsent).await?;
         }
     }
 
--- a/src/adapter/http1/mod.rs
+++ b/src/adapter/http1/mod.rs
@@ -4,6 +4,7 @@
 //! call open independently of its caller, so this adapter frames messages itself and parses the heads with
 //! `httparse`.
 
+mod chunk;
 mod connection;
 mod framing;
 mod head;
--- a/tests/gateway/spoilt.rs
+++ b/tests/gateway/spoilt.rs
@@ -141,6 +141,22 @@
     .await;
 }
 
+/// Guards against an answer in chunks whose body ends at a line without a size, or whose trailers are no fields.
+#[tokio::test]
+async fn an_answer_with_spoilt_chunks_is_not_passed_on() {
+    check_failures(vec![
+        ("no-size", |sound| {
+            let head = sound.replace("Content-Length: 16", "Transfer-Encoding: chunked");
+            head.replace(BODY, &format!("\r\n{BODY}\r\n0\r\n\r\n"))
+        }),
+        ("trailer", |sound| {
+            let chunks = "Transfer-Encoding: chunked\r\n\r\n4\r\nlost\r\n0\r\nno field\r\n\r\n";
+            sound.replace("Content-Length: 16\r\n\r\n", chunks)
+        }),
+    ])
+    .await;
+}
+
 /// The sound forms beside the spoilt ones.
 #[tokio::test]
 async fn answers_in_all_sound_forms_are_passed_on() {
--- a/tests/http1.rs
+++ b/tests/http1.rs
@@ -317,6 +317,33 @@
     }
 }
 
+/// Guards against a body that ends at a line which states no chunk size, and against trailers that are no fields.
+#[tokio::test]
+async fn chunked_bodies_with_invalid_lines_are_errors() {
+    let chunks = [
+        "\r\nhello\r\n0\r\n\r\n",
+        ";a=b\r\nhello\r\n0\r\n\r\n",
+        " 5\r\nhello\r\n0\r\n\r\n",
+        "+5\r\nhello\r\n0\r\n\r\n",
+        "0x5\r\nhello\r\n0\r\n\r\n",
+        "5 x\r\nhello\r\n0\r\n\r\n",
+        "5\nhello\r\n0\r\n\r\n",
+        "5;a\nb\r\nhello\r\n0\r\n\r\n",
+        "5;\0\r\nhello\r\n0\r\n\r\n",
+        "00000000000000005\r\nhello\r\n0\r\n\r\n",
+        "5\r\nhello\r\n0\r\nno field\r\n\r\n",
+        "5\r\nhello\r\n0\r\nHTTP/1.1 200 OK\r\n\r\n",
+        "5\r\nhello\r\n0\r\nA b: c\r\n\r\n",
+        "5\r\nhello\r\n0\r\nA: \0\r\n\r\n",
+        "5\r\nhello\r\n0\r\n: c\r\n\r\n",
+    ];
+    for chunks in chunks {
+        let reply = read_response(with_chunks(chunks)).await;
+        let reply = reply.map(|reply| (reply.status, reply.body));
+        assert_matches!(reply, Err(_), "{chunks:?}");
+    }
+}
+
 /// The sound forms beside those of `responses_with_spoilt_framing_are_errors`.
 #[tokio::test]
 async fn responses_in_all_sound_forms_are_complete() {
