Pass on only answers that their leaf has signed

Cause: only parts of merged answers were asked for a signature.

Evidence: an_answer_without_a_signature_is_not_passed_on failed before: 200 for an answer without a stamp.

Fix: what an answer means for its call is decided in one place, apart from I/O: AnswerSigns::verdict (core/gather). A leaf signs whatever it has run, so an answer that is neither a rejection nor signed exactly once is not the leaf's. The request may have run: an idempotent one goes to another leaf, the caller of an order gets a 502 of ours. Load, limits and warm-up that such an answer reports are not recorded either. A signature with a comma, which would be two items of Part-Stamps, makes no part.

--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -12,7 +12,7 @@
     core::{
         Time,
         crash::{CrashId, Fingerprint},
-        gather::Failure,
+        gather::{AnsweredCall, Failure, Verdict},
         placement::{CallToken, MIN_IDLE_TIME, Outcome, RequestKey},
     },
     gateway::{
@@ -255,52 +255,64 @@
         gateway.link.record_answer(now);
         let latency = now.since(guard.sent_at);
         let answer = leaf_answer(&reply);
+        let verdict = answer.signs.verdict(AnsweredCall {
+            repeatable: self.repeatable,
+            is_first,
+        });
+        if !matches!(verdict, Verdict::Unusable(_)) {
+            self.record_report(gateway, guard.sent_at, &answer);
+        }
+        let status = reply.status;
+        let (outcome, failure, reason, reply) = match verdict {
+            Verdict::Answer => {
+                guard.finish(Outcome::Answered(latency));
+                self.route_stats
+                    .borrow_mut()
+                    .record_latency(latency, self.objective);
+                return Ok((reply, answer));
+            }
+            Verdict::Failed => {
+                let reason = format!("failed with status {status}");
+                (Outcome::Failed, Failure::MayHaveRun, reason, Some(reply))
+            }
+            Verdict::Shed => {
+                let reason = format!("refused with {status}");
+                (Outcome::Shed, Failure::Shed, reason, Some(reply))
+            }
+            Verdict::Misdirected => {
+                log::info!(leaf:% = self.leaf.instance(), id = &*self.id; "another leaf answers at this address");
+                self.leaf.defunct.set(true);
+                let reason = format!("refused with {status}");
+                (Outcome::Shed, Failure::NotRun, reason, Some(reply))
+            }
+            Verdict::Unusable(reason) => {
+                let outcome = match answer.signs.not_run {
+                    true => Outcome::Shed,
+                    false => Outcome::Failed,
+                };
+                let reason = format!("answer with status {status} not usable: {reason}");
+                (outcome, Failure::MayHaveRun, reason, None)
+            }
+        };
+        guard.finish(outcome);
+        Err(CallFailure {
+            failure,
+            reason,
+            reply: reply.map(Box::new),
+        })
+    }
+
+    /// Records what the leaf reports about itself.
+    fn record_report(&self, gateway: &Gateway, sent_at: Time, answer: &LeafAnswer) {
+        let now = gateway.now();
         if let Some(load) = answer.load {
             self.leaf.stats.borrow_mut().record_load(now, load);
         }
         if let Some(left) = answer.warmup_left {
             self.leaf.set_cold(now, left);
         }
-        if !answer.misdirected {
-            gateway.record_naming(&self.leaf, &self.id, guard.sent_at, answer.limit);
+        if !answer.signs.misdirected {
+            gateway.record_naming(&self.leaf, &self.id, sent_at, answer.limit);
         }
-        if answer.misdirected {
-            log::info!(leaf:% = self.leaf.instance(), id = &*self.id; "another leaf answers at this address");
-            self.leaf.defunct.set(true);
-        }
-        if answer.not_run {
-            guard.finish(Outcome::Shed);
-            let reason = format!("refused with {}", reply.status);
-            // Without an id it may be the late copy of an earlier answer on the connection.
-            if !self.repeatable && !answer.names_request && !is_first {
-                return Err(CallFailure {
-                    failure: Failure::MayHaveRun,
-                    reason: format!("{reason} without an id"),
-                    reply: None,
-                });
-            }
-            let failure = match answer.misdirected {
-                true => Failure::NotRun,
-                false => Failure::Shed,
-            };
-            return Err(CallFailure {
-                failure,
-                reason,
-                reply: Some(Box::new(reply)),
-            });
-        }
-        if reply.status >= 500 {
-            guard.finish(Outcome::Failed);
-            return Err(CallFailure {
-                failure: Failure::MayHaveRun,
-                reason: format!("failed with status {}", reply.status),
-                reply: Some(Box::new(reply)),
-            });
-        }
-        guard.finish(Outcome::Answered(latency));
-        self.route_stats
-            .borrow_mut()
-            .record_latency(latency, self.objective);
-        Ok((reply, answer))
     }
 }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -508,7 +508,7 @@
         let part = completed.part;
         match completed.result {
             Ok((reply, answer)) => {
-                let is_usable = self.gather().is_none() || answer.success && answer.stamp.is_some();
+                let is_usable = self.gather().is_none() || answer.is_part;
                 if !is_usable {
                     self.plan.record_failure(part, now, Failure::MayHaveRun);
                 } else if self.plan.record_answer(part) {
--- a/tests/bytes.rs
+++ b/tests/bytes.rs
@@ -98,6 +98,24 @@
     let _ = CallerAnswer::Leaf(reply).into_response("id");
 }
 
+/// Guards against a signature that looks like two in the list of a merged answer.
+#[test]
+fn only_an_answer_with_one_signature_is_a_part() {
+    let is_part = |headers: &str| {
+        let answer = format!("HTTP/1.1 200 OK\r\n{headers}Content-Length: 0\r\n\r\n");
+        leaf_answer(&exchange(answer.into_bytes()).unwrap()).is_part
+    };
+    assert!(is_part("Server-Stamp: 14.2fa7.ce.0.8d5c\r\n"));
+    for headers in [
+        "",
+        "Server-Stamp:\r\n",
+        "Server-Stamp: a,b\r\n",
+        "Server-Stamp: a\r\nServer-Stamp: b\r\n",
+    ] {
+        assert!(!is_part(headers), "{headers:?}");
+    }
+}
+
 /// Guards against an id that ends the line of the header which names the leaf and so adds lines to each request for it.
 #[test]
 fn a_leaf_whose_id_is_no_header_value_is_not_used() {
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -28,6 +28,7 @@
 mod routing;
 mod send_delay;
 mod stop;
+mod verdict;
 
 use cranberrychute::core::Time;
 
--- a/tests/gateway/spoilt.rs
+++ b/tests/gateway/spoilt.rs
@@ -157,6 +157,29 @@
     .await;
 }
 
+/// Guards against a well-formed answer that the leaf has not signed, which callers got as its success or failure.
+#[tokio::test]
+async fn an_answer_without_a_signature_is_not_passed_on() {
+    check_failures(vec![
+        ("unsigned", |sound| sound.replace("Server-Stamp", "X")),
+        ("empty", |sound| {
+            sound.replace("Server-Stamp: ", "Server-Stamp: \r\nX: ")
+        }),
+        ("two", |sound| {
+            sound.replace("Server-Stamp: ", "Server-Stamp: other\r\nServer-Stamp: ")
+        }),
+        ("unsigned-404", |sound| {
+            let unsigned = sound.replace("Server-Stamp", "X");
+            unsigned.replace("200 OK", "404 Not Found")
+        }),
+        ("unsigned-500", |sound| {
+            let unsigned = sound.replace("Server-Stamp", "X");
+            unsigned.replace("200 OK", "500 Error")
+        }),
+    ])
+    .await;
+}
+
 /// The sound forms beside the spoilt ones.
 #[tokio::test]
 async fn answers_in_all_sound_forms_are_passed_on() {
