Do not pass on promises that a leaf does not state, for orders

Seen by reading, on the paths beside the spoilt answers: a leaf answers an order with 408, 429 or 503 without Not-Executed, as a spoilt status does. "No other response states this", so the order may have run. A node that had handed the order over read an unsigned one as a rejection and asked another node.

--- a/tests/gateway/spoilt.rs
+++ b/tests/gateway/spoilt.rs
@@ -180,6 +180,21 @@
     .await;
 }
 
+/// Guards against an order that may have run and is answered with a status that promises that it has not: the leaf's own status
+/// says so, but the leaf does not state that it did not run the order.
+#[tokio::test]
+async fn an_order_that_may_have_run_is_not_answered_as_not_run() {
+    let forms: Vec<(&str, Form)> = vec![
+        ("408", |sound| sound.replace("200 OK", "408 Late")),
+        ("429", |sound| sound.replace("200 OK", "429 Busy")),
+        ("503", |sound| sound.replace("200 OK", "503 Busy")),
+    ];
+    for (name, reply) in send_to_leaf(forms).await.into_iter().skip(1).step_by(2) {
+        assert_eq!(reply.status, 502, "{name}");
+        assert_eq!(reply.header("server-stamp"), None, "{name}");
+    }
+}
+
 /// The sound forms beside the spoilt ones.
 #[tokio::test]
 async fn answers_in_all_sound_forms_are_passed_on() {
