--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -139,6 +139,8 @@
                     sleep(plan.record_compaction(now)).await;
                 }
                 Err(error) => {
+                    metrics::counter!("cranberrychute_store_errors_total", "kind" => error.kind())
+                        .increment(1);
                     self.sync.reading.set(false);
                     // The outage may have started at any time during a call that timed out, so it counts from the
                     // start of the call.
@@ -147,6 +149,8 @@
                     if self.registry.borrow_mut().record_failure(since) {
                         let position = self.mirror.borrow().position();
                         log::warn!(position:% = position, error:% = error; "store lost");
+                    } else if let Some(suppressed) = self.log_limiter.admit(now, "store_failed") {
+                        log::warn!(reads_all, error:% = error, suppressed; "the store still fails");
                     }
                     client.disconnect();
                     let factor = self.rng.borrow_mut().random_range(1.0..MAX_RETRY_FACTOR);
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -4,7 +4,12 @@
 
 use cranberrychute::platform::StoreClient;
 use cranberrychute_emulator::Store;
-use tokio::time::timeout;
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+    time::timeout,
+};
 
 /// Maximum time of a read that is answered. It only stops a test that would hang.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
@@ -59,3 +64,26 @@
         assert_eq!(keys.collect::<BTreeSet<_>>(), written, "{name:?}");
     }
 }
+
+/// Guards against a read that repeats one page without end, on a store that continues from another key than the one it was given.
+#[tokio::test]
+async fn a_read_without_progress_ends_with_the_key() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let item =
+            json!({"key": "op/100%", "value": "eA==", "mod_rev": 1, "created": 1, "lease": 0});
+        let page = json!({"items": [item], "has_more": true, "current_rev": 1}).to_string();
+        let length = page.len();
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{page}");
+        let mut request = [0; 1_024];
+        while stream.read(&mut request).await.is_ok_and(|read| read > 0) {
+            stream.write_all(answer.as_bytes()).await.unwrap();
+        }
+    });
+    let mut client = StoreClient::new(address);
+    let read = timeout(READ_TIMEOUT, client.read_all(1, &[READ_TIMEOUT])).await;
+    let error = read.expect("the read ends").unwrap_err();
+    assert!(error.to_string().contains("op/100%"), "{error}");
+}
