--- a/tests/gateway/spoilt.rs
+++ b/tests/gateway/spoilt.rs
@@ -180,6 +180,20 @@
     .await;
 }
 
+/// Guards against an answer that names two requests and is taken for the one of each of them.
+#[tokio::test]
+async fn an_answer_that_also_names_another_request_is_not_passed_on() {
+    check_failures(vec![
+        ("own-first", |sound| {
+            sound.replace("Connection", "Request-Id: other\r\nConnection")
+        }),
+        ("other-first", |sound| {
+            sound.replace("Server-Stamp", "Request-Id: other\r\nServer-Stamp")
+        }),
+    ])
+    .await;
+}
+
 /// Guards against an order that may have run and is answered with a status that promises that it has not: the leaf's own status
 /// says so, but the leaf does not state that it did not run the order.
 #[tokio::test]
