--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -304,8 +304,11 @@
                 }
                 DecodedChange::Leaf(Err(error)) => {
                     if let Some(suppressed) = self.log_limiter.admit(now, "leaf_entry") {
-                        log::warn!(key = &*change.key, position:% = position, error, suppressed; "leaf entry ignored");
+                        log::warn!(key = &*change.key, position:% = position, error:% = error, suppressed; "leaf entry ignored");
                     }
+                    // It may have replaced the entry of a leaf, which then has none.
+                    let removed = self.registry.borrow_mut().remove(now, &error.instance);
+                    self.upstreams.apply(self, removed.into_iter().collect());
                 }
                 DecodedChange::LeafRemoved(instance) => {
                     let removed = self.registry.borrow_mut().remove(now, &instance);
--- a/tests/bytes/main.rs
+++ b/tests/bytes/main.rs
@@ -123,21 +123,52 @@
     }
 }
 
-/// Guards against an id that ends the line of the header which names the leaf and so adds lines to each request for it.
-#[test]
-fn a_leaf_whose_id_is_no_header_value_is_not_used() {
-    let entry = json!({
+/// Returns the entry of a leaf with all its fields.
+fn leaf_entry() -> Value {
+    json!({
         "service": "s", "address": "127.0.0.1:1", "zone": "a", "config_version": "v1", "slots": 2,
         "state": "ready", "warmup_left_ms": 0, "sequence": 1,
-    });
-    let is_used = |id: &str| {
-        let change = Change {
-            key: format!("servers/{id}").into(),
-            position: Position::new(1, 1),
-            value: Some(entry.to_string().into()),
-        };
-        matches!(decode_change(&change), DecodedChange::Leaf(Ok(_)))
+    })
+}
+
+/// Returns whether an item of the store names a leaf to use.
+fn names_leaf(id: &str, entry: &Value) -> bool {
+    let change = Change {
+        key: format!("servers/{id}").into(),
+        position: Position::new(1, 1),
+        value: Some(entry.to_string().into()),
     };
+    matches!(decode_change(&change), DecodedChange::Leaf(Ok(_)))
+}
+
+/// Guards against an entry of another writer that is taken for a leaf, to which requests are then sent.
+#[test]
+fn an_entry_that_lacks_a_field_names_no_leaf() {
+    assert!(names_leaf("i-1", &leaf_entry()));
+    let mut started = leaf_entry();
+    started["born"] = json!(1_796_600_836_000_u64);
+    assert!(names_leaf("i-1", &started));
+    started["born"] = json!("today");
+    assert!(!names_leaf("i-1", &started), "born");
+    let fields: Vec<String> = leaf_entry().as_object().unwrap().keys().cloned().collect();
+    assert_eq!(fields.len(), 8);
+    for field in fields {
+        for value in [None, Some(json!(null)), Some(json!([])), Some(json!({}))] {
+            let mut entry = leaf_entry();
+            let entry_fields = entry.as_object_mut().unwrap();
+            match &value {
+                Some(value) => drop(entry_fields.insert(field.clone(), value.clone())),
+                None => drop(entry_fields.remove(&field)),
+            }
+            assert!(!names_leaf("i-1", &entry), "{field}: {value:?}");
+        }
+    }
+}
+
+/// Guards against an id that ends the line of the header which names the leaf and so adds lines to each request for it.
+#[test]
+fn a_leaf_whose_id_is_no_header_value_is_not_used() {
+    let is_used = |id: &str| names_leaf(id, &leaf_entry());
     for id in ["i-1", "i-1 (copy)", "i-\u{e4}", "a/b"] {
         assert!(is_used(id), "{id:?}");
     }
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -2,6 +2,10 @@
     io::{Read, Write, pipe},
     ops::Range,
     os::{fd::OwnedFd, unix::net::UnixStream},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -10,7 +14,10 @@
 use serde_json::json;
 use tokio::time::sleep;
 
-use crate::site::{Node, Site, wait_until};
+use crate::{
+    raw_leaf::start_leaf,
+    site::{Node, Site, wait_until},
+};
 
 /// Capacity of a pipe, bytes.
 const PIPE_BYTES: usize = 64 << 10;
@@ -359,6 +366,51 @@
     assert!(log.contains("leaf entry ignored"));
 }
 
+/// Guards against requests that are sent to a leaf, or to a server that is none, whose entry names no leaf: one that another
+/// writer has put into the store, or has written over a good one.
+#[tokio::test]
+async fn an_entry_of_another_writer_names_no_leaf() {
+    let site = Site::start(1, 1).await;
+    let node = &site.nodes().await[0];
+    let [a, b] = &site.shards[0];
+    let calls = Arc::new(AtomicU32::new(0));
+    let counted = calls.clone();
+    let server = start_leaf(move |_| {
+        counted.fetch_add(1, Ordering::Relaxed);
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".to_vec()
+    });
+    let address = server.await;
+    let entry = json!({"service": "s0", "address": address, "zone": "a", "state": "ready"});
+    site.store.put("servers/other", &entry);
+    sleep(Duration::from_millis(500)).await;
+    for request in 0..20 {
+        let reply = node.query("/one/x", &format!("q{request}")).await;
+        assert_eq!(reply.status, 200);
+    }
+    assert_eq!(
+        calls.load(Ordering::Relaxed),
+        0,
+        "calls to a server that is no leaf"
+    );
+    site.store.put_bytes(&a.key(), b"written over");
+    let before = b.request_count();
+    wait_until("the other leaf is used", async || {
+        node.query("/one/x", "probe").await;
+        b.request_count() > before
+    })
+    .await;
+    let before = a.request_count();
+    for request in 0..10 {
+        let reply = node.query("/one/x", &format!("r{request}")).await;
+        assert_eq!(reply.status, 200);
+    }
+    assert_eq!(
+        a.request_count(),
+        before,
+        "calls to a leaf without an entry"
+    );
+}
+
 /// Guards against requests that wait for a reader of the log: the pipe is already full when the node starts.
 #[tokio::test]
 async fn an_unread_log_delays_no_request() {
