Read answers to HEAD requests without a body

The leaf's answer announces the length that a GET would have, and the reader waited for that body.

Evidence: responses_to_head_have_no_body failed before.

Fix: the framing knows whether it answers a HEAD request (RFC 9112, section 6.3, rule 1), in the same place that decides for all others. Such an answer may state no length on a connection that persists.

--- a/src/adapter/http1/connection.rs
+++ b/src/adapter/http1/connection.rs
@@ -184,10 +184,11 @@
             .map_err(Reason::Io)
             .map_err(fail(ExchangeStep::Start))?;
         let mut unsent = &request[written..];
+        let to_head = request.starts_with(b"HEAD ");
         let (mut skipped, mut interim) = (0_u32, 0_u32);
         loop {
             let head = loop {
-                match Head::parse(&self.buffer) {
+                match Head::parse(&self.buffer, to_head) {
                     Ok(Some(_)) if skipped > MAX_SKIPPED => {
                         let reason = Reason::Protocol("too many responses");
                         return Err(fail(ExchangeStep::Head)(reason));
--- a/src/adapter/http1/framing.rs
+++ b/src/adapter/http1/framing.rs
@@ -12,12 +12,13 @@
 }
 
 impl Framing {
-    /// Determines how the body of a response ends (RFC 9112, section 6.3).
+    /// Determines how the body of a response ends (RFC 9112, section 6.3). `to_head` is set for the response to a HEAD request,
+    /// which has no body.
     ///
     /// # Errors
     ///
     /// Fails with the reason if the headers contradict each other or are not valid. The end of the body is then unknown.
-    pub(super) fn of(reply: &Reply, is_http_10: bool) -> Result<Self, &'static str> {
+    pub(super) fn of(reply: &Reply, is_http_10: bool, to_head: bool) -> Result<Self, &'static str> {
         let is_chunked = is_chunked(reply)?;
         let length = content_length(reply)?;
         if is_chunked && length.is_some() {
@@ -31,6 +32,7 @@
                 Err("a body with a status that has none")
             }
             100..200 | 204 | 304 => Ok(Self::Length(0)),
+            _ if to_head => Ok(Self::Length(0)),
             _ if is_chunked => Ok(Self::Chunked),
             _ => match length {
                 Some(length) => Ok(Self::Length(length)),
--- a/src/adapter/http1/head.rs
+++ b/src/adapter/http1/head.rs
@@ -14,12 +14,12 @@
 }
 
 impl Head {
-    /// Parses a response head; returns `None` while it is incomplete.
+    /// Parses the head of the response to a HEAD request (`to_head`) or another one; returns `None` while it is incomplete.
     ///
     /// # Errors
     ///
     /// Fails with the reason if the bytes are not the head of a response, or do not tell where its body ends.
-    pub(super) fn parse(buffer: &[u8]) -> Result<Option<Self>, &'static str> {
+    pub(super) fn parse(buffer: &[u8], to_head: bool) -> Result<Option<Self>, &'static str> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut parsed = httparse::Response::new(&mut headers);
         let length = match parsed.parse(buffer) {
@@ -35,7 +35,7 @@
         let fields = fields.map(|field| (field.name.as_bytes(), field.value));
         let reply = Reply::new(status, head, fields);
         let is_http_10 = parsed.version == Some(0);
-        let framing = Framing::of(&reply, is_http_10)?;
+        let framing = Framing::of(&reply, is_http_10, to_head)?;
         let closes =
             is_http_10 || framing == Framing::UntilClose || reply.has_connection_option("close");
         Ok(Some(Self {
--- a/tests/http1.rs
+++ b/tests/http1.rs
@@ -7,7 +7,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 const MAX_BODY_BYTES: usize = 1 << 20;
@@ -391,6 +391,23 @@
     }
 }
 
+/// Guards against an answer to HEAD whose body is waited for, which only its length announces.
+#[tokio::test]
+async fn responses_to_head_have_no_body() {
+    for lines in ["Content-Length: 5", "Transfer-Encoding: chunked", "A: b"] {
+        let head = format!("HTTP/1.1 200 OK\r\n{lines}\r\n\r\n");
+        let mut connection = connect_to_peer(vec![head.clone().into(), head.into()]).await;
+        for _ in 0..2 {
+            let request = b"HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n";
+            let exchange = connection.exchange(request, MAX_BODY_BYTES, |_| true);
+            let reply = timeout(Duration::from_secs(3), exchange).await;
+            let reply = reply.unwrap_or_else(|_| panic!("{lines}: a body is waited for"));
+            assert_eq!(reply.unwrap().body, "", "{lines}");
+            assert!(connection.is_idle(), "{lines}");
+        }
+    }
+}
+
 /// Guards against a line of the head that is no field, or whose name has a blank or a control byte, and is skipped or passed on.
 #[tokio::test]
 async fn responses_with_lines_that_are_no_fields_are_errors() {
