Pass on the failures that leaves have signed, also for orders

The test is right by "the leaf's status, body and Server-Stamp are returned unchanged", so it stays as it is. Which sentence holds if a leaf signs such an answer is now a question on docs/platform.md.

--- a/src/core/gather/verdict.rs
+++ b/src/core/gather/verdict.rs
@@ -7,8 +7,6 @@
     pub misdirected: bool,
     /// The status is a server error.
     pub failed: bool,
-    /// Callers take the status as a promise that the request has not run and never will.
-    pub promising: bool,
     /// The leaf has signed the answer, as it does whenever it has run the request.
     pub signed: bool,
     /// The answer names its request.
@@ -53,9 +51,6 @@
             } => Verdict::Misdirected,
             Self { not_run: true, .. } => Verdict::Shed,
             Self { signed: false, .. } => Verdict::Unusable("not signed by the leaf"),
-            Self {
-                promising: true, ..
-            } if !call.repeatable => Verdict::Unusable("promises what the leaf does not state"),
             Self { failed: true, .. } => Verdict::Failed,
             _ => Verdict::Answer,
         }
