--- a/emulator/src/store.rs
+++ b/emulator/src/store.rs
@@ -17,7 +17,7 @@
 };
 use url::form_urlencoded;
 
-use crate::http::{Closed, Payload, Reply, json as json_reply, lock, serve};
+use crate::http::{Closed, Payload, Reply, json as json_reply, lock, raw, serve};
 
 /// Maximum number of items in a page.
 const PAGE_SIZE: usize = 7;
@@ -37,12 +37,20 @@
     Silent,
 }
 
+/// What the store answers about a key.
+#[derive(Clone, Debug)]
+enum Content {
+    Value(Arc<[u8]>),
+    /// The whole item as the store writes it into its answers.
+    Text(Arc<[u8]>),
+    Deleted,
+}
+
 #[derive(Clone, Debug)]
 struct Event {
     key: String,
     revision: u64,
-    /// `None` if the key was deleted.
-    value: Option<Arc<[u8]>>,
+    content: Content,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -50,8 +58,8 @@
     /// Number of restores, from 1.
     era: u64,
     revision: u64,
-    /// Revision of the last write and value of each item, by key.
-    items: BTreeMap<String, (u64, Arc<[u8]>)>,
+    /// Revision and content of the last write of each item, by key.
+    items: BTreeMap<String, (u64, Content)>,
     history: VecDeque<Event>,
     /// Revision up to which the history was dropped.
     compacted_revision: u64,
@@ -123,12 +131,18 @@
 
     /// Writes an item with any bytes as its value and returns its revision.
     pub fn put_bytes(&self, key: &str, value: &[u8]) -> u64 {
-        self.write(key, Some(value.into()))
+        self.write(key, Content::Value(value.into()))
+    }
+
+    /// Writes an item that stands in answers as `text`, which may be anything, and returns its revision. Its place in the pages
+    /// is that of `key`.
+    pub fn put_text(&self, key: &str, text: &[u8]) -> u64 {
+        self.write(key, Content::Text(text.into()))
     }
 
     /// Deletes an item and returns the revision of the deletion.
     pub fn delete(&self, key: &str) -> u64 {
-        self.write(key, None)
+        self.write(key, Content::Deleted)
     }
 
     /// Drops the history. Watches from an earlier revision get 410.
@@ -163,25 +177,19 @@
         lock(&self.state).calls
     }
 
-    fn write(&self, key: &str, value: Option<Arc<[u8]>>) -> u64 {
+    fn write(&self, key: &str, content: Content) -> u64 {
         let mut state = lock(&self.state);
         state.revision += 1;
         let revision = state.revision;
-        match &value {
-            Some(value) => {
-                state
-                    .items
-                    .insert(key.to_owned(), (revision, value.clone()));
-            }
-            None => {
-                state.items.remove(key);
-            }
-        }
         let key = key.to_owned();
+        match &content {
+            Content::Deleted => drop(state.items.remove(&key)),
+            content => drop(state.items.insert(key.clone(), (revision, content.clone()))),
+        }
         state.history.push_back(Event {
             key,
             revision,
-            value,
+            content,
         });
         drop(state);
         self.changed.send_replace(revision);
@@ -259,14 +267,13 @@
         .items
         .iter()
         .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
-    let items: Vec<Value> = matching
-        .clone()
-        .take(PAGE_SIZE)
-        .map(|(key, (revision, value))| item(key, *revision, Some(value)))
+    let items = matching.clone().take(PAGE_SIZE);
+    let items: Vec<Vec<u8>> = items
+        .map(|(key, (revision, content))| item(key, *revision, content))
         .collect();
     let more = matching.count() > items.len();
-    let page = json!({"items": items, "has_more": more, "current_rev": state.revision});
-    json_reply(StatusCode::OK, &page)
+    let rest = format!("\"has_more\":{more},\"current_rev\":{}", state.revision);
+    list("items", &items, &rest)
 }
 
 async fn watch_events(
@@ -285,13 +292,13 @@
                 return json_reply(StatusCode::GONE, &json!({}));
             }
             let events = state.history.iter();
-            let events: Vec<Value> = events
+            let events: Vec<Vec<u8>> = events
                 .filter(|event| event.revision > after && event.key.starts_with(prefix))
-                .map(|event| item(&event.key, event.revision, event.value.as_ref()))
+                .map(|event| item(&event.key, event.revision, &event.content))
                 .collect();
             if !events.is_empty() || Instant::now() >= deadline {
-                let body = json!({"events": events, "current_rev": state.revision});
-                return json_reply(StatusCode::OK, &body);
+                let rest = format!("\"current_rev\":{}", state.revision);
+                return list("events", &events, &rest);
             }
         }
         if timeout_at(deadline, changes.changed()).await.is_err() {
@@ -300,11 +307,22 @@
     }
 }
 
-fn item(key: &str, revision: u64, value: Option<&Arc<[u8]>>) -> Value {
-    match value {
-        Some(value) => json!({
+/// Returns an item as it stands in an answer.
+fn item(key: &str, revision: u64, content: &Content) -> Vec<u8> {
+    let item = match content {
+        Content::Text(text) => return text.to_vec(),
+        Content::Value(value) => json!({
             "key": key, "value": STANDARD.encode(value), "mod_rev": revision, "created": revision, "lease": 0,
         }),
-        None => json!({"key": key, "mod_rev": revision, "deleted": true}),
-    }
+        Content::Deleted => json!({"key": key, "mod_rev": revision, "deleted": true}),
+    };
+    item.to_string().into_bytes()
+}
+
+/// Builds an answer with a list of items and the fields `rest`.
+fn list(name: &str, items: &[Vec<u8>], rest: &str) -> Response<Payload> {
+    let items = items.join(&b',');
+    let (start, end) = (format!("{{\"{name}\":["), format!("],{rest}}}"));
+    let body = [start.as_bytes(), &items, end.as_bytes()].concat();
+    raw(StatusCode::OK, Payload::Full(Some(body.into())))
 }
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -19,7 +19,7 @@
         routing::Routing,
     },
     gateway::{ingress::FEED_PATH, members::millis, state::Gateway},
-    platform::{DecodedChange, StoreClient, StoreError, decode_change},
+    platform::{DecodedChange, OddItem, StoreClient, StoreError, decode_change},
 };
 
 /// Maximum wait of a watch. Each answer confirms to other nodes that this one still reaches the store.
@@ -104,6 +104,7 @@
                     if !self.sync.reading.replace(true) {
                         self.sync.read_update.notify_one();
                     }
+                    self.log_odd_items(now, &read.odd);
                     let received = read.changes.len();
                     let changes = {
                         let mut mirror = self.mirror.borrow_mut();
@@ -161,6 +162,16 @@
         }
     }
 
+    /// Counts and logs items of the store that cannot be read.
+    fn log_odd_items(&self, now: Time, odd: &[OddItem]) {
+        metrics::counter!("cranberrychute_store_odd_items_total").increment(odd.len() as u64);
+        for OddItem { key, fault } in odd {
+            if let Some(suppressed) = self.log_limiter.admit(now, "odd_item") {
+                log::warn!(key = &**key, error:% = fault, suppressed; "item of the store cannot be read");
+            }
+        }
+    }
+
     /// Returns whether this node has to read the store itself.
     fn must_read_store(&self) -> bool {
         if self.mirror.borrow().position().is_start() || self.sync.catch_up.get() {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod load;
 mod membership;
 mod numbers;
+mod odd_items;
 mod platform;
 mod raw_leaf;
 mod requests;
--- /dev/null
+++ b/tests/gateway/odd_items.rs
@@ -0,0 +1,202 @@
+//! Items of the store that cannot be read: each costs itself and nothing more.
+
+use std::time::Duration;
+
+use cranberrychute::platform::StoreClient;
+use cranberrychute_emulator::Store;
+use tokio::time::timeout;
+
+use crate::{
+    restore::{serves_new_route, with_new_route},
+    site::{Node, Site, wait_until},
+};
+
+/// Maximum time of a call to the store. It only stops a test that would hang.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Number of items in a page of the emulated store.
+const PAGE_ITEMS: usize = 7;
+
+/// Items as a store may write them, with `KEY` for their key.
+const ODD_ITEMS: [&[u8]; 31] = [
+    br#"{"key":"KEY","value":7,"mod_rev":3}"#,
+    br#"{"key":"KEY","value":null,"mod_rev":3}"#,
+    br#"{"key":"KEY","value":{},"mod_rev":3}"#,
+    br#"{"key":"KEY","value":"e30","mod_rev":3}"#,
+    br#"{"key":"KEY","value":"{}","mod_rev":3}"#,
+    br#"{"key":"KEY","value":"\ud800","mod_rev":3}"#,
+    b"{\"key\":\"KEY\",\"value\":\"\xff\xfe\",\"mod_rev\":3}",
+    br#"{"key":"KEY","mod_rev":3}"#,
+    br#"{"key":"KEY","value":"e30="}"#,
+    br#"{"key":"KEY","value":"e30=","mod_rev":null}"#,
+    br#"{"key":"KEY","value":"e30=","mod_rev":"3"}"#,
+    br#"{"key":"KEY","value":"e30=","mod_rev":-1}"#,
+    br#"{"key":"KEY","value":"e30=","mod_rev":1e999}"#,
+    br#"{"key":"KEY","value":"e30=","mod_rev":18446744073709551615}"#,
+    br#"{"key":"KEY","value":"e30=","mod_rev":3,"deleted":"no"}"#,
+    br#"{"key":"KEY","value":"e30=","mod_rev":3,"note":"\ud800"}"#,
+    b"{\"key\":\"KEY\",\"value\":\"e30=\",\"mod_rev\":3,\"note\":\"\x80\"}",
+    b"{\"key\":\"KEY\",\"value\":\"e30=\",\"mod_rev\":3,\"\xc3\":1}",
+    br#"{"key":"KEY","key":"KEY","value":"e30=","mod_rev":3}"#,
+    b"{\"key\":\"KEY\xff\",\"value\":\"e30=\",\"mod_rev\":3}",
+    b"{\"key\":\"KEY\xed\xb2\x80\xc3\xa4\",\"value\":\"e30=\",\"mod_rev\":3}",
+    br#"{"key":"KEY\udcff","value":"e30=","mod_rev":3}"#,
+    br#"{"key":"KEY\ud800\u0000","value":"e30=","mod_rev":3}"#,
+    br#"{"key":7,"value":"e30=","mod_rev":3}"#,
+    br#"{"key":null,"value":"e30=","mod_rev":3}"#,
+    br#"{"value":"e30=","mod_rev":3}"#,
+    b"{}",
+    b"[]",
+    b"null",
+    b"7",
+    br#""KEY""#,
+];
+
+/// Returns an odd item under a key.
+fn odd_item(item: &[u8], key: &str) -> Vec<u8> {
+    let mut rest = item;
+    let mut text = Vec::new();
+    while let Some(at) = rest.windows(3).position(|part| part == b"KEY") {
+        text.extend_from_slice(&rest[..at]);
+        text.extend_from_slice(key.as_bytes());
+        rest = &rest[at + 3..];
+    }
+    text.extend_from_slice(rest);
+    text
+}
+
+/// Guards against an item that spoils the page in which it stands, so that no node reads the store while it is there.
+#[tokio::test]
+async fn an_odd_item_leaves_the_rest_of_its_page_readable() {
+    for item in ODD_ITEMS {
+        for list in ["op/", "servers/"] {
+            for place in [0, 3, PAGE_ITEMS - 1, 2 * PAGE_ITEMS] {
+                let store = Store::start(1).await.unwrap();
+                let others: Vec<String> = (0..2 * PAGE_ITEMS)
+                    .map(|index| format!("{list}i-{index:02}"))
+                    .collect();
+                for key in &others {
+                    store.put_bytes(key, b"x");
+                }
+                let key = match place {
+                    0 => format!("{list}a"),
+                    place => format!("{list}i-{:02}x", place - 1),
+                };
+                store.put_text(&key, &odd_item(item, &key));
+                let mut client = StoreClient::new(store.address(0));
+                let read = timeout(CALL_TIMEOUT, client.read_all(1, &[CALL_TIMEOUT])).await;
+                let text = String::from_utf8_lossy(item);
+                let read = read.unwrap_or_else(|_| panic!("{text} at {place}: no end"));
+                let read = read.unwrap_or_else(|error| panic!("{text} at {place}: {error}"));
+                let is_read = |key: &&String| {
+                    let mut changes = read.changes.iter();
+                    !changes.any(|change| *change.key == ***key && change.value.is_some())
+                };
+                let missing: Vec<_> = others.iter().filter(is_read).collect();
+                assert!(missing.is_empty(), "{text} at {place}: {missing:?} missing");
+            }
+        }
+    }
+}
+
+/// Guards against an item that spoils each answer to a watch which has it, so that no change is seen any more.
+#[tokio::test]
+async fn an_odd_item_leaves_the_rest_of_a_watch_readable() {
+    for item in ODD_ITEMS {
+        let store = Store::start(1).await.unwrap();
+        store.put_bytes("op/config", b"x");
+        let mut client = StoreClient::new(store.address(0));
+        let position = client.read_all(1, &[CALL_TIMEOUT]).await.unwrap().position;
+        store.put_bytes("servers/a", b"x");
+        store.put_text("servers/m", &odd_item(item, "servers/m"));
+        let revision = store.put_bytes("servers/z", b"x");
+        let read = client.watch(position, Duration::ZERO, CALL_TIMEOUT).await;
+        let text = String::from_utf8_lossy(item);
+        let read = read.unwrap_or_else(|error| panic!("{text}: {error}"));
+        assert_eq!(read.position.revision, revision, "{text}");
+        for key in ["servers/a", "servers/z"] {
+            let mut changes = read.changes.iter();
+            assert!(changes.any(|change| *change.key == *key), "{text}: {key}");
+        }
+    }
+}
+
+/// Waits until all nodes serve a route.
+async fn wait_until_served(nodes: &[Node], what: &str) {
+    for node in nodes {
+        wait_until(what, async || {
+            node.is_ready().await && serves_new_route(node).await
+        })
+        .await;
+    }
+}
+
+/// Guards against an entry that stops the service once no node is left that has read the store without it.
+#[tokio::test]
+async fn odd_items_stop_neither_running_nor_restarted_nodes() {
+    let site = Site::start(1, 3).await;
+    let mut nodes = site.nodes().await;
+    for (index, item) in ODD_ITEMS.iter().enumerate() {
+        for list in ["op/evacuate/", "servers/"] {
+            let key = format!("{list}odd-{index:02}");
+            site.store.put_text(&key, &odd_item(item, &key));
+            // Stands between odd ones in the pages.
+            site.store
+                .put_bytes(&format!("{list}odd-{index:02}z"), b"x");
+        }
+    }
+    site.store.put("op/config", &with_new_route(&site, 8));
+    wait_until_served(&nodes, "running nodes see later changes").await;
+    for restart in 0..2 {
+        nodes.iter_mut().for_each(Node::kill);
+        if restart == 1 {
+            site.store.compact();
+            site.store.restore(&site.store.copy());
+        }
+        nodes = (0..nodes.len()).map(|index| site.node(index)).collect();
+        wait_until_served(&nodes, "restarted nodes serve").await;
+    }
+    let is_named = |node: &Node, key: &str| {
+        let lines = node.log_lines();
+        lines
+            .iter()
+            .any(|line| line["message"] == "item of the store cannot be read" && line["key"] == key)
+    };
+    for key in ["servers/odd-00", "servers/odd-10", "servers/odd-19\\xff"] {
+        let named = nodes.iter().any(|node| is_named(node, key));
+        assert!(named, "{key} is in no log");
+    }
+}
+
+/// Guards against a leaf that is used although an entry which cannot be read has replaced its own, and against nodes that differ
+/// in it.
+#[tokio::test]
+async fn a_leaf_with_an_odd_entry_is_gone() {
+    let items = [ODD_ITEMS[0], ODD_ITEMS[3], ODD_ITEMS[6], ODD_ITEMS[7]];
+    for item in items {
+        let site = Site::start(1, 2).await;
+        let mut nodes = site.nodes().await;
+        let [a, b] = &site.shards[0];
+        site.store.put_text(&a.key(), &odd_item(item, &a.key()));
+        for restarted in [false, true] {
+            if restarted {
+                nodes.iter_mut().for_each(Node::kill);
+                nodes = (0..nodes.len()).map(|index| site.node(index)).collect();
+            }
+            for node in &nodes {
+                wait_until("the node is ready", async || node.is_ready().await).await;
+            }
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            let (before, others) = (a.request_count(), b.request_count());
+            for request in 0..20 {
+                let node = &nodes[request % nodes.len()];
+                let reply = node
+                    .query("/one/x", &format!("q{restarted}{request}"))
+                    .await;
+                assert_eq!(reply.status, 200);
+            }
+            let text = String::from_utf8_lossy(item);
+            assert_eq!(a.request_count(), before, "{text}, restarted: {restarted}");
+            assert!(b.request_count() >= others + 20);
+        }
+    }
+}
--- a/tests/gateway/restore.rs
+++ b/tests/gateway/restore.rs
@@ -16,7 +16,7 @@
 const OUTAGE: Duration = Duration::from_millis(500);
 
 /// Returns a configuration with one more route, `/new/`, like the `/one/` route.
-fn with_new_route(site: &Site, version: u64) -> Value {
+pub(crate) fn with_new_route(site: &Site, version: u64) -> Value {
     let mut config = site.config(version);
     let mut route = config["routes"][1].clone();
     route["name"] = json!("new");
@@ -25,7 +25,7 @@
     config
 }
 
-async fn serves_new_route(node: &Node) -> bool {
+pub(crate) async fn serves_new_route(node: &Node) -> bool {
     node.query("/new/x", "probe").await.status == 200
 }
 
