Put all entries of an address out of use that its leaf disowns

Seen by callers: while complete entries stood under names of their own at the addresses of leaves, requests to a node that had just started ended with 502 or 503, although nothing was wrong with the leaves. Each such entry also took connections of the leaf.

Cause: a rejection for another leaf (421) put only the entry out of use that the call had named, so each of them cost each node a call, and calls that were sent at the same time all met one. A request met several in a row, until its attempts or the retry budget were spent. The rejection names the leaf that is at the address (Leaf-Id); that was not read.

Evidence: copies_of_entries_under_other_names_cost_no_request (processes, 22 copies of each of four leaves' entries, all nodes killed and started again) failed before and on: "burst0-0", a query right after the start, 502 where 200 is due.

Fix: a rejection that names its leaf refutes all other entries which have named the address since before the call (registry::Misdirection); they are out of use until they change, as before. A request that was rejected so goes on to a leaf that has answered or named itself, if one has room. Entries with an address of their own are treated as before.

421 stays "not run" and counts in the retry budget. No message between nodes changed: each node finds out with one call for an address.

Weighed: a status check of each entry before its first use. It takes a slot of a leaf for each node and entry, which the platform charges, and a cold leaf may not bear it; the rejection says the same.

--- a/src/core/placement/leaf_stats.rs
+++ b/src/core/placement/leaf_stats.rs
@@ -261,6 +261,12 @@
         self.calls.len()
     }
 
+    /// Returns whether a call in progress was sent less than `within` ago.
+    pub fn has_recent_call(&self, now: Time, within: Duration) -> bool {
+        let mut calls = self.calls.iter();
+        calls.any(|(_, sent)| now.since(*sent) < within)
+    }
+
     /// Returns whether the call limit allows another call to the leaf.
     ///
     /// Nodes reduce the limit independently when a leaf sheds calls or reports a long queue. Calls then wait on the
--- a/src/core/registry/mod.rs
+++ b/src/core/registry/mod.rs
@@ -1,9 +1,13 @@
 //! The leaves that are registered in the platform's store.
 
+mod misdirection;
+
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::core::{Domain, Instance, ServiceName, Time};
 
+pub use self::misdirection::Misdirection;
+
 /// Time after a long outage of the store for which removals are held back, so that leaves whose entries expired during
 /// the outage can register again. The platform states about two seconds; the rest covers the propagation of changes.
 const REMOVAL_GRACE: Duration = Duration::from_millis(2_600);
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -14,6 +14,7 @@
         crash::{CrashId, Fingerprint},
         gather::{AnsweredCall, Failure, Verdict},
         placement::{CallToken, MIN_IDLE_TIME, Outcome, RequestKey},
+        registry::Misdirection,
     },
     gateway::{
         crashes::{LostCall, Trial},
@@ -266,6 +267,7 @@
         let (outcome, failure, reason, reply) = match verdict {
             Verdict::Answer => {
                 guard.finish(Outcome::Answered(latency));
+                self.leaf.confirmed.set(true);
                 self.route_stats
                     .borrow_mut()
                     .record_latency(latency, self.objective);
@@ -280,8 +282,15 @@
                 (Outcome::Shed, Failure::Shed, reason, Some(reply))
             }
             Verdict::Misdirected => {
-                log::info!(leaf:% = self.leaf.instance(), id = &*self.id; "another leaf answers at this address");
-                self.leaf.defunct.set(true);
+                let misdirection = Misdirection {
+                    target: &self.leaf.instance(),
+                    present: answer.present.as_deref(),
+                    sent_at: guard.sent_at,
+                };
+                let address = self.leaf.address();
+                gateway
+                    .upstreams
+                    .refute(gateway, address, misdirection, &self.id);
                 let reason = format!("refused with {status}");
                 (Outcome::Shed, Failure::NotRun, reason, Some(reply))
             }
--- a/tests/decisions/registry.rs
+++ b/tests/decisions/registry.rs
@@ -1,7 +1,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use assert_matches::assert_matches;
-use cranberrychute::core::registry::{LeafChange, LeafRecord, Registry};
+use cranberrychute::core::registry::{LeafChange, LeafRecord, Misdirection, Registry};
 
 use crate::at;
 
@@ -100,3 +100,29 @@
         Some(LeafChange::Removed(_))
     );
 }
+
+/// Guards against an entry that stays in use although another leaf is at its address, and against a leaf that is put out of use
+/// by an answer from before it was there.
+#[test]
+fn a_rejection_for_another_leaf_refutes_the_other_entries_of_its_address() {
+    let cases = [
+        // Target, leaf that is present, leaf in question, since when its entry is known, whether it is refuted.
+        ("i-1", None, "i-1", 0, true),
+        ("i-1", None, "i-2", 0, false),
+        ("i-1", Some("i-2"), "i-1", 0, true),
+        ("i-1", Some("i-2"), "i-2", 0, false),
+        ("i-1", Some("i-2"), "i-3", 0, true),
+        ("i-1", Some("i-2"), "i-3", 10, true),
+        ("i-1", Some("i-2"), "i-3", 11, false),
+        ("i-1", Some("i-1"), "i-1", 0, true),
+    ];
+    for (target, present, leaf, since, refuted) in cases {
+        let misdirection = Misdirection {
+            target: &target.into(),
+            present,
+            sent_at: at(10),
+        };
+        let refutes = misdirection.refutes(&leaf.into(), at(since));
+        assert_eq!(refutes, refuted, "{misdirection:?}, {leaf} since {since}");
+    }
+}
--- a/tests/gateway/odd_items.rs
+++ b/tests/gateway/odd_items.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use cranberrychute::platform::StoreClient;
-use cranberrychute_emulator::Store;
+use cranberrychute_emulator::{GatewayLeaf, Store};
+use futures::future::join_all;
+use serde_json::json;
 use tokio::time::timeout;
 
 use crate::{
@@ -234,3 +236,62 @@
         }
     }
 }
+
+/// Writes complete entries under names of their own, each at the address of a leaf.
+fn put_copies(site: &Site) {
+    for (shard, pair) in site.shards.iter().enumerate() {
+        for (leaf, zone) in pair.iter().zip(["a", "b"]) {
+            for name in ODD_NAMES {
+                let mut entry = leaf.entry(&format!("s{shard}"), zone, "ready");
+                entry["slots"] = json!(64);
+                let key = format!("{}{name}", leaf.key());
+                site.store.put(&key, &entry);
+            }
+        }
+    }
+}
+
+/// Guards against requests that are lost to entries which name a leaf that is not at their address: the leaf there rejects the
+/// requests and says which one it is.
+#[tokio::test]
+async fn copies_of_entries_under_other_names_cost_no_request() {
+    let site = Site::start(2, 2).await;
+    put_copies(&site);
+    let leaves = || site.shards.iter().flatten();
+    let mut nodes = site.nodes().await;
+    for restart in 0..2 {
+        nodes.iter_mut().for_each(Node::kill);
+        nodes = (0..nodes.len()).map(|index| site.node(index)).collect();
+        for node in &nodes {
+            wait_until("the node is ready", async || node.is_ready().await).await;
+        }
+        let before: u64 = leaves().map(GatewayLeaf::request_count).sum();
+        let mut runs = 0;
+        let burst = (0..40).map(async |request| {
+            let id = format!("burst{restart}-{request}");
+            let node = &nodes[request % nodes.len()];
+            (node.query("/all/x", &id).await.status, id)
+        });
+        for (status, id) in join_all(burst).await {
+            assert_eq!(status, 200, "{id}");
+            runs += u64::from(site.run_count(&id));
+        }
+        for request in 0..60 {
+            let node = &nodes[request % nodes.len()];
+            let id = format!("q{restart}-{request}");
+            let reply = match request % 3 {
+                0 => node.send_order("/order/x", &id).await,
+                1 => node.query("/all/x", &id).await,
+                _ => node.query("/one/x", &id).await,
+            };
+            assert_eq!(reply.status, 200, "{id}");
+            runs += u64::from(site.run_count(&id));
+            assert!(request % 3 != 0 || site.run_count(&id) == 1, "{id}");
+        }
+        let calls = leaves().map(GatewayLeaf::request_count).sum::<u64>() - before;
+        let rejected = calls - runs;
+        // One for each address at each node, and as many for calls that were sent at the same time.
+        let most = 2 * (nodes.len() * leaves().count()) as u64;
+        assert!(rejected <= most, "{rejected} of {calls} calls to no leaf");
+    }
+}
