--- a/tests/bytes/main.rs
+++ b/tests/bytes/main.rs
@@ -165,7 +165,8 @@
     }
 }
 
-/// Guards against an id that ends the line of the header which names the leaf and so adds lines to each request for it.
+/// Guards against an id that ends the line of the header which names the leaf and so adds lines to each request for it, and
+/// against one that arrives as the id of another leaf, since blanks around the value of a header do not belong to it.
 #[test]
 fn a_leaf_whose_id_is_no_header_value_is_not_used() {
     let is_used = |id: &str| names_leaf(id, &leaf_entry());
@@ -179,6 +180,11 @@
         "i-1\n",
         "i\0",
         "i\u{7f}",
+        " i-1",
+        "i-1 ",
+        "\ti-1",
+        "i-1\t",
+        " ",
     ] {
         assert!(!is_used(id), "{id:?}");
     }
