--- a/tests/gateway/odd_items.rs
+++ b/tests/gateway/odd_items.rs
@@ -16,6 +16,8 @@
 
 /// Maximum time of a call to the store. It only stops a test that would hang.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum length of a key, bytes.
+const MAX_KEY_BYTES: usize = 200;
 /// Number of items in a page of the emulated store.
 const PAGE_ITEMS: usize = 7;
 
@@ -123,6 +125,52 @@
     }
 }
 
+/// Guards against reports of items that no node reads.
+#[tokio::test]
+async fn odd_items_of_others_are_not_reported() {
+    let store = Store::start(1).await.unwrap();
+    let mut client = StoreClient::new(store.address(0));
+    let position = client.read_all(1, &[CALL_TIMEOUT]).await.unwrap().position;
+    for key in ["other/a", "servers/a"] {
+        store.put_text(key, &odd_item(ODD_ITEMS[0], key));
+    }
+    let read = client.watch(position, Duration::ZERO, CALL_TIMEOUT).await;
+    let odd = read.unwrap().odd;
+    let keys: Vec<&str> = odd.iter().map(|odd| &*odd.key).collect();
+    assert_eq!(keys, ["servers/a"]);
+}
+
+/// Guards against many odd items that flood the log or make nodes read the store again and again.
+#[tokio::test]
+async fn a_thousand_odd_items_cost_few_lines_and_one_read() {
+    let site = Site::start(1, 2).await;
+    for index in 0..1_000 {
+        let (list, item) = match index % 2 {
+            0 => ("servers/", ODD_ITEMS[index % ODD_ITEMS.len()]),
+            _ => ("op/", ODD_ITEMS[0]),
+        };
+        let key = format!("{list}odd {index:04}");
+        site.store.put_text(&key, &odd_item(item, &key));
+        // A page without any key ends the read.
+        site.store
+            .put_bytes(&format!("{key}z"), b"another writer's");
+    }
+    let before = site.store.call_count();
+    let nodes = site.nodes().await;
+    for node in &nodes {
+        assert_eq!(node.query("/one/x", "q").await.status, 200);
+        let lines = node.log_lines();
+        let odd = lines
+            .iter()
+            .filter(|line| line["message"] == "item of the store cannot be read");
+        // A burst, and those of the seconds since.
+        assert!(odd.count() <= 100);
+    }
+    let pages = 2_000 / PAGE_ITEMS;
+    let calls = site.store.call_count() - before;
+    assert!(calls <= 2 * (nodes.len() * pages) as u64, "{calls} calls");
+}
+
 /// Waits until all nodes serve a route.
 async fn wait_until_served(nodes: &[Node], what: &str) {
     for node in nodes {
@@ -295,3 +343,31 @@
         assert!(rejected <= most, "{rejected} of {calls} calls to no leaf");
     }
 }
+
+/// Guards against ids of leaves that are as long as keys may be and make the messages between nodes too large to be sent.
+#[tokio::test]
+async fn nodes_with_leaves_of_long_ids_stay_in_touch() {
+    let site = Site::start(3, 12).await;
+    for (index, leaf) in site.shards.iter().flatten().enumerate() {
+        site.store.delete(&leaf.key());
+        leaf.set_id(&format!(
+            "{index}{}",
+            "+".repeat(MAX_KEY_BYTES - "servers/0".len())
+        ));
+        leaf.set_limit(Some("1000"));
+    }
+    (0..3).for_each(|shard| site.publish(shard, "ready"));
+    let nodes = site.nodes().await;
+    for request in 0..60 {
+        let node = &nodes[request % nodes.len()];
+        let reply = node.query("/all/x", &format!("q{request}")).await;
+        assert_eq!(reply.status, 200);
+    }
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    for node in &nodes {
+        assert_eq!(node.directory().await.len(), nodes.len());
+        let mut lines = node.log_lines().into_iter();
+        let failed = lines.find(|line| line["message"] == "failed to send a message to a node");
+        assert!(failed.is_none(), "{failed:?}");
+    }
+}
