--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -84,7 +84,7 @@
 
 /// Starts a store that answers each call with the body that `answer` returns for the path, 400 if there is none.
 async fn start_store(
-    answer: impl Fn(&str) -> Option<Vec<u8>> + Send + Sync + 'static,
+    mut answer: impl FnMut(&str) -> Option<Vec<u8>> + Send + 'static,
 ) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -94,7 +94,8 @@
         loop {
             let read = stream.read(&mut request).await.unwrap_or(0);
             if read == 0 {
-                return;
+                stream = listener.accept().await.unwrap().0;
+                continue;
             }
             let head = std::str::from_utf8(&request[..read]).unwrap();
             let body = answer(head.split(' ').nth(1).unwrap());
@@ -225,3 +226,40 @@
     let keys: Vec<&str> = changes.iter().map(|change| &*change.key).collect();
     assert_eq!(keys, ["servers/j"]);
 }
+
+/// Guards against one answer that cannot be read and costs all pages that were read before it.
+#[tokio::test]
+async fn one_odd_answer_does_not_end_a_read() {
+    let odd = [
+        &b""[..],
+        b"\xff\xfe",
+        b"{",
+        b"[]",
+        b"null",
+        br#"{"items":[],"has_more":false}"#,
+        br#"{"items":7,"has_more":false,"current_rev":1}"#,
+        br#"{"items":[],"has_more":"no","current_rev":1}"#,
+        br#"{"items":[],"has_more":false,"current_rev":"1"}"#,
+        br#"{"has_more":false,"current_rev":1}"#,
+    ];
+    for body in odd {
+        for spoilt in 0..4 {
+            let keys: Vec<Vec<u8>> = (0..7)
+                .map(|index| format!("servers/{index}").into())
+                .collect();
+            let (mut calls, written) = (0, keys.len());
+            let answer = move |path: &str| {
+                calls += 1;
+                match calls - 1 {
+                    call if call == spoilt => Some(body.to_vec()),
+                    _ => Continuation::Decoded.page(&keys, path),
+                }
+            };
+            let mut client = StoreClient::new(start_store(answer).await);
+            let read = client.read_all(1, &[READ_TIMEOUT, READ_TIMEOUT]).await;
+            let case = format!("{} at {spoilt}", body.escape_ascii());
+            let read = read.unwrap_or_else(|error| panic!("{case}: {error}"));
+            assert_eq!(read.changes.len(), written, "{case}");
+        }
+    }
+}
