--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -288,9 +288,12 @@
                     sent_at: guard.sent_at,
                 };
                 let address = self.leaf.address();
-                gateway
-                    .upstreams
-                    .refute(gateway, address, misdirection, &self.id);
+                for leaf in gateway.upstreams.claims.refute(address, misdirection) {
+                    if let Some(suppressed) = gateway.log_limiter.admit(now, "leaf_refuted") {
+                        let present = misdirection.present.unwrap_or_default();
+                        log::info!(leaf:% = leaf.instance(), id = &*self.id, address:% = address, present, suppressed; "another leaf answers at this address");
+                    }
+                }
                 let reason = format!("refused with {status}");
                 (Outcome::Shed, Failure::NotRun, reason, Some(reply))
             }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod authentication;
 mod calls;
+mod claims;
 mod connections;
 mod crashes;
 mod crossing;
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -21,11 +21,11 @@
             LeafStats, Placement, RequestKey, choose_connection, connection_share,
             own_domain_first,
         },
-        registry::{LeafChange, LeafRecord, Misdirection},
+        registry::{LeafChange, LeafRecord},
         retry::RetryBudget,
         score,
     },
-    gateway::{Settings, limits::ReportedLeaves, state::Gateway},
+    gateway::{Settings, claims::Claims, limits::ReportedLeaves, state::Gateway},
 };
 
 /// Timeout for opening a connection to a leaf. A stalled leaf accepts the connection after its pause.
@@ -34,9 +34,6 @@
 const MAX_CONNECT_JITTER: Duration = Duration::from_millis(600);
 /// Time for which no further connection is opened to a leaf that reset a new one.
 const CONNECT_BACKOFF: Duration = Duration::from_millis(100);
-/// Time in which a leaf rejects a call that names another one. Calls to leaves that share an address, of which none is known to
-/// be there, wait for so long after the last one.
-const TRIAL_TIME: Duration = Duration::from_millis(30);
 /// Number of connections to a leaf that are opened in advance.
 const SPARE_CONNECTIONS: usize = 1;
 
@@ -63,9 +60,9 @@
     /// The leaf has answered a call, or has named itself when it rejected one for another leaf.
     pub(super) confirmed: Cell<bool>,
     /// The entries of other leaves name the same address.
-    contested: Cell<bool>,
+    pub(super) contested: Cell<bool>,
     /// When the entry appeared or began to name another address.
-    since: Time,
+    pub(super) since: Time,
     cold_until: Cell<Option<Time>>,
     /// The rate limit that the leaf names in its answers.
     pub(super) limit: RefCell<LeafLimit>,
@@ -328,16 +325,12 @@
     Down(Option<Time>),
 }
 
-/// Leaves whose entries name the same address, usually one.
-type Claims = SmallVec<[Rc<Leaf>; 1]>;
-
 /// The services and leaves known to the gateway.
 #[derive(Debug, Default)]
 pub(super) struct Upstreams {
     services: RefCell<HashMap<ServiceName, Rc<Service>>>,
     pub(super) leaves: RefCell<HashMap<Instance, Rc<Leaf>>>,
-    /// The leaves whose entries name an address.
-    claims: RefCell<HashMap<SocketAddr, Claims>>,
+    pub(super) claims: Claims,
     evacuated: RefCell<HashSet<Domain>>,
     pub(super) reported: ReportedLeaves,
 }
@@ -465,10 +458,7 @@
         self.leaves
             .borrow_mut()
             .insert(record.instance.clone(), leaf.clone());
-        let mut claims = self.claims.borrow_mut();
-        let claims = claims.entry(record.address).or_default();
-        claims.push(leaf.clone());
-        update_contested(claims);
+        self.claims.add(&leaf);
         let delay = gateway.connect_jitter();
         tokio::task::spawn_local(warm_up(gateway.clone(), leaf, delay));
     }
@@ -481,57 +471,7 @@
             .retain(|other| !Rc::ptr_eq(other, leaf));
         leaf.close_idle();
         leaf.defunct.set(true);
-        let mut addresses = self.claims.borrow_mut();
-        if let Some(claims) = addresses.get_mut(&leaf.address()) {
-            claims.retain(|other| !Rc::ptr_eq(other, leaf));
-            update_contested(claims);
-            if claims.is_empty() {
-                addresses.remove(&leaf.address());
-            }
-        }
-    }
-
-    /// Puts out of use the leaves that are not at `address`, as a rejection of the request with this id has shown, until their
-    /// entries change.
-    pub(super) fn refute(
-        &self,
-        gateway: &Gateway,
-        address: SocketAddr,
-        misdirection: Misdirection<'_>,
-        id: &str,
-    ) {
-        let claims = self.claims.borrow();
-        let Some(claims) = claims.get(&address) else {
-            return;
-        };
-        for leaf in claims {
-            let instance = leaf.instance();
-            if !misdirection.refutes(&instance, leaf.since) {
-                let is_present = misdirection.present == Some(instance.as_str());
-                leaf.confirmed.set(leaf.confirmed.get() || is_present);
-                continue;
-            }
-            if leaf.defunct.replace(true) {
-                continue;
-            }
-            if let Some(suppressed) = gateway.log_limiter.admit(gateway.now(), "leaf_refuted") {
-                let present = misdirection.present.unwrap_or_default();
-                log::info!(leaf:% = instance, id, address:% = address, present, suppressed; "another leaf answers at this address");
-            }
-        }
-        update_contested(claims);
-    }
-
-    /// Returns whether a call has just been sent that will show which of the leaves with the address of this one is there.
-    fn is_on_trial(&self, now: Time, leaf: &Leaf) -> bool {
-        if leaf.confirmed.get() || !leaf.contested.get() {
-            return false;
-        }
-        let claims = self.claims.borrow();
-        let mut claims = claims.get(&leaf.address()).into_iter().flatten();
-        claims.any(|other| {
-            !other.confirmed.get() && other.stats.borrow().has_recent_call(now, TRIAL_TIME)
-        })
+        self.claims.remove(leaf);
     }
 
     /// Closes all idle connections, because the link that carries them is lost.
@@ -650,14 +590,14 @@
             let is_near = leaf.record.borrow().domain == settings.domain;
             any_near |= is_near;
             let has_room = leaf.has_room(now, max_connections) && stats.has_room();
-            if has_room && !self.is_on_trial(now, leaf) {
+            if has_room && !self.claims.is_on_trial(now, leaf) {
                 usable.push(UsableLeaf { index, is_near });
             }
         }
-        // A request that has met an entry whose leaf is elsewhere does not go to one that may be another of the kind.
-        let is_misled = query.tried.iter().any(|leaf| leaf.defunct.get());
+        // A request that another leaf has rejected goes to one that is known to be at its address.
+        let is_misdirected = query.tried.iter().any(|leaf| leaf.defunct.get());
         let is_confirmed = |leaf: &UsableLeaf| leaves[leaf.index].confirmed.get();
-        if is_misled && usable.iter().any(is_confirmed) {
+        if is_misdirected && usable.iter().any(is_confirmed) {
             usable.retain(|leaf| is_confirmed(leaf));
         }
         if query.least_used {
@@ -716,13 +656,6 @@
     }
 }
 
-/// Updates which leaves share their address with others.
-fn update_contested(claims: &Claims) {
-    let claims = claims.iter().filter(|leaf| !leaf.defunct.get());
-    let is_contested = claims.clone().count() > 1;
-    claims.for_each(|leaf| leaf.contested.set(is_contested));
-}
-
 /// Returns the number of nodes and of leaves in each failure domain.
 fn domain_counts(
     nodes: &BTreeMap<Domain, usize>,
