Name malformed items and their tests by the usual terms

Evacuations with a malformed value are tested as well (a_leaf_with_a_malformed_entry_or_evacuation_is_not_used).

--- a/src/gateway/claims.rs
+++ b/src/gateway/claims.rs
@@ -9,7 +9,7 @@
 
 /// Time in which a leaf rejects a call that names another one. Calls to leaves that share an address, of which none is known to
 /// be there, wait for so long after the last one.
-const TRIAL_TIME: Duration = Duration::from_millis(30);
+const CHECK_TIME: Duration = Duration::from_millis(30);
 
 /// Leaves whose entries name the same address, usually one.
 type Sharers = SmallVec<[Rc<Leaf>; 1]>;
@@ -59,14 +59,14 @@
     }
 
     /// Returns whether a call has just been sent that will show which of the leaves with the address of this one is there.
-    pub(super) fn is_on_trial(&self, now: Time, leaf: &Leaf) -> bool {
+    pub(super) fn is_being_checked(&self, now: Time, leaf: &Leaf) -> bool {
         if leaf.confirmed.get() || !leaf.contested.get() {
             return false;
         }
         let claims = self.0.borrow();
         let mut sharers = claims.get(&leaf.address()).into_iter().flatten();
         sharers.any(|other| {
-            !other.confirmed.get() && other.stats.borrow().has_recent_call(now, TRIAL_TIME)
+            !other.confirmed.get() && other.stats.borrow().has_recent_call(now, CHECK_TIME)
         })
     }
 }
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -19,7 +19,7 @@
         routing::Routing,
     },
     gateway::{ingress::FEED_PATH, members::millis, state::Gateway},
-    platform::{DecodedChange, OddItem, StoreClient, StoreError, decode_change},
+    platform::{DecodedChange, MalformedItem, StoreClient, StoreError, decode_change},
 };
 
 /// Maximum wait of a watch. Each answer confirms to other nodes that this one still reaches the store.
@@ -104,7 +104,7 @@
                     if !self.sync.reading.replace(true) {
                         self.sync.read_update.notify_one();
                     }
-                    self.log_odd_items(now, &read.odd);
+                    self.log_malformed_items(now, &read.malformed);
                     let received = read.changes.len();
                     let changes = {
                         let mut mirror = self.mirror.borrow_mut();
@@ -163,10 +163,11 @@
     }
 
     /// Counts and logs items of the store that cannot be read.
-    fn log_odd_items(&self, now: Time, odd: &[OddItem]) {
-        metrics::counter!("cranberrychute_store_odd_items_total").increment(odd.len() as u64);
-        for OddItem { key, fault } in odd {
-            if let Some(suppressed) = self.log_limiter.admit(now, "odd_item") {
+    fn log_malformed_items(&self, now: Time, malformed: &[MalformedItem]) {
+        metrics::counter!("cranberrychute_store_malformed_items_total")
+            .increment(malformed.len() as u64);
+        for MalformedItem { key, fault } in malformed {
+            if let Some(suppressed) = self.log_limiter.admit(now, "malformed_item") {
                 log::warn!(key = &**key, error:% = fault, suppressed; "item of the store cannot be read");
             }
         }
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -590,7 +590,7 @@
             let is_near = leaf.record.borrow().domain == settings.domain;
             any_near |= is_near;
             let has_room = leaf.has_room(now, max_connections) && stats.has_room();
-            if has_room && !self.claims.is_on_trial(now, leaf) {
+            if has_room && !self.claims.is_being_checked(now, leaf) {
                 usable.push(UsableLeaf { index, is_near });
             }
         }
--- a/tests/gateway/odd_items.rs
+++ b/tests/gateway/malformed_items.rs
@@ -6,12 +6,12 @@
 use cranberrychute_emulator::{GatewayLeaf, Store};
 use futures::future::join_all;
 use serde_json::json;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     restore::{serves_new_route, with_new_route},
     site::{Node, Site, wait_until},
-    store::ODD_NAMES,
+    store::UNUSUAL_NAMES,
 };
 
 /// Maximum time of a call to the store. It only stops a test that would hang.
@@ -22,7 +22,7 @@
 const PAGE_ITEMS: usize = 7;
 
 /// Items as a store may write them, with `KEY` for their key.
-const ODD_ITEMS: [&[u8]; 31] = [
+const MALFORMED_ITEMS: [&[u8]; 31] = [
     br#"{"key":"KEY","value":7,"mod_rev":3}"#,
     br#"{"key":"KEY","value":null,"mod_rev":3}"#,
     br#"{"key":"KEY","value":{},"mod_rev":3}"#,
@@ -56,8 +56,8 @@
     br#""KEY""#,
 ];
 
-/// Returns an odd item under a key.
-fn odd_item(item: &[u8], key: &str) -> Vec<u8> {
+/// Returns a malformed item under a key.
+fn malformed_item(item: &[u8], key: &str) -> Vec<u8> {
     let mut rest = item;
     let mut text = Vec::new();
     while let Some(at) = rest.windows(3).position(|part| part == b"KEY") {
@@ -71,8 +71,8 @@
 
 /// Guards against an item that spoils the page in which it stands, so that no node reads the store while it is there.
 #[tokio::test]
-async fn an_odd_item_leaves_the_rest_of_its_page_readable() {
-    for item in ODD_ITEMS {
+async fn a_malformed_item_leaves_the_rest_of_its_page_readable() {
+    for item in MALFORMED_ITEMS {
         for list in ["op/", "servers/"] {
             for place in [0, 3, PAGE_ITEMS - 1, 2 * PAGE_ITEMS] {
                 let store = Store::start(1).await.unwrap();
@@ -86,7 +86,7 @@
                     0 => format!("{list}a"),
                     place => format!("{list}i-{:02}x", place - 1),
                 };
-                store.put_text(&key, &odd_item(item, &key));
+                store.put_text(&key, &malformed_item(item, &key));
                 let mut client = StoreClient::new(store.address(0));
                 let read = timeout(CALL_TIMEOUT, client.read_all(1, &[CALL_TIMEOUT])).await;
                 let text = String::from_utf8_lossy(item);
@@ -105,14 +105,14 @@
 
 /// Guards against an item that spoils each answer to a watch which has it, so that no change is seen any more.
 #[tokio::test]
-async fn an_odd_item_leaves_the_rest_of_a_watch_readable() {
-    for item in ODD_ITEMS {
+async fn a_malformed_item_leaves_the_rest_of_a_watch_readable() {
+    for item in MALFORMED_ITEMS {
         let store = Store::start(1).await.unwrap();
         store.put_bytes("op/config", b"x");
         let mut client = StoreClient::new(store.address(0));
         let position = client.read_all(1, &[CALL_TIMEOUT]).await.unwrap().position;
         store.put_bytes("servers/a", b"x");
-        store.put_text("servers/m", &odd_item(item, "servers/m"));
+        store.put_text("servers/m", &malformed_item(item, "servers/m"));
         let revision = store.put_bytes("servers/z", b"x");
         let read = client.watch(position, Duration::ZERO, CALL_TIMEOUT).await;
         let text = String::from_utf8_lossy(item);
@@ -127,30 +127,30 @@
 
 /// Guards against reports of items that no node reads.
 #[tokio::test]
-async fn odd_items_of_others_are_not_reported() {
+async fn malformed_items_of_others_are_not_reported() {
     let store = Store::start(1).await.unwrap();
     let mut client = StoreClient::new(store.address(0));
     let position = client.read_all(1, &[CALL_TIMEOUT]).await.unwrap().position;
     for key in ["other/a", "servers/a"] {
-        store.put_text(key, &odd_item(ODD_ITEMS[0], key));
+        store.put_text(key, &malformed_item(MALFORMED_ITEMS[0], key));
     }
     let read = client.watch(position, Duration::ZERO, CALL_TIMEOUT).await;
-    let odd = read.unwrap().odd;
-    let keys: Vec<&str> = odd.iter().map(|odd| &*odd.key).collect();
+    let malformed = read.unwrap().malformed;
+    let keys: Vec<&str> = malformed.iter().map(|item| &*item.key).collect();
     assert_eq!(keys, ["servers/a"]);
 }
 
-/// Guards against many odd items that flood the log or make nodes read the store again and again.
+/// Guards against many malformed items that flood the log or make nodes read the store again and again.
 #[tokio::test]
-async fn a_thousand_odd_items_cost_few_lines_and_one_read() {
+async fn a_thousand_malformed_items_cost_few_lines_and_one_read() {
     let site = Site::start(1, 2).await;
     for index in 0..1_000 {
         let (list, item) = match index % 2 {
-            0 => ("servers/", ODD_ITEMS[index % ODD_ITEMS.len()]),
-            _ => ("op/", ODD_ITEMS[0]),
+            0 => ("servers/", MALFORMED_ITEMS[index % MALFORMED_ITEMS.len()]),
+            _ => ("op/", MALFORMED_ITEMS[0]),
         };
-        let key = format!("{list}odd {index:04}");
-        site.store.put_text(&key, &odd_item(item, &key));
+        let key = format!("{list}bad {index:04}");
+        site.store.put_text(&key, &malformed_item(item, &key));
         // A page without any key ends the read.
         site.store
             .put_bytes(&format!("{key}z"), b"another writer's");
@@ -160,11 +160,11 @@
     for node in &nodes {
         assert_eq!(node.query("/one/x", "q").await.status, 200);
         let lines = node.log_lines();
-        let odd = lines
+        let malformed = lines
             .iter()
             .filter(|line| line["message"] == "item of the store cannot be read");
         // A burst, and those of the seconds since.
-        assert!(odd.count() <= 100);
+        assert!(malformed.count() <= 100);
     }
     let pages = 2_000 / PAGE_ITEMS;
     let calls = site.store.call_count() - before;
@@ -183,16 +183,16 @@
 
 /// Guards against an entry that stops the service once no node is left that has read the store without it.
 #[tokio::test]
-async fn odd_items_stop_neither_running_nor_restarted_nodes() {
+async fn malformed_items_stop_neither_running_nor_restarted_nodes() {
     let site = Site::start(1, 3).await;
     let mut nodes = site.nodes().await;
-    for (index, item) in ODD_ITEMS.iter().enumerate() {
+    for (index, item) in MALFORMED_ITEMS.iter().enumerate() {
         for list in ["op/evacuate/", "servers/"] {
-            let key = format!("{list}odd-{index:02}");
-            site.store.put_text(&key, &odd_item(item, &key));
-            // Stands between odd ones in the pages.
+            let key = format!("{list}bad-{index:02}");
+            site.store.put_text(&key, &malformed_item(item, &key));
+            // Stands between malformed ones in the pages.
             site.store
-                .put_bytes(&format!("{list}odd-{index:02}z"), b"x");
+                .put_bytes(&format!("{list}bad-{index:02}z"), b"x");
         }
     }
     site.store.put("op/config", &with_new_route(&site, 8));
@@ -212,19 +212,22 @@
             .iter()
             .any(|line| line["message"] == "item of the store cannot be read" && line["key"] == key)
     };
-    for key in ["servers/odd-00", "servers/odd-10", "servers/odd-19\\xff"] {
-        let named = nodes.iter().any(|node| is_named(node, key));
-        assert!(named, "{key} is in no log");
+    for key in ["servers/bad-00", "servers/bad-10", "servers/bad-19\\xff"] {
+        // Lines are written with a delay.
+        wait_until(&format!("{key} is in a log"), async || {
+            nodes.iter().any(|node| is_named(node, key))
+        })
+        .await;
     }
 }
 
 /// Guards against keys that stop the service after all nodes have been restarted: so many of each kind that they begin, fill and
 /// end pages of both lists.
 #[tokio::test]
-async fn odd_keys_stop_no_restarted_node() {
+async fn unusual_keys_stop_no_restarted_node() {
     let site = Site::start(1, 2).await;
     site.store.put("op/config", &with_new_route(&site, 8));
-    for name in ODD_NAMES {
+    for name in UNUSUAL_NAMES {
         for list in ["op/evacuate/", "servers/"] {
             for index in 0..=2 * PAGE_ITEMS {
                 let key = format!("{list}{name}{index:02}");
@@ -251,16 +254,25 @@
     }
 }
 
-/// Guards against a leaf that is used although an entry which cannot be read has replaced its own, and against nodes that differ
-/// in it.
+/// Guards against a leaf that is used although an entry which cannot be read has replaced its own, or although an evacuation
+/// of its failure domain whose value cannot be read is there, and against nodes that differ in it.
 #[tokio::test]
-async fn a_leaf_with_an_odd_entry_is_gone() {
-    let items = [ODD_ITEMS[0], ODD_ITEMS[3], ODD_ITEMS[6], ODD_ITEMS[7]];
-    for item in items {
+async fn a_leaf_with_a_malformed_entry_or_evacuation_is_not_used() {
+    let items = [
+        &br#"{"key":"KEY","value":7,"mod_rev":4}"#[..],
+        br#"{"key":"KEY","value":"e30","mod_rev":4}"#,
+        b"{\"key\":\"KEY\",\"value\":\"\xff\xfe\",\"mod_rev\":4}",
+        br#"{"key":"KEY","value":"e30=","mod_rev":"4"}"#,
+    ];
+    for (index, item) in items.into_iter().enumerate() {
         let site = Site::start(1, 2).await;
         let mut nodes = site.nodes().await;
         let [a, b] = &site.shards[0];
-        site.store.put_text(&a.key(), &odd_item(item, &a.key()));
+        let key = match index % 2 {
+            0 => a.key(),
+            _ => "op/evacuate/a".to_owned(),
+        };
+        site.store.put_text(&key, &malformed_item(item, &key));
         for restarted in [false, true] {
             if restarted {
                 nodes.iter_mut().for_each(Node::kill);
@@ -269,14 +281,12 @@
             for node in &nodes {
                 wait_until("the node is ready", async || node.is_ready().await).await;
             }
-            tokio::time::sleep(Duration::from_millis(500)).await;
+            sleep(Duration::from_millis(500)).await;
             let (before, others) = (a.request_count(), b.request_count());
             for request in 0..20 {
                 let node = &nodes[request % nodes.len()];
-                let reply = node
-                    .query("/one/x", &format!("q{restarted}{request}"))
-                    .await;
-                assert_eq!(reply.status, 200);
+                let id = format!("q{restarted}{request}");
+                assert_eq!(node.query("/one/x", &id).await.status, 200);
             }
             let text = String::from_utf8_lossy(item);
             assert_eq!(a.request_count(), before, "{text}, restarted: {restarted}");
@@ -289,7 +299,7 @@
 fn put_copies(site: &Site) {
     for (shard, pair) in site.shards.iter().enumerate() {
         for (leaf, zone) in pair.iter().zip(["a", "b"]) {
-            for name in ODD_NAMES {
+            for name in UNUSUAL_NAMES {
                 let mut entry = leaf.entry(&format!("s{shard}"), zone, "ready");
                 entry["slots"] = json!(64);
                 let key = format!("{}{name}", leaf.key());
@@ -363,7 +373,7 @@
         let reply = node.query("/all/x", &format!("q{request}")).await;
         assert_eq!(reply.status, 200);
     }
-    tokio::time::sleep(Duration::from_secs(5)).await;
+    sleep(Duration::from_secs(5)).await;
     for node in &nodes {
         assert_eq!(node.directory().await.len(), nodes.len());
         let mut lines = node.log_lines().into_iter();
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -17,7 +17,7 @@
 const PAGE_ITEMS: usize = 7;
 
 /// Parts of keys that a request line or a query may take for something else.
-pub(crate) const ODD_NAMES: [&str; 22] = [
+pub(crate) const UNUSUAL_NAMES: [&str; 22] = [
     "i (copy)",
     "a b c",
     "a&b",
@@ -47,8 +47,8 @@
 #[tokio::test]
 async fn all_pages_are_read_whatever_the_keys_contain() {
     let long = "+".repeat(180);
-    // A page of odd keys only can be continued after none but an odd one.
-    for (name, count) in ODD_NAMES
+    // A page of unusual keys only can be continued after no other.
+    for (name, count) in UNUSUAL_NAMES
         .into_iter()
         .chain([&*long])
         .flat_map(|name| [(name, 1), (name, 2 * PAGE_ITEMS)])
@@ -58,15 +58,15 @@
             let before = (1..PAGE_ITEMS).map(|index| format!("{list}0-{index}"));
             let after = (0..PAGE_ITEMS).map(|index| format!("{list}z-{index}"));
             let mut written: BTreeSet<String> = before.chain(after).collect();
-            let odd: Vec<String> = match count {
+            let unusual: Vec<String> = match count {
                 1 => vec![format!("{list}i{name}")],
                 _ => (0..count)
                     .map(|index| format!("{list}i{name}{index:02}"))
                     .collect(),
             };
-            written.extend(odd.iter().cloned());
+            written.extend(unusual.iter().cloned());
             let last = written.iter().nth(PAGE_ITEMS - 1);
-            assert_eq!(last, odd.first(), "the key does not end a page");
+            assert_eq!(last, unusual.first(), "the key does not end a page");
             written.insert("op/config".to_owned());
             for key in &written {
                 store.put_bytes(key, b"x");
@@ -175,7 +175,7 @@
 
 /// Guards against one key that ends all reads of a store which does not decode queries, and against keys that are not UTF-8.
 #[tokio::test]
-async fn one_odd_key_ends_no_read_of_any_store() {
+async fn one_unusual_key_ends_no_read_of_any_store() {
     let cases = [
         (Continuation::Decoded, &b"\xff\xfe"[..]),
         (Continuation::Decoded, b"\xed\xa0\x80"),
@@ -191,9 +191,9 @@
             for place in 0..7 {
                 let plain = (0..7).map(|index| format!("{list}i-{index}"));
                 let plain: BTreeSet<String> = plain.collect();
-                let odd = [format!("{list}i-{place}").as_bytes(), end].concat();
+                let unusual = [format!("{list}i-{place}").as_bytes(), end].concat();
                 let mut keys: Vec<Vec<u8>> = plain.iter().map(|key| key.clone().into()).collect();
-                keys.push(odd);
+                keys.push(unusual);
                 keys.sort();
                 let address = start_store(move |path| continuation.page(&keys, path)).await;
                 let mut client = StoreClient::new(address);
@@ -229,8 +229,8 @@
 
 /// Guards against one answer that cannot be read and costs all pages that were read before it.
 #[tokio::test]
-async fn one_odd_answer_does_not_end_a_read() {
-    let odd = [
+async fn one_malformed_answer_does_not_end_a_read() {
+    let malformed = [
         &b""[..],
         b"\xff\xfe",
         b"{",
@@ -242,7 +242,7 @@
         br#"{"items":[],"has_more":false,"current_rev":"1"}"#,
         br#"{"has_more":false,"current_rev":1}"#,
     ];
-    for body in odd {
+    for body in malformed {
         for spoilt in 0..4 {
             let keys: Vec<Vec<u8>> = (0..7)
                 .map(|index| format!("servers/{index}").into())
