--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -67,7 +67,12 @@
             written.extend(unusual.iter().cloned());
             let last = written.iter().nth(PAGE_ITEMS - 1);
             assert_eq!(last, unusual.first(), "the key does not end a page");
-            written.insert("op/config".to_owned());
+            // The other list is read as well.
+            let other = match list {
+                "op/" => "servers/i-1",
+                _ => "op/config",
+            };
+            written.insert(other.to_owned());
             for key in &written {
                 store.put_bytes(key, b"x");
             }
