--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -18,9 +18,10 @@
     },
     gateway::{
         crashes::{LostCall, Trial},
+        leaf::Leaf,
         routes::RouteStats,
         state::Gateway,
-        upstreams::{Leaf, Service},
+        upstreams::Service,
     },
     platform::{LeafAnswer, LeafRequest, is_answer_to, leaf_answer},
 };
--- a/src/gateway/claims.rs
+++ b/src/gateway/claims.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     core::{Time, registry::Misdirection},
-    gateway::upstreams::Leaf,
+    gateway::leaf::Leaf,
 };
 
 /// Time in which a leaf rejects a call that names another one. Calls to leaves that share an address, of which none is known to
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -12,7 +12,7 @@
         Time,
         crash::{Admission, CrashEvent, CrashId, Fingerprint, Reachability, has_ended},
     },
-    gateway::{ingress::CountGuard, state::Gateway, upstreams::Leaf},
+    gateway::{ingress::CountGuard, leaf::Leaf, state::Gateway},
 };
 
 /// Maximum number of crashes in a message. Together with all else that it carries, a message must fit into a datagram.
--- a/src/gateway/crossing.rs
+++ b/src/gateway/crossing.rs
@@ -7,10 +7,7 @@
         ServiceName, Time,
         placement::{CrossReason, Placement, ShareChange},
     },
-    gateway::{
-        state::Gateway,
-        upstreams::{Leaf, Service},
-    },
+    gateway::{leaf::Leaf, state::Gateway, upstreams::Service},
 };
 
 /// Counters of the traffic to leaves in the node's own failure domain and in others.
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -27,9 +27,10 @@
         crashes::Trial,
         inbound::Inbound,
         ingress::Answer,
+        leaf::Leaf,
         routes::{RequestOutcome, RouteStats},
         state::Gateway,
-        upstreams::{Leaf, LeafQuery, NoLeaf, Service},
+        upstreams::{LeafQuery, NoLeaf, Service},
     },
     platform::CallerAnswer,
 };
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -9,7 +9,7 @@
         limit::{LimitReport, NAMED_LIMIT, Naming, RateBound, Share, Tally, share},
         score,
     },
-    gateway::{members::millis, state::Gateway, upstreams::Leaf},
+    gateway::{leaf::Leaf, members::millis, state::Gateway},
 };
 
 /// Maximum number of reports about leaves in a message.
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -19,8 +19,8 @@
         link::{LinkCheck, LinkMonitor, LinkState},
     },
     gateway::{
+        leaf::{ConnectionLease, Leaf},
         state::Gateway,
-        upstreams::{ConnectionLease, Leaf},
     },
 };
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod handover;
 mod inbound;
 mod ingress;
+mod leaf;
 mod limits;
 mod link;
 mod logging;
