Test what nodes pass on with processes of both builds

New tests show it with processes: a node that the store rejects has all from the other one, at its start, by changes and after a restore. GATEWAY_BINARY_NODES=even|odd runs another build at every other node, which was a patch on scratch copies before.

Both tests pass on this build; they guard against a change and were not red before.

--- a/tests/gateway/malformed_items.rs
+++ b/tests/gateway/malformed_items.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cranberrychute::platform::StoreClient;
-use cranberrychute_emulator::{GatewayLeaf, Store};
+use cranberrychute_emulator::{Access, GatewayLeaf, Store};
 use futures::future::join_all;
 use serde_json::json;
 use tokio::time::{sleep, timeout};
@@ -198,12 +198,11 @@
     site.store.put("op/config", &with_new_route(&site, 8));
     wait_until_served(&nodes, "running nodes see later changes").await;
     for restart in 0..2 {
-        nodes.iter_mut().for_each(Node::kill);
         if restart == 1 {
             site.store.compact();
             site.store.restore(&site.store.copy());
         }
-        nodes = (0..nodes.len()).map(|index| site.node(index)).collect();
+        site.restart(&mut nodes).await;
         wait_until_served(&nodes, "restarted nodes serve").await;
     }
     let is_named = |node: &Node, key: &str| {
@@ -237,11 +236,10 @@
     }
     let mut nodes = site.nodes().await;
     for restart in 0..3 {
-        nodes.iter_mut().for_each(Node::kill);
         if restart == 1 {
             site.store.compact();
         }
-        nodes = (0..nodes.len()).map(|index| site.node(index)).collect();
+        site.restart(&mut nodes).await;
         if restart == 2 {
             site.store.restore(&site.store.copy());
         }
@@ -275,11 +273,7 @@
         site.store.put_text(&key, &malformed_item(item, &key));
         for restarted in [false, true] {
             if restarted {
-                nodes.iter_mut().for_each(Node::kill);
-                nodes = (0..nodes.len()).map(|index| site.node(index)).collect();
-            }
-            for node in &nodes {
-                wait_until("the node is ready", async || node.is_ready().await).await;
+                site.restart(&mut nodes).await;
             }
             sleep(Duration::from_millis(500)).await;
             let (before, others) = (a.request_count(), b.request_count());
@@ -295,6 +289,53 @@
     }
 }
 
+/// Checks that a node which the store rejects has all from the other one, which reads it: all items at its start, an entry that
+/// replaces that of a leaf, and a configuration that the store loses in a restore.
+async fn check_copies(rejected: usize, malformed: bool) {
+    let site = Site::start(1, 2).await;
+    let [a, b] = &site.shards[0];
+    let write = |key: &str| match malformed {
+        true => {
+            let item = json!({"key": key, "value": 7}).to_string();
+            site.store.put_text(key, item.as_bytes())
+        }
+        false => site.store.put_bytes(key, b"another writer's"),
+    };
+    for name in UNUSUAL_NAMES {
+        write(&format!("servers/{name}"));
+    }
+    site.store.set_access(rejected, Access::Unavailable);
+    let nodes = site.nodes().await;
+    let node = &nodes[rejected];
+    write(&a.key());
+    let copy = site.store.copy();
+    site.store.put("op/config", &with_new_route(&site, 8));
+    wait_until("the change arrives", async || serves_new_route(node).await).await;
+    site.store.restore(&copy);
+    sleep(Duration::from_secs(1)).await;
+    let (before, others) = (a.request_count(), b.request_count());
+    for request in 0..20 {
+        let reply = node.query("/new/x", &format!("q{request}")).await;
+        assert_eq!(reply.status, 200, "rejected: {rejected}");
+    }
+    let calls = (a.request_count() - before, b.request_count() - others);
+    assert_eq!(calls, (0, 20), "rejected: {rejected}");
+}
+
+/// Guards against items which name nothing that one node cannot pass on to the other, also between nodes of different builds.
+#[tokio::test]
+async fn nodes_pass_on_entries_that_name_no_leaf() {
+    for rejected in [0, 1] {
+        check_copies(rejected, false).await;
+    }
+}
+
+/// Guards against an item that a node cannot read and that spoils what it passes on.
+#[tokio::test]
+async fn nodes_pass_on_malformed_items() {
+    check_copies(0, true).await;
+}
+
 /// Writes complete entries under names of their own, each at the address of a leaf.
 fn put_copies(site: &Site) {
     for (shard, pair) in site.shards.iter().enumerate() {
@@ -318,11 +359,7 @@
     let leaves = || site.shards.iter().flatten();
     let mut nodes = site.nodes().await;
     for restart in 0..2 {
-        nodes.iter_mut().for_each(Node::kill);
-        nodes = (0..nodes.len()).map(|index| site.node(index)).collect();
-        for node in &nodes {
-            wait_until("the node is ready", async || node.is_ready().await).await;
-        }
+        site.restart(&mut nodes).await;
         let before: u64 = leaves().map(GatewayLeaf::request_count).sum();
         let mut runs = 0;
         let burst = (0..40).map(async |request| {
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -1,5 +1,5 @@
 //! A small test site: emulated store and leaves, and gateway processes on loopback addresses. `GATEWAY_BINARY` names another
-//! program to run as the gateway.
+//! program to run as the gateway, for every other node only if `GATEWAY_BINARY_NODES` is `even` or `odd`.
 
 use std::{
     env,
@@ -328,7 +328,9 @@
     fn spawn_with(&self, index: usize, output: Stdio, errors: Stdio) -> Node {
         // Nodes that know each other before they have read their own stores would take over each other's items.
         let settings = self.write_settings(index, if self.linked.is_empty() { 3 } else { 0 });
-        let binary = env::var_os("GATEWAY_BINARY");
+        let nodes = env::var("GATEWAY_BINARY_NODES").unwrap_or_default();
+        let is_other = nodes.is_empty() || nodes == ["even", "odd"][index % 2];
+        let binary = env::var_os("GATEWAY_BINARY").filter(|_| is_other);
         let child = Command::new(binary.unwrap_or(env!("CARGO_BIN_EXE_cranberrychute").into()))
             .arg("gateway")
             .env("CRANBERRYCHUTE_SETTINGS", settings)
@@ -375,6 +377,15 @@
         settings
     }
 
+    /// Kills all nodes, starts them again and waits until they are ready.
+    pub(crate) async fn restart(&self, nodes: &mut Vec<Node>) {
+        nodes.clear();
+        nodes.extend((0..self.ips.len()).map(|index| self.node(index)));
+        for node in nodes {
+            wait_until("the node is ready", async || node.is_ready().await).await;
+        }
+    }
+
     /// Starts all nodes and waits until each of them lists all nodes, or is ready if there are more than it would name.
     pub(crate) async fn nodes(&self) -> Vec<Node> {
         let nodes: Vec<Node> = (0..self.ips.len()).map(|index| self.node(index)).collect();
