--- a/review/standins-3/src/site.rs
+++ b/review/standins-3/src/site.rs
@@ -36,7 +36,7 @@
     pub link_mbps: f64,
     pub stable_window_ms: u64,
     pub config_apply_ms: u64,
-    drain_ms: u64,
+    pub drain_ms: u64,
     retry_slack: u64,
 }
 
--- a/review/standins-3/src/stale.rs
+++ b/review/standins-3/src/stale.rs
@@ -159,12 +159,27 @@
     let mut counts = [Count::default(); ZONES.len()];
     let mut first_served = [None; ZONES.len()];
     let mut discarded = false;
+    // One leaf leaves when the rules bind all machines, and goes on serving until the end.
+    let leaving = &leaves[0];
+    let drain_end = binds_from + Duration::from_millis(scene.profile.drain_ms);
+    let mut drained = false;
+    let mut runs_in_time = None;
+    let mut late_runs = 0;
     let mut ticks = interval(Duration::from_millis(200));
     let mut number = 0_u64;
     while Instant::now() < silent_at + OBSERVED {
         ticks.tick().await;
+        if !drained && Instant::now() >= binds_from {
+            drained = true;
+            store.put(&leaving.key(), &leaving.entry("s0", ZONES[0], "draining"));
+            record.line(true, &format!("leaf {} is draining", leaving.key()));
+        }
+        if runs_in_time.is_none() && Instant::now() >= drain_end {
+            runs_in_time = Some(leaving.request_count());
+        }
         if !discarded && Instant::now() >= history_end {
             discarded = true;
+            late_runs = leaving.request_count() - runs_in_time.unwrap_or_default();
             store.compact();
             record.line(true, "the store discards its history");
         }
@@ -172,6 +187,7 @@
             number += 1;
             let at = Instant::now();
             let status = ask(node.callers(), "/fresh/2f", number).await;
+            ask(node.callers(), "/rany1/2f", number << 32).await;
             let (binds, since) = (at >= binds_from, at - acknowledged);
             let note = if binds {
                 ""
@@ -196,6 +212,7 @@
     }
     let runs: Vec<u64> = leaves.iter().map(GatewayLeaf::request_count).collect();
     record.line(true, &format!("requests at the leafs: {runs:?}"));
+    record.line(true, &format!("requests at the leaving leaf later than drain_ms after its report, until the history is discarded: {late_runs}"));
     ensure!(
         counts.iter().any(|count| count.served > 0),
         "no machine serves the route in the end"
